--- /dev/null
+++ b/src/base/limits.hpp
@@ -0,0 +1,75 @@
+/// All size and time limits of the system, with the reason where one stands behind the number.
+#pragma once
+
+#include "base/time.hpp"
+
+#include <cstddef>
+
+namespace rml::limits {
+
+// Fleet, from the two-year target of docs/CAPACITY.md.
+constexpr std::size_t max_daemons = 390;
+constexpr std::size_t max_engines = 600;
+constexpr std::size_t max_failure_domains = 10;
+
+// Leases and duties.
+constexpr milliseconds duty_lease{6000};
+constexpr milliseconds duty_renewal{2000}; // two renewals may be lost before the lease lapses
+constexpr milliseconds order_timeout{2000};
+constexpr milliseconds store_call_timeout{800};
+constexpr milliseconds head_poll_interval{2000}; // notices a watch that hangs without an error
+
+// Evidence and observation.
+constexpr milliseconds evidence_lifetime{1500};
+constexpr milliseconds observe_interval{1000};
+constexpr milliseconds probe_cache_lifetime{500};
+constexpr milliseconds digest_interval{1000};
+
+// Membership.
+constexpr milliseconds keepalive_interval{1000};
+constexpr milliseconds link_silence_limit{3000};
+constexpr milliseconds suspicion_window{5000};
+constexpr milliseconds isolation_limit{4000}; // equal to the time in which a configuration must be in force
+constexpr std::size_t peer_links = 4;
+
+// Slots and grants.
+constexpr milliseconds slot_lifetime{3000};
+constexpr milliseconds quota_lifetime{3000};
+constexpr double quota_floor_share = 0.5;
+
+// Retries.
+constexpr double retry_share = 0.10;
+constexpr seconds retry_window{10};
+constexpr double retry_minimum_per_second = 1.0;
+
+// Crash attribution.
+constexpr milliseconds classification_delay{300};
+constexpr milliseconds correlated_loss_window{2000};
+constexpr std::chrono::hours block_lifetime{1};
+
+// Claims.
+constexpr std::chrono::hours claim_lifetime{48}; // a caller may send a key again a day later
+constexpr std::size_t claim_answer_bytes = 16 * 1024;
+
+// Callers.
+constexpr std::size_t http_header_bytes = 16 * 1024;
+constexpr std::size_t http_body_bytes = 4 * 1024 * 1024;
+constexpr milliseconds http_head_timeout{10000}; // bounds what a slow sender can hold
+constexpr milliseconds http_body_timeout{20000};
+constexpr milliseconds http_idle_timeout{60000};
+constexpr milliseconds http_write_timeout{20000};
+constexpr std::size_t http_connections = 4096;
+constexpr milliseconds request_time{120000}; // longest time of one request, end to end
+constexpr seconds address_lifetime{30};
+constexpr seconds leave_margin{5};
+
+// Store and peers.
+constexpr std::size_t store_value_bytes = 1024 * 1024;
+constexpr std::size_t peer_frame_bytes = 1024 * 1024 + 64 * 1024;
+constexpr int peer_protocol_version = 1;
+
+// Logs.
+constexpr std::size_t log_queue_records = 4096;
+constexpr double log_lines_per_second = 2000;
+
+} // namespace rml::limits
--- /dev/null
+++ b/src/http/client.hpp
@@ -0,0 +1,62 @@
+/// HTTP/1.1 client connections. All calls run inside a coroutine and take an absolute deadline.
+#pragma once
+
+#include "base/failure.hpp"
+#include "base/time.hpp"
+#include "http/message.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/spawn.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace rml::http {
+
+using yield_context = boost::asio::yield_context;
+
+/// One connection. Used by one coroutine at a time.
+class client_connection
+{
+public:
+    /// Connects. Fails with `connection_refused` or `timeout`; nothing was sent then.
+    static result<std::unique_ptr<client_connection>> create(boost::asio::io_context& context,
+                                                             const endpoint& remote, time_point deadline,
+                                                             yield_context yield);
+    ~client_connection();
+    client_connection(const client_connection&) = delete;
+    client_connection& operator=(const client_connection&) = delete;
+
+    /// Writes the request. After a failure it is unknown how much the other side received.
+    status write_request(const request& message, time_point deadline, yield_context yield);
+
+    /// Reads status and headers of the response; the body stays unread.
+    result<response> read_head(time_point deadline, yield_context yield);
+
+    /// Reads the next part of the body, or nothing at its end. Fails with `too_large` above `body_limit`
+    /// bytes in all.
+    result<std::optional<std::string>> read_body_part(time_point deadline, yield_context yield);
+
+    /// Writes a request and reads the whole response.
+    result<response> exchange(const request& message, time_point deadline, yield_context yield);
+
+    /// True when the last response was read to its end and the other side keeps the connection open.
+    bool reusable() const;
+
+    /// Closes the socket. Pending calls of the coroutine fail with `connection_broken`. May be called more
+    /// than once.
+    void close();
+
+    /// Highest number of body bytes accepted for one response.
+    void update_body_limit(std::size_t bytes);
+
+private:
+    struct state;
+    explicit client_connection(std::unique_ptr<state> initial);
+    std::unique_ptr<state> inner;
+};
+
+/// Connects, exchanges one request and closes. Blocks the calling thread; for tools and tests.
+result<response> call(const endpoint& remote, const request& message, milliseconds timeout);
+
+} // namespace rml::http
--- /dev/null
+++ b/src/http/message.hpp
@@ -0,0 +1,49 @@
+/// HTTP messages, independent of the library that carries them.
+#pragma once
+
+#include "base/endpoint.hpp"
+#include "base/failure.hpp"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace rml::http {
+
+struct header
+{
+    std::string name;
+    std::string value;
+};
+using header_list = std::vector<header>;
+
+/// First header of that name, compared without case.
+std::optional<std::string> find_header(const header_list& headers, std::string_view name);
+
+struct request
+{
+    std::string method{"GET"};
+    std::string target{"/"}; ///< path and query
+    header_list headers;
+    std::string body;
+};
+
+struct response
+{
+    int status{200};
+    header_list headers;
+    std::string body;
+};
+
+/// A JSON response with its content type.
+response json_response(int status, std::string body);
+
+/// Path without the query.
+std::string_view path_of(std::string_view target);
+
+/// Value of a query parameter, without percent decoding.
+std::optional<std::string> query_value(std::string_view target, std::string_view name);
+
+} // namespace rml::http
--- /dev/null
+++ b/src/http/server.cpp
@@ -0,0 +1,352 @@
+#include "http/server.hpp"
+
+#include <atomic>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <mutex>
+#include <optional>
+#include <unordered_map>
+
+namespace rml::http {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+} // namespace
+
+struct server::state
+{
+    state(asio::io_context& context, handler& requests, server_options options)
+        : context(context), acceptor(asio::make_strand(context)), requests(requests), options(options)
+    {
+    }
+
+    asio::io_context& context;
+    tcp::acceptor acceptor;
+    handler& requests;
+    server_options options;
+    std::atomic<bool> draining{false};
+    std::atomic<bool> stopped{false};
+    std::atomic<std::uint64_t> accepted{0};
+    std::atomic<std::uint64_t> refused{0};
+    std::atomic<std::uint64_t> malformed{0};
+    std::atomic<std::uint64_t> in_flight{0};
+    std::atomic<std::uint64_t> open{0};
+};
+
+namespace {
+
+/// Sends through the connection's stream from within its coroutine.
+class stream_writer final : public response_writer
+{
+public:
+    stream_writer(beast::tcp_stream& stream, milliseconds timeout, bool keep_alive, yield_context yield)
+        : stream(stream), timeout(timeout), keep_alive(keep_alive), yield(yield)
+    {
+    }
+
+    status send(const response& whole) override
+    {
+        this->head_sent = true;
+        bhttp::response<bhttp::string_body> out;
+        this->fill(out, whole);
+        out.body() = whole.body;
+        out.prepare_payload();
+        boost::system::error_code code;
+        this->stream.expires_after(this->timeout);
+        bhttp::async_write(this->stream, out, this->yield[code]);
+        this->ended = !code;
+        return this->checked(code);
+    }
+
+    status start(const response& head) override
+    {
+        this->head_sent = true;
+        bhttp::response<bhttp::empty_body> out;
+        this->fill(out, head);
+        out.chunked(true);
+        bhttp::response_serializer<bhttp::empty_body> serializer(out);
+        boost::system::error_code code;
+        this->stream.expires_after(this->timeout);
+        bhttp::async_write_header(this->stream, serializer, this->yield[code]);
+        return this->checked(code);
+    }
+
+    status write(std::string_view chunk) override
+    {
+        if (chunk.empty()) {
+            return success();
+        }
+        boost::system::error_code code;
+        this->stream.expires_after(this->timeout);
+        asio::async_write(this->stream, bhttp::make_chunk(asio::const_buffer(chunk.data(), chunk.size())),
+                          this->yield[code]);
+        return this->checked(code);
+    }
+
+    status finish() override
+    {
+        boost::system::error_code code;
+        this->stream.expires_after(this->timeout);
+        asio::async_write(this->stream, bhttp::make_chunk_last(), this->yield[code]);
+        this->ended = !code;
+        return this->checked(code);
+    }
+
+    void abort() override
+    {
+        boost::system::error_code ignored;
+        this->ended = false;
+        this->head_sent = true;
+        this->stream.socket().close(ignored);
+    }
+
+    bool started() const override { return this->head_sent; }
+    bool complete() const { return this->ended; }
+
+private:
+    template <class Message>
+    void fill(Message& out, const response& from) const
+    {
+        out.result(static_cast<unsigned>(from.status));
+        out.version(11);
+        out.keep_alive(this->keep_alive);
+        for (const auto& entry : from.headers) {
+            out.set(entry.name, entry.value);
+        }
+    }
+
+    status checked(const boost::system::error_code& code) const
+    {
+        if (!code) {
+            return success();
+        }
+        const bool late = code == beast::error::timeout;
+        return failure{late ? failure_kind::timeout : failure_kind::connection_broken, "write response"};
+    }
+
+    beast::tcp_stream& stream;
+    milliseconds timeout;
+    bool keep_alive;
+    yield_context yield;
+    bool head_sent{false};
+    bool ended{false};
+};
+
+/// Counts up for the lifetime of the object.
+class counter_guard
+{
+public:
+    explicit counter_guard(std::atomic<std::uint64_t>& counter) : counter(counter) { ++this->counter; }
+    ~counter_guard() { --this->counter; }
+    counter_guard(const counter_guard&) = delete;
+    counter_guard& operator=(const counter_guard&) = delete;
+
+private:
+    std::atomic<std::uint64_t>& counter;
+};
+
+int status_of(const boost::system::error_code& code)
+{
+    if (code == bhttp::error::header_limit) {
+        return 431;
+    }
+    if (code == bhttp::error::body_limit) {
+        return 413;
+    }
+    return code == beast::error::timeout ? 408 : 400;
+}
+
+response error_response(int status)
+{
+    const char* kind = status == 408 ? "timeout" : status == 400 ? "malformed" : "too_large";
+    auto answer = json_response(status, std::string(R"({"error":{"kind":")") + kind +
+                                            R"(","message":"request not accepted","outcome":"not-run"}})");
+    answer.headers.push_back({"x-rml-outcome", "not-run"});
+    return answer;
+}
+
+request from_beast(const bhttp::request<bhttp::string_body>& message)
+{
+    request out;
+    out.method = std::string(message.method_string());
+    out.target = std::string(message.target());
+    for (const auto& field : message) {
+        out.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    }
+    out.body = message.body();
+    return out;
+}
+
+/// Reads one request. Returns the error code of the head or the body.
+boost::system::error_code read_request(beast::tcp_stream& stream, beast::flat_buffer& buffer,
+                                       bhttp::request_parser<bhttp::string_body>& parser,
+                                       const server_options& options, bool first, yield_context yield)
+{
+    boost::system::error_code code;
+    parser.header_limit(static_cast<std::uint32_t>(options.header_bytes));
+    parser.body_limit(options.body_bytes);
+    if (buffer.size() == 0 && !first) {
+        stream.expires_after(options.idle_timeout);
+        const auto count = stream.async_read_some(buffer.prepare(1024), yield[code]);
+        if (code) {
+            return bhttp::error::end_of_stream;
+        }
+        buffer.commit(count);
+    }
+    stream.expires_after(options.head_timeout);
+    bhttp::async_read_header(stream, buffer, parser, yield[code]);
+    if (code) {
+        return code;
+    }
+    if (const auto expects = parser.get()[bhttp::field::expect]; beast::iequals(expects, "100-continue")) {
+        bhttp::response<bhttp::empty_body> go_on{bhttp::status::continue_, 11};
+        bhttp::async_write(stream, go_on, yield[code]);
+        if (code) {
+            return code;
+        }
+    }
+    stream.expires_after(options.body_timeout);
+    bhttp::async_read(stream, buffer, parser, yield[code]);
+    return code;
+}
+
+} // namespace
+
+namespace detail {
+
+template <class State>
+void serve_connection(const std::shared_ptr<State>& shared, tcp::socket socket, yield_context yield)
+{
+    const counter_guard open_guard(shared->open);
+    beast::tcp_stream stream(std::move(socket));
+    beast::flat_buffer buffer;
+    for (bool first = true; !shared->stopped; first = false) {
+        bhttp::request_parser<bhttp::string_body> parser;
+        const auto code = read_request(stream, buffer, parser, shared->options, first, yield);
+        if (code == bhttp::error::end_of_stream) {
+            break;
+        }
+        if (code) {
+            ++shared->malformed;
+            stream_writer writer(stream, shared->options.write_timeout, false, yield);
+            writer.send(error_response(status_of(code)));
+            break;
+        }
+        const bool keep = parser.get().keep_alive() && !shared->draining;
+        stream_writer writer(stream, shared->options.write_timeout, keep, yield);
+        {
+            const counter_guard busy(shared->in_flight);
+            stream.expires_never();
+            shared->requests.handle(from_beast(parser.get()), writer, yield);
+        }
+        if (!writer.complete() || !keep) {
+            break;
+        }
+    }
+    boost::system::error_code ignored;
+    stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+}
+
+template <class State>
+void accept_connections(const std::shared_ptr<State>& shared, yield_context yield)
+{
+    while (!shared->stopped) {
+        boost::system::error_code code;
+        tcp::socket socket(asio::make_strand(shared->context));
+        shared->acceptor.async_accept(socket, yield[code]);
+        if (code == asio::error::operation_aborted || code == asio::error::bad_descriptor) {
+            return;
+        }
+        if (code) {
+            continue;
+        }
+        if (shared->open >= shared->options.connections) {
+            ++shared->refused;
+            continue;
+        }
+        ++shared->accepted;
+        socket.set_option(tcp::no_delay(true), code);
+        const auto executor = socket.get_executor();
+        asio::spawn(
+            executor,
+            [shared, peer = std::make_shared<tcp::socket>(std::move(socket))](yield_context inner) {
+                serve_connection(shared, std::move(*peer), inner);
+            },
+            boost::coroutines::attributes(128 * 1024));
+    }
+}
+
+} // namespace detail
+
+server::server(std::shared_ptr<state> initial) : inner(std::move(initial)) {}
+
+server::~server()
+{
+    this->stop();
+}
+
+result<std::unique_ptr<server>> server::create(asio::io_context& context, const endpoint& listen,
+                                               handler& requests, const server_options& options)
+{
+    auto created = std::make_shared<state>(context, requests, options);
+    boost::system::error_code code;
+    const auto address = asio::ip::make_address(listen.address, code);
+    const tcp::endpoint local(address, listen.port);
+    if (!code) {
+        created->acceptor.open(local.protocol(), code);
+    }
+    if (!code) {
+        created->acceptor.set_option(tcp::acceptor::reuse_address(true), code);
+    }
+    if (!code) {
+        created->acceptor.bind(local, code);
+    }
+    if (!code) {
+        created->acceptor.listen(asio::socket_base::max_listen_connections, code);
+    }
+    if (code) {
+        return failure{failure_kind::unavailable, "listen on " + to_string(listen) + ": " + code.message()};
+    }
+    asio::spawn(created->acceptor.get_executor(),
+                [created](yield_context yield) { detail::accept_connections(created, yield); });
+    return std::unique_ptr<server>(new server(std::move(created)));
+}
+
+endpoint server::local() const
+{
+    boost::system::error_code code;
+    const auto bound = this->inner->acceptor.local_endpoint(code);
+    return endpoint{bound.address().to_string(), bound.port()};
+}
+
+server_stats server::stats() const
+{
+    return server_stats{this->inner->accepted, this->inner->refused, this->inner->malformed,
+                        this->inner->in_flight, this->inner->open};
+}
+
+void server::drain()
+{
+    this->inner->draining = true;
+}
+
+void server::stop()
+{
+    this->inner->draining = true;
+    if (this->inner->stopped.exchange(true)) {
+        return;
+    }
+    asio::post(this->inner->acceptor.get_executor(), [shared = this->inner] {
+        boost::system::error_code ignored;
+        shared->acceptor.close(ignored);
+    });
+}
+
+} // namespace rml::http
--- /dev/null
+++ b/src/model/plan.hpp
@@ -0,0 +1,75 @@
+/// The plan of a failure domain: which instances form which group. Stored as one document per failure domain
+/// and replaced by compare-and-swap, so an instance can never be in two groups.
+#pragma once
+
+#include "base/failure.hpp"
+#include "base/ids.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace rml {
+
+/// One group: its members in rank order, rank 0 receives the requests.
+struct group_record
+{
+    group_id id;
+    model_pool_id pool;
+    model_id model;
+    std::string version;
+    fabric_domain_id fabric;
+    std::uint64_t epoch{0}; ///< raised whenever members, model or version change
+    std::vector<instance_id> members;
+
+    friend bool operator==(const group_record& a, const group_record& b);
+};
+
+/// Where an instance stands, as far as a plan's checks need it.
+struct instance_place
+{
+    instance_id instance;
+    fabric_domain_id fabric;
+};
+
+/// All groups of one failure domain. Only create() builds one, so every plan has passed its checks.
+class domain_plan
+{
+public:
+    /// Fails with `refused` when an instance occurs twice, a group is empty, two groups share an id, or a
+    /// member is not in the group's fabric domain according to `places`.
+    static result<domain_plan> create(failure_domain_id domain, std::vector<group_record> groups,
+                                      const std::vector<instance_place>& places);
+
+    const failure_domain_id& domain() const { return this->failure_domain; }
+    const std::vector<group_record>& groups() const { return this->records; }
+    const std::vector<instance_place>& places() const { return this->instances; }
+
+    /// Group by id, or null.
+    const group_record* find(const group_id& id) const;
+    /// Group of which the instance is a member, or null.
+    const group_record* group_of(const instance_id& instance) const;
+
+private:
+    domain_plan() = default;
+
+    failure_domain_id failure_domain;
+    std::vector<group_record> records;
+    std::vector<instance_place> instances;
+};
+
+/// A plan with the store revision that fences the orders made from it.
+struct committed_plan
+{
+    domain_plan plan;
+    std::uint64_t revision{0};
+    std::string attempt_id; ///< recognises one's own write after a lost reply
+};
+
+/// CBOR document of a plan as stored under plan/<failure-domain>.
+std::string encode_plan(const domain_plan& plan, const std::string& attempt_id);
+
+/// Fails with `malformed` on a wrong document, `refused` when the plan's checks fail.
+result<committed_plan> decode_plan(const std::string& bytes, std::uint64_t revision);
+
+} // namespace rml
