Add replication, membership, configuration tracking and peer links

Cause: every daemon has to know members, digests and the configuration within 4 KB/s. Change: pure modules for the replicated map (eager and lazy links), membership by neighbour suspicion and configuration generations; CBOR messages; websocket links with mutual HMAC hellos. Ruled out: flooding heartbeats (390 a second to everybody exceeds the budget); one hash over periodic items, which differs between daemons every second and would cause constant repair.

--- /dev/null
+++ b/src/peer/messages.hpp
@@ -0,0 +1,129 @@
+/// Messages between daemons and their CBOR encoding. Unknown fields are ignored, so that two releases can run
+/// together.
+#pragma once
+
+#include "base/failure.hpp"
+#include "base/ids.hpp"
+#include "base/time.hpp"
+#include "decision/replication.hpp"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace rml::peer {
+
+/// First message of the accepting side: a random value that the other side must sign.
+struct challenge_message
+{
+    int version{0};
+    std::string nonce;
+};
+
+/// Purpose of a link.
+enum class link_purpose
+{
+    overlay = 0, ///< carries replicated items
+    direct = 1,  ///< carries reports, asks and grants to one daemon
+};
+
+/// Introduces a daemon. `mac` is HMAC-SHA256 over the other side's nonce and the fields, under the shared
+/// secret.
+struct hello_message
+{
+    int version{0};
+    daemon_id daemon;
+    std::uint64_t incarnation{0};
+    region_id region;
+    failure_domain_id failure_domain;
+    std::uint64_t generation{0}; ///< configuration in force
+    link_purpose purpose{link_purpose::overlay};
+    std::string nonce;
+    std::string mac;
+};
+
+struct keepalive_message
+{
+    std::uint64_t generation{0};
+};
+
+/// Asks the receiver for its full configuration set.
+struct config_ask_message
+{
+};
+
+/// Encoded engine reports for the duty holder of a failure domain.
+struct observe_message
+{
+    failure_domain_id failure_domain;
+    std::string reports;
+};
+
+/// What a slot permits.
+enum class slot_kind
+{
+    ramp = 0,  ///< requests to a target in cold start
+    trial = 1, ///< a request suspected of crashing its target
+};
+
+struct slot_ask_message
+{
+    std::uint64_t ask{0};
+    group_id group;
+    std::uint64_t incarnation{0};
+    slot_kind kind{slot_kind::ramp};
+    std::uint32_t count{0};
+};
+
+struct slot_grant_message
+{
+    std::uint64_t ask{0};
+    std::uint32_t count{0};
+    milliseconds lifetime{0};
+};
+
+struct slot_release_message
+{
+    group_id group;
+    std::uint64_t incarnation{0};
+    slot_kind kind{slot_kind::ramp};
+    std::uint64_t ask{0}; ///< the ask whose grant is returned
+    std::uint32_t count{0};
+    bool succeeded{false};
+};
+
+struct quota_ask_message
+{
+    std::uint64_t ask{0};
+    account_id account;
+    double rate{0}; ///< requests per second wanted
+};
+
+struct quota_grant_message
+{
+    std::uint64_t ask{0};
+    account_id account;
+    double rate{0};
+    milliseconds lifetime{0};
+};
+
+using message =
+    std::variant<challenge_message, hello_message, keepalive_message, config_ask_message, push_message,
+                 prune_message, summary_message, graft_message, observe_message, slot_ask_message,
+                 slot_grant_message, slot_release_message, quota_ask_message, quota_grant_message>;
+
+/// CBOR bytes of one frame.
+std::string encode(const message& m);
+
+/// Fails with `malformed` on bytes that are not a message, `not_found` on an unknown message type of a later
+/// release, `too_large` above limits::peer_frame_bytes.
+result<message> decode(const std::string& bytes);
+
+/// Signature of a hello under `secret` for the receiver's nonce, as lower-case hex.
+std::string sign(const hello_message& hello, const std::string& receiver_nonce, const std::string& secret);
+
+/// True when the hello's mac is right. Compares in constant time.
+bool verify(const hello_message& hello, const std::string& own_nonce, const std::string& secret);
+
+} // namespace rml::peer
