Bind timers of client connections to the calling coroutine

Cause: the stream's timers ran on the io_context and not on the strand of the coroutine, since yield_context has no associated executor in Boost 1.74. With several worker threads a deadline could run beside the operation it ends, and a pooled connection belongs to another strand on each use. Ruled out: one pool per strand, which would hardly ever reuse a connection. Change: a plain socket with one timer per operation on the coroutine's executor. reusable() also refuses a connection on which the other side has closed or has sent bytes without a request. response_writer tells that the caller has disconnected. Conclusion: connections may be pooled over all workers.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -4,8 +4,10 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <sys/socket.h>
 
 namespace rml::http {
 
@@ -19,7 +21,7 @@
 
 failure failure_of(const boost::system::error_code& code, const char* context)
 {
-    if (code == beast::error::timeout || code == asio::error::timed_out) {
+    if (code == asio::error::timed_out) {
         return {failure_kind::timeout, context};
     }
     if (code == asio::error::connection_refused || code == asio::error::host_unreachable ||
@@ -51,13 +53,68 @@
     return out;
 }
 
+/// Executor on which the coroutine runs. A connection may pass from one coroutine to the next, so its timers
+/// belong to the coroutine of the call and not to the socket.
+asio::any_io_executor executor_of(yield_context yield)
+{
+    // The completion moves its token out, so it gets a copy.
+    asio::async_completion<yield_context, void(boost::system::error_code)> init(yield);
+    return asio::get_associated_executor(init.completion_handler);
+}
+
+/// Closes the socket when the deadline passes during one operation.
+class deadline_guard
+{
+public:
+    deadline_guard(asio::ip::tcp::socket& socket, time_point deadline, yield_context yield)
+        : timer(executor_of(yield), deadline), flags(std::make_shared<shared_flags>())
+    {
+        this->timer.async_wait([&socket, shared = this->flags](const boost::system::error_code& code) {
+            if (code || shared->ended) {
+                return;
+            }
+            shared->expired = true;
+            boost::system::error_code ignored;
+            socket.close(ignored);
+        });
+    }
+    ~deadline_guard() { this->flags->ended = true; }
+    deadline_guard(const deadline_guard&) = delete;
+    deadline_guard& operator=(const deadline_guard&) = delete;
+
+    /// The operation's error code, with the deadline told apart from other ends.
+    boost::system::error_code checked(const boost::system::error_code& code) const
+    {
+        return code && this->flags->expired ? asio::error::make_error_code(asio::error::timed_out) : code;
+    }
+
+private:
+    /// Only touched on the coroutine's executor.
+    struct shared_flags
+    {
+        bool ended{false};
+        bool expired{false};
+    };
+    asio::steady_timer timer;
+    std::shared_ptr<shared_flags> flags;
+};
+
+/// True when the other side has neither closed nor sent anything. Bytes without a request are an answer that
+/// belongs to no one.
+bool silent(asio::ip::tcp::socket& socket)
+{
+    char byte = 0;
+    const auto count = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 } // namespace
 
 struct client_connection::state
 {
-    explicit state(const asio::any_io_executor& executor) : stream(executor) {}
+    explicit state(const asio::any_io_executor& executor) : socket(executor) {}
 
-    beast::tcp_stream stream;
+    asio::ip::tcp::socket socket;
     beast::flat_buffer buffer;
     std::optional<bhttp::response_parser<bhttp::buffer_body>> parser;
     std::string host;
@@ -81,15 +138,17 @@
     if (code) {
         return failure{failure_kind::connection_refused, "not an IP number: " + remote.address};
     }
-    const auto executor = asio::get_associated_executor(yield, context.get_executor());
-    auto created = std::make_unique<state>(executor);
+    auto created = std::make_unique<state>(context.get_executor());
     created->host = to_string(remote);
-    created->stream.expires_at(deadline);
-    created->stream.async_connect(asio::ip::tcp::endpoint(address, remote.port), yield[code]);
+    {
+        const deadline_guard guard(created->socket, deadline, yield);
+        created->socket.async_connect(asio::ip::tcp::endpoint(address, remote.port), yield[code]);
+        code = guard.checked(code);
+    }
     if (code) {
         return failure_of(code, "connect");
     }
-    created->stream.socket().set_option(asio::ip::tcp::no_delay(true), code);
+    created->socket.set_option(asio::ip::tcp::no_delay(true), code);
     return std::unique_ptr<client_connection>(new client_connection(std::move(created)));
 }
 
@@ -97,8 +156,11 @@
 {
     auto out = to_beast(message, this->inner->host);
     boost::system::error_code code;
-    this->inner->stream.expires_at(deadline);
-    bhttp::async_write(this->inner->stream, out, yield[code]);
+    {
+        const deadline_guard guard(this->inner->socket, deadline, yield);
+        bhttp::async_write(this->inner->socket, out, yield[code]);
+        code = guard.checked(code);
+    }
     if (code) {
         this->inner->broken = true;
         return failure_of(code, "write request");
@@ -112,8 +174,11 @@
     parser.header_limit(static_cast<std::uint32_t>(limits::http_header_bytes));
     parser.body_limit(this->inner->body_limit);
     boost::system::error_code code;
-    this->inner->stream.expires_at(deadline);
-    bhttp::async_read_header(this->inner->stream, this->inner->buffer, parser, yield[code]);
+    {
+        const deadline_guard guard(this->inner->socket, deadline, yield);
+        bhttp::async_read_header(this->inner->socket, this->inner->buffer, parser, yield[code]);
+        code = guard.checked(code);
+    }
     if (code) {
         this->inner->broken = true;
         return failure_of(code, "read response head");
@@ -136,8 +201,11 @@
     parser.get().body().data = part.data();
     parser.get().body().size = part.size();
     boost::system::error_code code;
-    this->inner->stream.expires_at(deadline);
-    bhttp::async_read_some(this->inner->stream, this->inner->buffer, parser, yield[code]);
+    {
+        const deadline_guard guard(this->inner->socket, deadline, yield);
+        bhttp::async_read_some(this->inner->socket, this->inner->buffer, parser, yield[code]);
+        code = guard.checked(code);
+    }
     if (code && code != bhttp::error::need_buffer) {
         this->inner->broken = true;
         return failure_of(code, "read response body");
@@ -174,13 +242,14 @@
 bool client_connection::reusable() const
 {
     return !this->inner->broken && this->inner->parser && this->inner->parser->is_done() &&
-           this->inner->parser->keep_alive() && this->inner->stream.socket().is_open();
+           this->inner->parser->keep_alive() && this->inner->socket.is_open() &&
+           this->inner->buffer.size() == 0 && silent(this->inner->socket);
 }
 
 void client_connection::close()
 {
     boost::system::error_code ignored;
-    this->inner->stream.socket().close(ignored);
+    this->inner->socket.close(ignored);
     this->inner->broken = true;
 }
 
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -15,7 +15,7 @@
 
 using yield_context = boost::asio::yield_context;
 
-/// One connection. Used by one coroutine at a time.
+/// One connection. Used by one coroutine at a time; it may pass from one coroutine to another.
 class client_connection
 {
 public:
@@ -40,7 +40,8 @@
     /// Writes a request and reads the whole response.
     result<response> exchange(const request& message, time_point deadline, yield_context yield);
 
-    /// True when the last response was read to its end and the other side keeps the connection open.
+    /// True when the last response was read to its end, the other side keeps the connection open and has sent
+    /// nothing since. Asked again directly before an idle connection is used.
     bool reusable() const;
 
     /// Closes the socket. Pending calls of the coroutine fail with `connection_broken`. May be called more
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http.hpp>
 #include <mutex>
 #include <optional>
+#include <sys/socket.h>
 #include <unordered_map>
 
 namespace rml::http {
@@ -108,6 +109,14 @@
     }
 
     bool started() const override { return this->head_sent; }
+
+    bool disconnected() const override
+    {
+        char byte = 0;
+        const auto count = ::recv(this->stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+    }
+
     bool complete() const { return this->ended; }
 
 private:
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -37,6 +37,8 @@
     virtual void abort() = 0;
     /// True once a head was sent.
     virtual bool started() const = 0;
+    /// True when the other side has closed the connection.
+    virtual bool disconnected() const { return false; }
 };
 
 /// Serves requests. Called from many connections at once.
