--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -4,6 +4,7 @@
 #include "base/time.hpp"
 
 #include <cstddef>
+#include <cstdint>
 
 namespace rml::limits {
 
@@ -17,14 +18,37 @@
 constexpr milliseconds duty_renewal{2000}; // two renewals may be lost before the lease lapses
 constexpr milliseconds order_timeout{2000};
 constexpr milliseconds store_call_timeout{800};
+constexpr std::size_t duty_candidates = 2;       // only these daemons call the store for a duty
+constexpr milliseconds duty_retry{500};          // four tries fit between a missed renewal and the lapse
 constexpr milliseconds head_poll_interval{2000}; // notices a watch that hangs without an error
 
 // Evidence and observation.
-constexpr milliseconds evidence_lifetime{1500};
+// 0.5 s probe, 1 s report, 1 s digest and 0.3 s spread at most.
+constexpr milliseconds evidence_lifetime{3000};
+// An observation older than this at the duty holder is not reported as healthy: 0.5 s probe and 1 s report,
+// and 0.2 s for the transfer.
+constexpr milliseconds observation_lifetime{1700};
+constexpr milliseconds probe_interval{500};
+constexpr milliseconds digest_spread{300}; // longest transfer of a digest that is not delayed by a queue
 constexpr milliseconds observe_interval{1000};
 constexpr milliseconds probe_cache_lifetime{500};
 constexpr milliseconds digest_interval{1000};
 
+// Orders.
+constexpr milliseconds order_backoff_first{500};
+constexpr milliseconds order_backoff_longest{8000};
+constexpr std::size_t orders_in_flight = 64; // per duty; a whole domain of 60 engines fits
+
+// Share of a pool's groups in one domain, as a divisor, that may load another version at the same time.
+constexpr std::uint32_t update_share = 4;
+
+// Learnt shared risk of instances.
+constexpr std::uint32_t risk_coincidences = 2; // one coincidence in two years is expected by chance
+constexpr double risk_step = 0.1;              // weight per coincidence
+constexpr double risk_cap = 0.5;               // below 1, the value of weights already loaded
+constexpr std::chrono::hours risk_half_life{7 * 24};
+constexpr std::size_t risk_pairs = 20000; // a whole domain of 60 engines has 1770
+
 // Membership.
 constexpr milliseconds keepalive_interval{1000};
 constexpr milliseconds link_silence_limit{3000};
