Add observation, digests and the evidence table

Cause: a group may serve only with fresh evidence of every member. Ruled out: trusting the age in a digest alone. A digest that a queue held back, or that was stored by a peer before its sender ended, carries a small age. The sender's monotonic clock in the digest shows the extra delay; the first digest of a run is no evidence.

--- /dev/null
+++ b/tests/decision/observation_test.cpp
@@ -0,0 +1,240 @@
+#include "decision/observation.hpp"
+
+#include "base/limits.hpp"
+#include "decision/evidence.hpp"
+#include "store_model.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace rml;
+using test::at;
+
+namespace {
+
+const failure_domain_id domain("waco-a");
+
+committed_plan make_plan(std::uint64_t revision, std::uint64_t epoch)
+{
+    group_record group;
+    group.id = group_id("drafts.waco-a.1");
+    group.pool = model_pool_id("drafts");
+    group.model = model_id("m");
+    group.version = "1";
+    group.fabric = fabric_domain_id("f");
+    group.epoch = epoch;
+    group.members = {instance_id("i0"), instance_id("i1")};
+    auto plan = domain_plan::create(domain, {group},
+                                    {{group.members[0], group.fabric}, {group.members[1], group.fabric}});
+    return {value(std::move(plan)), revision, "attempt"};
+}
+
+engine_status status_of(const committed_plan& plan, std::uint32_t rank)
+{
+    const auto& group = plan.plan.groups()[0];
+    engine_status report;
+    report.instance = group.members[rank];
+    report.incarnation = 7;
+    report.group = group.id;
+    report.group_epoch = group.epoch;
+    report.rank = rank;
+    report.model = group.model;
+    report.version = group.version;
+    report.loaded = true;
+    return report;
+}
+
+observation_book book_at(const committed_plan& plan, std::int64_t ms)
+{
+    engine_observer observer(3);
+    observer.record(status_of(plan, 0), at(ms));
+    observer.record(status_of(plan, 1), at(ms));
+    observation_book book;
+    book.apply(daemon_id("d1"), observer.take_changes(at(ms)), at(ms));
+    return book;
+}
+
+digest digest_at(const committed_plan& plan, std::int64_t ms)
+{
+    return build_digest(plan, book_at(plan, ms), {4, 9, true, at(ms)});
+}
+
+} // namespace
+
+TEST_CASE("every engine has exactly one observer, and a lost daemon moves only its own engines",
+          "[observation]")
+{
+    std::vector<daemon_id> daemons;
+    for (int i = 0; i < 8; ++i) {
+        daemons.emplace_back("d" + std::to_string(i));
+    }
+    const auto fewer = std::vector<daemon_id>(daemons.begin() + 1, daemons.end());
+    for (int i = 0; i < 60; ++i) {
+        const instance_id engine("i" + std::to_string(i));
+        const auto before = observer_of(engine, daemons);
+        CHECK((before == daemons[0] || observer_of(engine, fewer) == before));
+        CHECK(engines_observed_by(before, {engine}, daemons).size() == 1);
+    }
+}
+
+TEST_CASE("reports reach the holder's book", "[observation]")
+{
+    const auto plan = make_plan(5, 5);
+    engine_observer observer(3);
+    observation_book book;
+    const daemon_id name("d1");
+    CHECK(observer.record(status_of(plan, 0), at(0)));
+    CHECK(observer.record(status_of(plan, 1), at(0)));
+    const auto send = [&](const observer_report& report, std::int64_t ms) {
+        const auto decoded = decode_observer_report(encode_observer_report(report));
+        REQUIRE(succeeded(decoded));
+        book.apply(name, value(decoded), at(ms));
+    };
+    send(observer.take_changes(at(10)), 12);
+    CHECK(book.fresh(instance_id("i0"), at(20)) != nullptr);
+    CHECK(book.fresh(instance_id("i0"), at(2000)) == nullptr);
+
+    SECTION("an unchanged engine is refreshed by its compact entry")
+    {
+        auto later = status_of(plan, 0);
+        later.running = 9;
+        CHECK_FALSE(observer.record(later, at(1500)));
+        send(observer.take_full_report(at(1510)), 1512);
+        REQUIRE(book.fresh(instance_id("i0"), at(2000)) != nullptr);
+        CHECK(book.fresh(instance_id("i0"), at(2000))->report.running == 9);
+        CHECK(book.fresh(instance_id("i1"), at(2000)) == nullptr);
+    }
+    SECTION("an engine that stops answering is not fresh any more")
+    {
+        CHECK(observer.record_silence(instance_id("i0")));
+        send(observer.take_changes(at(30)), 32);
+        CHECK(book.fresh(instance_id("i0"), at(40)) == nullptr);
+    }
+    SECTION("a lost change report shows in the fingerprint and is resolved by a full report")
+    {
+        auto other = status_of(plan, 0);
+        other.loaded = false;
+        CHECK(observer.record(other, at(500)));
+        observer.take_changes(at(501));
+        send(observer.take_full_report(at(1000)), 1002);
+        CHECK(book.fresh(instance_id("i0"), at(1010)) == nullptr);
+        CHECK(book.unresolved() == std::vector<instance_id>{instance_id("i0")});
+        observer.restart_reports();
+        send(observer.take_full_report(at(1100)), 1102);
+        CHECK(book.unresolved().empty());
+    }
+    SECTION("a report that a queue held back does not pass for a fresh one")
+    {
+        observer.record(status_of(plan, 0), at(1000));
+        send(observer.take_full_report(at(1000)), 9000);
+        CHECK(book.fresh(instance_id("i0"), at(9001)) == nullptr);
+    }
+}
+
+TEST_CASE("encoded digests and reports are checked", "[observation]")
+{
+    const auto record = digest_at(make_plan(5, 5), 0);
+    const auto bytes = encode_digest(record);
+    CHECK(bytes.size() == 24 + 2);
+    const auto decoded = decode_digest(bytes);
+    REQUIRE(succeeded(decoded));
+    CHECK(encode_digest(value(decoded)) == bytes);
+    CHECK(rc::check("arbitrary and damaged bytes fail with a type or decode to what they encode", [&] {
+        auto damaged = *rc::gen::arbitrary<std::string>();
+        if (*rc::gen::arbitrary<bool>()) {
+            damaged = bytes;
+            damaged[*rc::gen::inRange<std::size_t>(0, bytes.size())] = *rc::gen::arbitrary<char>();
+            damaged.resize(*rc::gen::inRange<std::size_t>(0, bytes.size() + 4));
+        }
+        const auto result = decode_digest(damaged);
+        if (succeeded(result)) {
+            RC_ASSERT(encode_digest(value(result)).size() == damaged.size());
+        }
+        decode_observer_report(damaged);
+    }));
+}
+
+TEST_CASE("a group is servable only with fresh evidence of every member", "[evidence]")
+{
+    const auto plan = make_plan(5, 5);
+    const group_id group("drafts.waco-a.1");
+    evidence_table table;
+    table.install_plan(plan);
+    CHECK_FALSE(table.servable(group, at(0)));
+    CHECK(table.probes_due(group, at(0)).size() == 2);
+    table.apply_digest(domain, digest_at(plan, 0), at(10));
+    CHECK_FALSE(table.servable(group, at(10))); // the first digest of a run may be an old one
+    table.apply_digest(domain, digest_at(plan, 1000), at(1010));
+    REQUIRE(table.servable(group, at(1010)));
+    CHECK(table.probes_due(group, at(1010)).empty());
+
+    SECTION("evidence ends with its lifetime, and the daemon probes for itself")
+    {
+        CHECK(table.servable(group, at(3700)));
+        CHECK_FALSE(table.servable(group, at(3750)));
+        CHECK(table.probes_due(group, at(3750)).size() == 2);
+        table.apply_probe(status_of(plan, 0), at(3800));
+        CHECK_FALSE(table.servable(group, at(3810)));
+        table.apply_probe(status_of(plan, 1), at(3800));
+        CHECK(table.servable(group, at(3810)));
+        CHECK(table.probes_due(group, at(4200)).empty());
+        CHECK(table.probes_due(group, at(4400)).size() == 2);
+    }
+    SECTION("a broken connection removes the member's evidence at once")
+    {
+        table.invalidate(instance_id("i1"), at(1100));
+        CHECK_FALSE(table.servable(group, at(1100)));
+        CHECK(table.probes_due(group, at(1100)) == std::vector<instance_id>{instance_id("i1")});
+        table.apply_probe(status_of(plan, 1), at(1090));
+        CHECK_FALSE(table.servable(group, at(1110)));
+        table.apply_probe(status_of(plan, 1), at(1120));
+        CHECK(table.servable(group, at(1130)));
+    }
+    SECTION("a new incarnation removes what was seen of the old one")
+    {
+        table.learn_incarnation(instance_id("i0"), 7, at(1100));
+        CHECK(table.servable(group, at(1100)));
+        table.learn_incarnation(instance_id("i0"), 8, at(1100));
+        CHECK_FALSE(table.servable(group, at(1100)));
+    }
+    SECTION("a changed group needs new evidence, and digests of the old plan do not give it")
+    {
+        const auto next = make_plan(6, 6);
+        table.install_plan(next);
+        CHECK_FALSE(table.servable(group, at(1100)));
+        table.apply_digest(domain, digest_at(plan, 2000), at(2010));
+        CHECK_FALSE(table.servable(group, at(2010)));
+        table.apply_digest(domain, digest_at(next, 3000), at(3010));
+        CHECK(table.servable(group, at(3010)));
+    }
+    SECTION("a digest with a missing member outvotes earlier probes")
+    {
+        table.apply_probe(status_of(plan, 0), at(1500));
+        table.apply_probe(status_of(plan, 1), at(1500));
+        table.apply_digest(domain, build_digest(plan, observation_book(), {4, 9, true, at(2000)}), at(2010));
+        CHECK_FALSE(table.servable(group, at(2010)));
+        CHECK(table.probes_due(group, at(2010)).empty());
+    }
+    SECTION("a digest that was held back or repeated is no fresh evidence")
+    {
+        table.apply_digest(domain, digest_at(plan, 2000), at(9000));
+        table.apply_digest(domain, digest_at(plan, 2000), at(9001));
+        CHECK_FALSE(table.servable(group, at(9001)));
+    }
+    SECTION("a member that is unloaded, leaving or of another epoch does not serve")
+    {
+        for (const auto fault : {0, 1, 2}) {
+            auto report = status_of(plan, 0);
+            report.loaded = fault != 0;
+            report.leaving = fault == 1;
+            report.group_epoch += fault == 2 ? 1 : 0;
+            CHECK_FALSE(serves_as_planned(report, plan.plan.groups()[0], 0));
+        }
+    }
+    SECTION("a digest of a newer plan asks for that plan")
+    {
+        CHECK_FALSE(table.plan_outdated(domain));
+        table.apply_digest(domain, digest_at(make_plan(6, 6), 2000), at(2010));
+        CHECK(table.plan_outdated(domain));
+    }
+}
