Form and repair the groups of a failure domain

Cause: replicas span several instances of one fabric domain and stop with any of them. Change: decision/grouping keeps healthy groups, repairs broken ones with the fewest reassignments, forms new ones while a pool wants more, and divides pools over failure domains. An incomplete group without replacement stays in the plan. Epochs are the previous plan revision plus one, so that (group, epoch) never repeats. Ruled out: keeping the survivors of a broken group as a shorter group, which would look complete.

--- /dev/null
+++ b/src/decision/grouping.cpp
@@ -0,0 +1,758 @@
+#include "decision/grouping.hpp"
+
+#include "base/hash.hpp"
+#include "base/limits.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace rml {
+
+namespace {
+
+constexpr double foreign_survivor_cost = 10; // a spare is taken first, whatever it holds
+constexpr double load_cost = 1;              // weights that have to be loaded
+
+/// An engine during planning.
+struct slot
+{
+    const engine_view* view{nullptr};
+    std::size_t fabric{0};
+    int broken{-1};       ///< broken group whose survivor it is
+    bool in_group{false}; ///< claimed by a group of the new plan
+    bool movable{false};  ///< may join another group
+};
+
+struct broken_group
+{
+    const group_record* record{nullptr};
+    std::size_t pool{0};
+    std::size_t fabric{0};
+    std::vector<std::optional<std::size_t>> seats; ///< surviving slot per rank
+    bool settled{false};                           ///< repaired or given up
+
+    std::size_t missing() const
+    {
+        return static_cast<std::size_t>(std::count(this->seats.begin(), this->seats.end(), std::nullopt));
+    }
+};
+
+struct whole_group
+{
+    group_record record;
+    std::size_t pool{0};
+    std::size_t fabric{0};
+    bool kept{true}; ///< unchanged members; false: formed by this decision
+    bool given_up{false};
+};
+
+struct pool_state
+{
+    const pool_demand* demand{nullptr};
+    std::uint32_t complete{0};
+    std::vector<std::uint32_t> per_fabric; ///< complete groups per fabric domain
+
+    bool wants() const { return this->complete < this->demand->groups; }
+    bool surplus() const { return this->complete > this->demand->groups; }
+};
+
+struct fabric_state
+{
+    fabric_domain_id id;
+    std::vector<std::size_t> slots;
+    std::size_t free{0}; ///< movable slots in no group of the new plan, with survivors of broken groups
+};
+
+/// One decision. Methods run in the order of plan().
+class planner
+{
+public:
+    explicit planner(const grouping_input& input) : input(input) {}
+
+    result<grouping_outcome> plan();
+
+private:
+    void index_engines();
+    void index_pools();
+    void classify(const group_record& record);
+    void keep_whole(const group_record& record, std::size_t pool);
+    void add_broken(const group_record& record, std::size_t pool, bool reshape);
+    void keep_drained();
+    void update_versions();
+    void serve_pool(std::size_t pool);
+    bool repair_one(std::size_t pool);
+    bool create_one(std::size_t pool);
+    bool make_room(std::size_t pool);
+    bool retire_surplus(std::size_t pool);
+    bool move_smaller_group(std::size_t pool);
+    bool all_movable(const group_record& record) const;
+    void create_in(std::size_t pool, std::size_t fabric);
+    void give_up(whole_group& group);
+    void keep_incomplete();
+    bool can_keep(const broken_group& group) const;
+    std::size_t free_for(const broken_group& group) const;
+    std::optional<std::size_t> best_fabric(std::size_t pool, std::optional<std::size_t> without) const;
+    std::optional<std::size_t> pick(std::size_t fabric, std::size_t pool,
+                                    const std::vector<std::size_t>& chosen) const;
+    double cost(const slot& candidate, const pool_demand& demand,
+                const std::vector<std::size_t>& chosen) const;
+    void claim(std::size_t slot_index);
+    void add_complete(std::size_t pool, std::size_t fabric, group_record record);
+    group_id fresh_id(const pool_demand& demand);
+    std::uint64_t next_epoch() const { return this->input.previous_revision + 1; }
+    result<grouping_outcome> finish();
+    void count_engines();
+
+    const grouping_input& input;
+    std::vector<slot> slots;
+    std::vector<fabric_state> fabrics;
+    std::vector<pool_state> pools;
+    std::vector<broken_group> broken;
+    std::vector<whole_group> whole;
+    std::vector<group_record> incomplete;
+    std::unordered_map<instance_id, std::size_t> slot_of;
+    std::unordered_map<fabric_domain_id, std::size_t> fabric_index;
+    std::unordered_map<model_pool_id, std::size_t> pool_index;
+    std::unordered_map<instance_id, group_id> group_before;
+    std::unordered_set<group_id> used_ids;
+    std::unordered_map<model_pool_id, std::uint32_t> next_number;
+    grouping_stats stats;
+};
+
+void planner::index_engines()
+{
+    this->slots.reserve(this->input.engines.size());
+    for (const auto& view : this->input.engines) {
+        const auto [place, added] = this->fabric_index.try_emplace(view.fabric, this->fabrics.size());
+        if (added) {
+            this->fabrics.push_back({view.fabric, {}, 0});
+        }
+        slot entry;
+        entry.view = &view;
+        entry.fabric = place->second;
+        entry.movable = view.usable && (view.fenced || this->input.settled);
+        this->slot_of.emplace(view.instance, this->slots.size());
+        this->fabrics[place->second].slots.push_back(this->slots.size());
+        this->fabrics[place->second].free += entry.movable ? 1 : 0;
+        this->slots.push_back(entry);
+    }
+    for (auto& fabric : this->fabrics) {
+        std::sort(fabric.slots.begin(), fabric.slots.end(), [&](std::size_t a, std::size_t b) {
+            return this->slots[a].view->instance < this->slots[b].view->instance;
+        });
+    }
+}
+
+void planner::index_pools()
+{
+    for (const auto& demand : this->input.pools) {
+        if (demand.group_size == 0) {
+            continue;
+        }
+        pool_state state;
+        state.demand = &demand;
+        state.per_fabric.resize(this->fabrics.size());
+        this->pools.push_back(std::move(state));
+    }
+    // Larger groups first: they find room only while a fabric domain is still free.
+    std::sort(this->pools.begin(), this->pools.end(), [](const pool_state& a, const pool_state& b) {
+        return a.demand->group_size != b.demand->group_size ? a.demand->group_size > b.demand->group_size
+                                                            : a.demand->pool < b.demand->pool;
+    });
+    for (std::size_t i = 0; i < this->pools.size(); ++i) {
+        this->pool_index.emplace(this->pools[i].demand->pool, i);
+    }
+}
+
+void planner::claim(std::size_t slot_index)
+{
+    auto& entry = this->slots[slot_index];
+    entry.in_group = true;
+    this->fabrics[entry.fabric].free -= entry.movable ? 1 : 0;
+    if (entry.broken >= 0) {
+        auto& group = this->broken[static_cast<std::size_t>(entry.broken)];
+        std::replace(group.seats.begin(), group.seats.end(), std::optional(slot_index),
+                     std::optional<std::size_t>());
+        entry.broken = -1;
+    }
+}
+
+void planner::add_complete(std::size_t pool, std::size_t fabric, group_record record)
+{
+    ++this->pools[pool].complete;
+    ++this->pools[pool].per_fabric[fabric];
+    this->whole.push_back({std::move(record), pool, fabric, false, false});
+}
+
+void planner::keep_whole(const group_record& record, std::size_t pool)
+{
+    const auto fabric = this->fabric_index.at(record.fabric);
+    for (const auto& member : record.members) {
+        this->claim(this->slot_of.at(member));
+    }
+    this->add_complete(pool, fabric, record);
+    this->whole.back().kept = true;
+}
+
+void planner::add_broken(const group_record& record, std::size_t pool, bool reshape)
+{
+    broken_group group;
+    group.record = &record;
+    group.pool = pool;
+    group.fabric = this->fabric_index.at(record.fabric);
+    group.seats.resize(this->pools[pool].demand->group_size);
+    const auto ranks = std::min(group.seats.size(), record.members.size());
+    for (std::size_t rank = 0; rank < ranks; ++rank) {
+        const auto found = this->slot_of.find(record.members[rank]);
+        if (found == this->slot_of.end()) {
+            continue;
+        }
+        auto& entry = this->slots[found->second];
+        if (entry.view->usable && entry.fabric == group.fabric && (!reshape || !entry.in_group)) {
+            group.seats[rank] = found->second;
+            entry.broken = static_cast<int>(this->broken.size());
+        }
+    }
+    this->broken.push_back(std::move(group));
+}
+
+void planner::classify(const group_record& record)
+{
+    const auto pool = this->pool_index.find(record.pool);
+    const auto fabric = this->fabric_index.find(record.fabric);
+    if (pool == this->pool_index.end() || fabric == this->fabric_index.end()) {
+        return;
+    }
+    const bool all_usable =
+        std::all_of(record.members.begin(), record.members.end(), [&](const instance_id& member) {
+            const auto found = this->slot_of.find(member);
+            return found != this->slot_of.end() && this->slots[found->second].view->usable &&
+                   this->slots[found->second].fabric == fabric->second;
+        });
+    if (all_usable) {
+        this->keep_whole(record, pool->second);
+    } else {
+        this->add_broken(record, pool->second, false);
+    }
+}
+
+void planner::update_versions()
+{
+    std::vector<std::uint32_t> unready(this->pools.size());
+    const auto is_ready = [&](const whole_group& group) {
+        return std::all_of(
+            group.record.members.begin(), group.record.members.end(),
+            [&](const instance_id& member) { return this->slots[this->slot_of.at(member)].view->ready; });
+    };
+    for (const auto& group : this->whole) {
+        unready[group.pool] += is_ready(group) ? 0 : 1;
+    }
+    const auto count = this->whole.size();
+    for (std::size_t i = 0; i < count; ++i) {
+        auto& group = this->whole[i];
+        const auto& demand = *this->pools[group.pool].demand;
+        const bool same_weights =
+            group.record.model == demand.model && group.record.version == demand.version;
+        if (same_weights && group.record.members.size() == demand.group_size) {
+            continue;
+        }
+        const auto at_once = std::max<std::uint32_t>(1, demand.groups / limits::update_share);
+        if (unready[group.pool] >= at_once) {
+            continue;
+        }
+        ++unready[group.pool];
+        ++this->stats.updated;
+        if (group.record.members.size() == demand.group_size) {
+            group.record.model = demand.model;
+            group.record.version = demand.version;
+            group.record.epoch = this->next_epoch();
+            continue;
+        }
+        // Another group size: given up here and formed again from its first members.
+        this->give_up(group);
+        const auto& previous = this->input.previous->groups();
+        const auto record =
+            std::find_if(previous.begin(), previous.end(),
+                         [&](const group_record& candidate) { return candidate.id == group.record.id; });
+        this->add_broken(*record, group.pool, true);
+    }
+}
+
+void planner::give_up(whole_group& group)
+{
+    group.given_up = true;
+    --this->pools[group.pool].complete;
+    --this->pools[group.pool].per_fabric[group.fabric];
+    for (const auto& member : group.record.members) {
+        auto& entry = this->slots[this->slot_of.at(member)];
+        entry.in_group = false;
+        this->fabrics[entry.fabric].free += entry.movable ? 1 : 0;
+    }
+}
+
+double planner::cost(const slot& candidate, const pool_demand& demand,
+                     const std::vector<std::size_t>& chosen) const
+{
+    double total = 0;
+    if (candidate.broken >= 0) {
+        const auto& group = this->broken[static_cast<std::size_t>(candidate.broken)];
+        // Survivors of the group with the most missing members are taken first.
+        total += foreign_survivor_cost + static_cast<double>(group.seats.size() - group.missing());
+    }
+    if (candidate.view->model != demand.model || candidate.view->version != demand.version) {
+        total += load_cost;
+    }
+    // One loss stops a group however many members it takes, so instances that fail together belong together.
+    double together = 0;
+    if (this->input.risk != nullptr) {
+        for (const auto other : chosen) {
+            together = std::max(together,
+                                this->input.risk->weight(candidate.view->instance,
+                                                         this->slots[other].view->instance, this->input.now));
+        }
+    }
+    return total - together;
+}
+
+std::optional<std::size_t> planner::pick(std::size_t fabric, std::size_t pool,
+                                         const std::vector<std::size_t>& chosen) const
+{
+    std::optional<std::size_t> best;
+    double best_cost = std::numeric_limits<double>::max();
+    for (const auto index : this->fabrics[fabric].slots) {
+        const auto& candidate = this->slots[index];
+        if (candidate.in_group || !candidate.movable) {
+            continue;
+        }
+        const auto candidate_cost = this->cost(candidate, *this->pools[pool].demand, chosen);
+        if (candidate_cost < best_cost) {
+            best = index;
+            best_cost = candidate_cost;
+        }
+    }
+    return best;
+}
+
+std::size_t planner::free_for(const broken_group& group) const
+{
+    std::size_t own = 0;
+    for (const auto& seat : group.seats) {
+        own += seat && this->slots[*seat].movable ? 1 : 0;
+    }
+    return this->fabrics[group.fabric].free - own;
+}
+
+bool planner::repair_one(std::size_t pool)
+{
+    broken_group* best = nullptr;
+    for (auto& group : this->broken) {
+        const auto missing = group.missing();
+        const bool possible = !group.settled && group.pool == pool && missing < group.seats.size() &&
+                              this->free_for(group) >= missing;
+        if (possible && (best == nullptr || missing < best->missing())) {
+            best = &group;
+        }
+    }
+    if (best == nullptr) {
+        return false;
+    }
+    best->settled = true;
+    auto seats = best->seats;
+    std::vector<std::size_t> chosen;
+    for (const auto& seat : seats) {
+        if (seat) {
+            this->claim(*seat);
+            chosen.push_back(*seat);
+        }
+    }
+    group_record record = *best->record;
+    const auto& demand = *this->pools[pool].demand;
+    record.model = demand.model;
+    record.version = demand.version;
+    record.epoch = this->next_epoch();
+    record.members.clear();
+    const auto fabric = best->fabric;
+    for (auto& seat : seats) {
+        if (!seat) {
+            seat = this->pick(fabric, pool, chosen);
+            this->claim(*seat);
+            chosen.push_back(*seat);
+        }
+        record.members.push_back(this->slots[*seat].view->instance);
+    }
+    ++this->stats.repaired;
+    this->add_complete(pool, fabric, std::move(record));
+    return true;
+}
+
+std::optional<std::size_t> planner::best_fabric(std::size_t pool, std::optional<std::size_t> without) const
+{
+    const auto& state = this->pools[pool];
+    std::optional<std::size_t> best;
+    const auto better = [&](std::size_t a, std::size_t b) {
+        if (state.per_fabric[a] != state.per_fabric[b]) {
+            return state.per_fabric[a] < state.per_fabric[b];
+        }
+        const auto& left = this->fabrics[a];
+        const auto& right = this->fabrics[b];
+        return left.free != right.free ? left.free < right.free : left.id < right.id;
+    };
+    for (std::size_t i = 0; i < this->fabrics.size(); ++i) {
+        const bool fits = this->fabrics[i].free >= state.demand->group_size && without != i;
+        if (fits && (!best || better(i, *best))) {
+            best = i;
+        }
+    }
+    return best;
+}
+
+group_id planner::fresh_id(const pool_demand& demand)
+{
+    auto& number = this->next_number[demand.pool];
+    while (true) {
+        group_id id(demand.pool.str() + "." + this->input.domain.str() + "." + std::to_string(++number));
+        if (this->used_ids.insert(id).second) {
+            return id;
+        }
+    }
+}
+
+void planner::create_in(std::size_t pool, std::size_t fabric)
+{
+    const auto& demand = *this->pools[pool].demand;
+    group_record record;
+    record.id = this->fresh_id(demand);
+    record.pool = demand.pool;
+    record.model = demand.model;
+    record.version = demand.version;
+    record.fabric = this->fabrics[fabric].id;
+    record.epoch = this->next_epoch();
+    std::vector<std::size_t> chosen;
+    while (chosen.size() < demand.group_size) {
+        const auto index = this->pick(fabric, pool, chosen);
+        this->claim(*index);
+        chosen.push_back(*index);
+        record.members.push_back(this->slots[*index].view->instance);
+    }
+    ++this->stats.created;
+    this->add_complete(pool, fabric, std::move(record));
+}
+
+bool planner::create_one(std::size_t pool)
+{
+    const auto fabric = this->best_fabric(pool, std::nullopt);
+    if (fabric) {
+        this->create_in(pool, *fabric);
+    }
+    return fabric.has_value();
+}
+
+bool planner::all_movable(const group_record& record) const
+{
+    return std::all_of(record.members.begin(), record.members.end(), [&](const instance_id& member) {
+        return this->slots[this->slot_of.at(member)].movable;
+    });
+}
+
+bool planner::retire_surplus(std::size_t pool)
+{
+    const auto size = this->pools[pool].demand->group_size;
+    for (std::size_t fabric = 0; fabric < this->fabrics.size(); ++fabric) {
+        std::vector<std::uint32_t> left;
+        for (const auto& state : this->pools) {
+            left.push_back(state.surplus() ? state.complete - state.demand->groups : 0);
+        }
+        std::vector<std::size_t> retired;
+        auto room = this->fabrics[fabric].free;
+        for (std::size_t i = 0; i < this->whole.size() && room < size; ++i) {
+            const auto& group = this->whole[i];
+            if (group.kept && !group.given_up && group.fabric == fabric && left[group.pool] > 0 &&
+                this->all_movable(group.record)) {
+                --left[group.pool];
+                room += group.record.members.size();
+                retired.push_back(i);
+            }
+        }
+        if (room < size) {
+            continue;
+        }
+        for (const auto i : retired) {
+            this->give_up(this->whole[i]);
+            ++this->stats.moved;
+        }
+        return true;
+    }
+    return false;
+}
+
+bool planner::move_smaller_group(std::size_t pool)
+{
+    const auto size = this->pools[pool].demand->group_size;
+    if (this->stats.moved > 0) {
+        return false;
+    }
+    for (std::size_t i = 0; i < this->whole.size(); ++i) {
+        const auto moved_pool = this->whole[i].pool;
+        const auto fabric = this->whole[i].fabric;
+        const auto moved_size = this->whole[i].record.members.size();
+        const bool makes_room = this->whole[i].kept && !this->whole[i].given_up && moved_size < size &&
+                                this->fabrics[fabric].free + moved_size >= size &&
+                                this->pools[moved_pool].complete >= 2;
+        const auto elsewhere = makes_room ? this->best_fabric(moved_pool, fabric) : std::nullopt;
+        if (!elsewhere || !this->all_movable(this->whole[i].record)) {
+            continue;
+        }
+        this->give_up(this->whole[i]);
+        ++this->stats.moved;
+        this->create_in(moved_pool, *elsewhere);
+        this->create_in(pool, fabric);
+        return true;
+    }
+    return false;
+}
+
+void planner::serve_pool(std::size_t pool)
+{
+    while (this->pools[pool].wants()) {
+        if (!this->repair_one(pool) && !this->create_one(pool) && !this->make_room(pool)) {
+            return;
+        }
+    }
+}
+
+bool planner::make_room(std::size_t pool)
+{
+    return this->retire_surplus(pool) || this->move_smaller_group(pool);
+}
+
+bool planner::can_keep(const broken_group& group) const
+{
+    return std::all_of(group.record->members.begin(), group.record->members.end(),
+                       [&](const instance_id& member) {
+                           const auto found = this->slot_of.find(member);
+                           return found != this->slot_of.end() && !this->slots[found->second].in_group &&
+                                  this->slots[found->second].fabric == group.fabric;
+                       });
+}
+
+void planner::keep_incomplete()
+{
+    std::vector<const broken_group*> order;
+    for (const auto& group : this->broken) {
+        if (!group.settled) {
+            order.push_back(&group);
+        }
+    }
+    std::stable_sort(order.begin(), order.end(), [](const broken_group* a, const broken_group* b) {
+        return a->missing() < b->missing();
+    });
+    std::vector<std::uint32_t> planned;
+    for (const auto& pool : this->pools) {
+        planned.push_back(pool.complete);
+    }
+    for (const auto* group : order) {
+        if (planned[group->pool] < this->pools[group->pool].demand->groups && this->can_keep(*group)) {
+            ++planned[group->pool];
+            this->incomplete.push_back(*group->record);
+        }
+    }
+}
+
+void planner::keep_drained()
+{
+    for (const auto& record : this->input.previous->groups()) {
+        const auto pool = this->pool_index.find(record.pool);
+        const auto fabric = this->fabric_index.find(record.fabric);
+        if (pool == this->pool_index.end() || fabric == this->fabric_index.end()) {
+            continue;
+        }
+        broken_group group;
+        group.record = &record;
+        group.fabric = fabric->second;
+        if (this->can_keep(group)) {
+            this->incomplete.push_back(record);
+        }
+    }
+}
+
+void planner::count_engines()
+{
+    std::uint32_t used = 0;
+    std::uint32_t usable = 0;
+    for (const auto& group : this->whole) {
+        if (group.given_up) {
+            continue;
+        }
+        ++this->stats.complete;
+        used += static_cast<std::uint32_t>(group.record.members.size());
+        for (const auto& member : group.record.members) {
+            const auto before = this->group_before.find(member);
+            this->stats.reassigned += before == this->group_before.end() || before->second != group.record.id;
+        }
+    }
+    for (const auto& entry : this->slots) {
+        usable += entry.view->usable ? 1 : 0;
+    }
+    for (const auto& pool : this->pools) {
+        this->stats.wanting += pool.wants() ? pool.demand->groups - pool.complete : 0;
+    }
+    this->stats.incomplete = static_cast<std::uint32_t>(this->incomplete.size());
+    this->stats.stranded = this->stats.wanting > 0 ? usable - used : 0;
+}
+
+result<grouping_outcome> planner::finish()
+{
+    this->count_engines();
+    std::vector<group_record> records;
+    for (auto& group : this->whole) {
+        if (!group.given_up) {
+            records.push_back(std::move(group.record));
+        }
+    }
+    for (auto& record : this->incomplete) {
+        records.push_back(std::move(record));
+    }
+    std::sort(records.begin(), records.end(),
+              [](const group_record& a, const group_record& b) { return a.id < b.id; });
+    std::vector<instance_place> places;
+    for (const auto& view : this->input.engines) {
+        places.push_back({view.instance, view.fabric});
+    }
+    std::sort(places.begin(), places.end(),
+              [](const instance_place& a, const instance_place& b) { return a.instance < b.instance; });
+    const auto same_place = [](const instance_place& a, const instance_place& b) {
+        return a.instance == b.instance && a.fabric == b.fabric;
+    };
+    const auto* before = this->input.previous;
+    bool changed = before == nullptr || before->groups() != records ||
+                   !std::equal(places.begin(), places.end(), before->places().begin(), before->places().end(),
+                               same_place);
+    if (before != nullptr) {
+        std::unordered_set<group_id> ids;
+        for (const auto& record : records) {
+            ids.insert(record.id);
+        }
+        for (const auto& record : before->groups()) {
+            this->stats.dropped += ids.count(record.id) == 0 ? 1 : 0;
+        }
+    }
+    auto plan = domain_plan::create(this->input.domain, std::move(records), places);
+    if (failed(plan)) {
+        return error(plan);
+    }
+    return grouping_outcome{value(std::move(plan)), changed, this->stats};
+}
+
+result<grouping_outcome> planner::plan()
+{
+    this->index_engines();
+    if (this->slot_of.size() != this->input.engines.size()) {
+        return failure{failure_kind::refused,
+                       "an engine of " + this->input.domain.str() + " is listed twice"};
+    }
+    this->index_pools();
+    if (this->input.previous != nullptr) {
+        for (const auto& record : this->input.previous->groups()) {
+            this->used_ids.insert(record.id);
+            for (const auto& member : record.members) {
+                this->group_before.emplace(member, record.id);
+            }
+        }
+    }
+    if (this->input.drained) {
+        if (this->input.previous != nullptr) {
+            this->keep_drained();
+        }
+        return this->finish();
+    }
+    if (this->input.previous != nullptr) {
+        for (const auto& record : this->input.previous->groups()) {
+            this->classify(record);
+        }
+        this->update_versions();
+    }
+    for (std::size_t pool = 0; pool < this->pools.size(); ++pool) {
+        this->serve_pool(pool);
+    }
+    this->keep_incomplete();
+    return this->finish();
+}
+
+/// Remaining capacity while pools are divided.
+struct division
+{
+    std::vector<fabric_capacity> fabrics;
+
+    fabric_capacity* room(const failure_domain_id& domain, std::uint32_t size)
+    {
+        fabric_capacity* best = nullptr;
+        for (auto& fabric : this->fabrics) {
+            if (fabric.domain == domain && fabric.engines >= size &&
+                (best == nullptr || fabric.engines > best->engines)) {
+                best = &fabric;
+            }
+        }
+        return best;
+    }
+};
+
+} // namespace
+
+result<grouping_outcome> form_groups(const grouping_input& input)
+{
+    return planner(input).plan();
+}
+
+std::map<std::pair<model_pool_id, failure_domain_id>, std::uint32_t>
+divide_pools(const std::vector<pool_request>& pools, const std::vector<fabric_capacity>& fabrics)
+{
+    division left{fabrics};
+    std::vector<const pool_request*> order;
+    order.reserve(pools.size());
+    for (const auto& pool : pools) {
+        order.push_back(&pool);
+    }
+    std::sort(order.begin(), order.end(), [](const pool_request* a, const pool_request* b) {
+        return a->group_size != b->group_size ? a->group_size > b->group_size : a->pool < b->pool;
+    });
+    std::map<std::pair<model_pool_id, failure_domain_id>, std::uint32_t> shares;
+    std::unordered_map<model_pool_id, std::uint32_t> given;
+    bool progress = true;
+    while (progress) {
+        progress = false;
+        // One group per pool and round, so that a scarce region is divided evenly between pools.
+        for (const auto* pool : order) {
+            if (given[pool->pool] >= pool->groups || pool->group_size == 0) {
+                continue;
+            }
+            const failure_domain_id* best = nullptr;
+            const auto better = [&](const failure_domain_id& a, const failure_domain_id& b) {
+                const auto left_count = shares[{pool->pool, a}];
+                const auto right_count = shares[{pool->pool, b}];
+                return left_count != right_count ? left_count < right_count
+                                                 : rendezvous_weight(pool->pool.str(), a.str()) >
+                                                       rendezvous_weight(pool->pool.str(), b.str());
+            };
+            for (const auto& domain : pool->domains) {
+                if (left.room(domain, pool->group_size) != nullptr &&
+                    (best == nullptr || better(domain, *best))) {
+                    best = &domain;
+                }
+            }
+            if (best == nullptr) {
+                continue;
+            }
+            left.room(*best, pool->group_size)->engines -= pool->group_size;
+            ++shares[{pool->pool, *best}];
+            ++given[pool->pool];
+            progress = true;
+        }
+    }
+    return shares;
+}
+
+} // namespace rml
