Send the orders of a committed plan

Cause: engines must follow the plan without exceeding the weight store's concurrent limit. Change: decision/assignment chooses the next orders (fewest members left to load first), repeats them with a growing delay, and checks lease and plan revision directly before each order is sent. Result: unit tests pass.

--- /dev/null
+++ b/src/decision/assignment.cpp
@@ -0,0 +1,198 @@
+#include "decision/assignment.hpp"
+
+#include "base/limits.hpp"
+#include "decision/evidence.hpp"
+
+#include <algorithm>
+
+namespace rml {
+
+namespace {
+
+/// Whether the engine has taken the order for this rank, loaded or not.
+bool follows(const engine_status& report, const group_record& group, std::size_t rank)
+{
+    auto loaded = report;
+    loaded.loaded = true;
+    loaded.leaving = false;
+    return serves_as_planned(loaded, group, rank);
+}
+
+bool holds_weights(const engine_status& report, const group_record& group)
+{
+    return report.loaded && report.model == group.model && report.version == group.version;
+}
+
+milliseconds backoff(std::uint32_t attempts)
+{
+    auto delay = limits::order_backoff_first;
+    for (std::uint32_t i = 1; i < attempts && delay < limits::order_backoff_longest; ++i) {
+        delay *= 2;
+    }
+    return std::min(delay, limits::order_backoff_longest);
+}
+
+} // namespace
+
+bool operator==(const assign_order& a, const assign_order& b)
+{
+    return a.instance == b.instance && a.group == b.group && a.epoch == b.epoch && a.rank == b.rank &&
+           a.members == b.members && a.model == b.model && a.version == b.version && a.fencing == b.fencing;
+}
+
+void assignment::install_plan(const committed_plan& next)
+{
+    if (this->plan && next.revision <= this->plan->revision) {
+        return;
+    }
+    std::unordered_map<instance_id, target> wanted;
+    for (const auto& group : next.plan.groups()) {
+        const auto* before = this->plan ? this->plan->plan.find(group.id) : nullptr;
+        for (std::uint32_t rank = 0; rank < group.members.size(); ++rank) {
+            const auto& instance = group.members[rank];
+            auto& entry = wanted[instance];
+            // Keeps the repetition state of members whose order does not change.
+            if (before != nullptr && *before == group) {
+                entry = this->targets[instance];
+            }
+            entry.group = group.id;
+            entry.rank = rank;
+        }
+    }
+    for (const auto& place : next.plan.places()) {
+        auto& entry = wanted[place.instance];
+        const auto before = this->targets.find(place.instance);
+        if (before != this->targets.end() && entry.group.empty() && before->second.group.empty()) {
+            entry = before->second;
+        }
+    }
+    this->targets = std::move(wanted);
+    this->plan = next;
+}
+
+assign_order assignment::order_for(const instance_id& instance, const target& wanted) const
+{
+    assign_order order;
+    order.instance = instance;
+    order.fencing = this->plan->revision;
+    if (const auto* group = this->plan->plan.find(wanted.group); group != nullptr) {
+        order.group = group->id;
+        order.epoch = group->epoch;
+        order.rank = wanted.rank;
+        order.members = group->members;
+        order.model = group->model;
+        order.version = group->version;
+    }
+    return order;
+}
+
+void assignment::collect(const group_record& group, const observation_book& book, time_point now,
+                         std::vector<candidate>& candidates)
+{
+    std::size_t left = 0;
+    const auto first = candidates.size();
+    for (std::size_t rank = 0; rank < group.members.size(); ++rank) {
+        auto& wanted = this->targets[group.members[rank]];
+        const auto* seen = book.fresh(group.members[rank], now);
+        const bool ready = seen != nullptr && holds_weights(seen->report, group);
+        left += ready ? 0 : 1;
+        // An order that starts a load counts until a status from after the order timeout can have arrived.
+        wanted.loads =
+            wanted.loads && now <= wanted.sent_at + limits::order_timeout + limits::observation_lifetime;
+        if (seen != nullptr && follows(seen->report, group, rank)) {
+            this->counts.loading += ready ? 0 : 1;
+            wanted.loads = false;
+            wanted.attempts = 0;
+            continue;
+        }
+        this->counts.loading += wanted.loads ? 1 : 0;
+        if (seen == nullptr) {
+            continue;
+        }
+        if (!seen->report.leaving && !wanted.in_flight && now >= wanted.next_at) {
+            candidates.push_back({this->order_for(group.members[rank], wanted), 0, !ready && !wanted.loads});
+        }
+    }
+    for (auto i = first; i < candidates.size(); ++i) {
+        candidates[i].left_to_load = left;
+    }
+}
+
+void assignment::collect_releases(const observation_book& book, time_point now,
+                                  std::vector<candidate>& candidates)
+{
+    for (const auto& place : this->plan->plan.places()) {
+        const auto& wanted = this->targets[place.instance];
+        const auto* seen = book.fresh(place.instance, now);
+        if (!wanted.group.empty() || seen == nullptr || seen->report.group.empty() || wanted.in_flight ||
+            now < wanted.next_at) {
+            continue;
+        }
+        candidates.push_back({this->order_for(place.instance, wanted), 0, false});
+    }
+}
+
+std::vector<assign_order> assignment::next_orders(const observation_book& book,
+                                                  const assignment_context& context)
+{
+    if (!this->plan || !context.lease.permits_orders(context.now)) {
+        return {};
+    }
+    this->counts.loading = 0;
+    std::vector<candidate> candidates;
+    this->collect_releases(book, context.now, candidates);
+    for (const auto& group : this->plan->plan.groups()) {
+        this->collect(group, book, context.now, candidates);
+    }
+    std::stable_sort(candidates.begin(), candidates.end(), [](const candidate& a, const candidate& b) {
+        return a.left_to_load != b.left_to_load ? a.left_to_load < b.left_to_load
+                                                : a.order.group < b.order.group;
+    });
+    auto loading = this->counts.loading;
+    std::size_t in_flight = 0;
+    for (const auto& [instance, wanted] : this->targets) {
+        in_flight += wanted.in_flight ? 1 : 0;
+    }
+    std::vector<assign_order> orders;
+    for (auto& next : candidates) {
+        const bool over_limit = next.loads && loading >= context.concurrent_loads;
+        if (over_limit || in_flight + orders.size() >= limits::orders_in_flight) {
+            continue;
+        }
+        loading += next.loads ? 1 : 0;
+        orders.push_back(std::move(next.order));
+    }
+    return orders;
+}
+
+status assignment::start_order(const assign_order& order, const duty_lease& lease, time_point now)
+{
+    const auto found = this->targets.find(order.instance);
+    if (found == this->targets.end() || !(this->order_for(order.instance, found->second) == order)) {
+        ++this->counts.refused_stale;
+        return failure{failure_kind::stale, "order to " + order.instance.str()};
+    }
+    if (!lease.permits_orders(now)) {
+        ++this->counts.refused_lapsed;
+        return failure{failure_kind::lapsed, "order to " + order.instance.str()};
+    }
+    auto& wanted = found->second;
+    this->counts.repeated += wanted.attempts > 0 ? 1 : 0;
+    ++this->counts.sent;
+    ++wanted.attempts;
+    wanted.in_flight = true;
+    wanted.loads = !order.group.empty();
+    wanted.sent_at = now;
+    wanted.next_at = now + backoff(wanted.attempts);
+    return success();
+}
+
+void assignment::finish_order(const instance_id& instance)
+{
+    const auto found = this->targets.find(instance);
+    if (found != this->targets.end()) {
+        found->second.in_flight = false;
+    }
+}
+
+} // namespace rml
--- /dev/null
+++ b/tests/decision/assignment_test.cpp
@@ -0,0 +1,119 @@
+#include "decision/assignment.hpp"
+
+#include "base/limits.hpp"
+#include "store_model.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace rml;
+using test::at;
+
+namespace {
+
+group_record make_group(const char* id, std::vector<const char*> members)
+{
+    group_record group;
+    group.id = group_id(id);
+    group.model = model_id("m");
+    group.version = "1";
+    group.fabric = fabric_domain_id("f");
+    group.epoch = 3;
+    for (const auto* member : members) {
+        group.members.emplace_back(member);
+    }
+    return group;
+}
+
+committed_plan make_plan(std::uint64_t revision, std::vector<group_record> groups)
+{
+    std::vector<instance_place> places;
+    for (const auto* name : {"a", "b", "c", "d", "e"}) {
+        places.push_back({instance_id(name), fabric_domain_id("f")});
+    }
+    return {value(domain_plan::create(failure_domain_id("waco-a"), std::move(groups), places)), revision,
+            "x"};
+}
+
+/// Engines that answer; `loaded` holds the weights without a group.
+void observe(observation_book& book, const char* name, const char* group, bool loaded, std::int64_t ms)
+{
+    observer_report report;
+    report.session = 1;
+    report.sent_ms = static_cast<std::uint32_t>(ms);
+    engine_status seen;
+    seen.instance = instance_id(name);
+    seen.group = group_id(group);
+    seen.model = model_id(loaded ? "m" : "");
+    seen.version = loaded ? "1" : "";
+    seen.loaded = loaded;
+    report.changes.push_back({seen, 0});
+    book.apply(daemon_id("d1"), report, at(ms));
+}
+
+} // namespace
+
+TEST_CASE("orders follow the plan under the weight store's limit", "[assignment]")
+{
+    assignment control;
+    observation_book book;
+    control.install_plan(make_plan(9, {make_group("g1", {"a", "b"}), make_group("g2", {"c", "d"})}));
+    for (const auto* name : {"a", "b", "c", "e"}) {
+        observe(book, name, "", false, 0);
+    }
+    observe(book, "d", "", true, 0);
+    assignment_context context{{at(6000), at(8000)}, 2, at(1)};
+
+    SECTION("nearly complete groups come first, loads stay within the limit")
+    {
+        const auto orders = control.next_orders(book, context);
+        REQUIRE(orders.size() == 3);
+        CHECK(orders[0].group == group_id("g2"));
+        CHECK(orders[1].group == group_id("g2"));
+        CHECK(orders[2].instance == instance_id("a"));
+        CHECK(orders[0].fencing == 9);
+        SECTION("orders under way count as loads, and are repeated only after a delay")
+        {
+            for (const auto& order : orders) {
+                REQUIRE(succeeded(control.start_order(order, context.lease, at(1))));
+                control.finish_order(order.instance);
+            }
+            CHECK(control.next_orders(book, context).empty());
+            context.now = at(600);
+            const auto again = control.next_orders(book, context);
+            REQUIRE(again.size() == 3);
+            REQUIRE(succeeded(control.start_order(again[0], context.lease, at(600))));
+            control.finish_order(again[0].instance);
+            context.now = at(1200);
+            CHECK(control.next_orders(book, context).size() == 2);
+            CHECK(control.stats().repeated == 1);
+        }
+        SECTION("a lease that lapses between the decision and the sending stops the order")
+        {
+            const auto refused = control.start_order(orders[0], context.lease, at(6000));
+            REQUIRE(failed(refused));
+            CHECK(error(refused).kind == failure_kind::lapsed);
+        }
+        SECTION("an order of an earlier plan is not sent")
+        {
+            control.install_plan(make_plan(10, {make_group("g1", {"a", "b"})}));
+            const auto refused = control.start_order(orders[0], context.lease, at(2));
+            REQUIRE(failed(refused));
+            CHECK(error(refused).kind == failure_kind::stale);
+        }
+    }
+    SECTION("without a valid lease nothing is ordered")
+    {
+        context.now = at(6000);
+        CHECK(control.next_orders(book, context).empty());
+    }
+    SECTION("an engine outside all groups that shows a group is released")
+    {
+        observe(book, "e", "old", true, 10);
+        context.now = at(11);
+        context.concurrent_loads = 0;
+        const auto orders = control.next_orders(book, context);
+        REQUIRE(orders.size() == 2);
+        CHECK(orders[0].instance == instance_id("e"));
+        CHECK(orders[0].group.empty());
+    }
+}
