Bound retries per daemon to a share of its own first tries

Cause: a group that fails must not turn into a multiple of the load on the others. Change: decision/retry_budget counts in 100 ms buckets. The bucket partly outside the window counts for retries only, so rounding never raises the budget. Ruled out: a token bucket, which allows more than the share in a window after an idle time.

--- /dev/null
+++ b/src/decision/retry_budget.hpp
@@ -0,0 +1,64 @@
+/// Bounds the retries of one daemon to a share of its own first tries. Every daemon keeps its own share, so
+/// the fleet's sum is bounded without any message.
+#pragma once
+
+#include "base/limits.hpp"
+#include "base/time.hpp"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+namespace rml {
+
+struct retry_budget_settings
+{
+    double share{limits::retry_share}; ///< retries per first try
+    double minimum_per_second{limits::retry_minimum_per_second};
+};
+
+struct retry_budget_stats
+{
+    std::uint64_t first_tries{0};
+    std::uint64_t retries{0};
+    std::uint64_t refused{0}; ///< retries over the budget
+};
+
+/// In any window of `limits::retry_window` at most max(share * first tries, minimum * window) retries are
+/// allowed. Counts are kept in buckets: a bucket partly outside the window counts for retries and not for
+/// first tries, so rounding never raises the budget.
+class retry_budget
+{
+public:
+    explicit retry_budget(retry_budget_settings budget = {}) : settings(budget) {}
+
+    /// Counts a first try.
+    void record_first_try(time_point now);
+
+    /// Counts and allows a retry, or returns false when the budget is spent. A false answer counts nothing.
+    bool try_retry(time_point now);
+
+    const retry_budget_stats& stats() const { return this->counts; }
+
+private:
+    static constexpr milliseconds bucket_width{100};
+    /// One bucket more than the window holds, for the one that is partly outside.
+    static constexpr std::size_t bucket_count =
+        static_cast<std::size_t>(limits::retry_window / bucket_width) + 1;
+
+    struct bucket
+    {
+        std::int64_t index{-1}; ///< time in bucket widths; tells whether the content is current
+        std::uint32_t first_tries{0};
+        std::uint32_t retries{0};
+    };
+
+    bucket& current(time_point now);
+
+    retry_budget_settings settings;
+    std::array<bucket, bucket_count> buckets{};
+    std::int64_t newest{0};
+    retry_budget_stats counts;
+};
+
+} // namespace rml
