Queue requests with bounded wait and weighted fair shares

Cause: a request that cannot be answered in time must be refused early, and one account must not take the capacity of the others. Change: decision/admission, a deficit round robin over accounts with priorities inside an account, a class of spare requests that run only when nothing else waits, refusal by expected wait and deadline, and eviction when capacity shrinks. Ruled out: strict priorities across accounts, with which an account takes all by marking everything urgent.

--- /dev/null
+++ b/src/decision/admission.cpp
@@ -0,0 +1,304 @@
+#include "decision/admission.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace rml {
+
+namespace {
+
+using fractional_seconds = std::chrono::duration<double>;
+
+/// Weight of the newest request in the smoothed service time.
+constexpr double service_time_gain = 0.05;
+/// Cost that a flow of weight 1 may serve per turn. One average request keeps the turns short.
+constexpr double quantum = 1.0;
+/// Bounds the turns needed for one request; lighter flows count as this weight.
+constexpr double smallest_weight = 0.01;
+/// A queued request is refused when its whole wait would exceed the bound by this factor. At 1, noise in the
+/// service time refuses requests that have waited almost to the end.
+constexpr double wait_tolerance = 1.5;
+/// Stands for "never" and still adds to a time point without overflow.
+constexpr std::chrono::hours longest_wait{24};
+
+} // namespace
+
+double admission::flow::cost_up_to(std::uint32_t priority) const
+{
+    double sum = 0;
+    for (const auto& [key, content] : this->by_priority) {
+        sum += key <= priority ? content.cost : 0;
+    }
+    return sum;
+}
+
+admission::waiting admission::flow::pop_front()
+{
+    const auto first = this->by_priority.begin();
+    auto entry = std::move(first->second.entries.front());
+    first->second.entries.pop_front();
+    first->second.cost -= entry.request.cost;
+    if (first->second.entries.empty()) {
+        this->by_priority.erase(first);
+    }
+    return entry;
+}
+
+double admission::rate() const
+{
+    return static_cast<double>(this->capacity) / std::max(this->service_time.count(), 1e-6);
+}
+
+duration admission::wait_for(const round& queue, const account_id& account, double weight, double ahead) const
+{
+    if (this->capacity == 0) {
+        return longest_wait;
+    }
+    const auto known = queue.by_account.find(account);
+    const auto others = queue.weights - (known == queue.by_account.end() ? 0 : known->second->weight);
+    const auto share = weight / (others + weight);
+    // The service is work-conserving: a request waits no longer than all queued cost takes.
+    const auto cost = std::min(ahead / share, queue.queued_cost + quantum);
+    const auto before = &queue == &this->spare ? this->regular.queued_cost : 0.0;
+    const fractional_seconds wait((cost + before) / this->rate());
+    return std::chrono::duration_cast<duration>(std::min<fractional_seconds>(wait, longest_wait));
+}
+
+milliseconds admission::expected_wait(const admission_request& request) const
+{
+    if (this->counts.running < this->capacity) {
+        return milliseconds(0);
+    }
+    const auto& queue = request.spare ? this->spare : this->regular;
+    const auto known = queue.by_account.find(request.account);
+    const auto ahead = known == queue.by_account.end() ? 0.0 : known->second->cost_up_to(request.priority);
+    const auto wait =
+        this->wait_for(queue, request.account, std::max(request.weight, smallest_weight), ahead + quantum);
+    return std::chrono::duration_cast<milliseconds>(wait);
+}
+
+refusal_reason admission::check(const admission_request& request, duration wait, time_point now) const
+{
+    if (this->capacity == 0) {
+        return refusal_reason::no_capacity;
+    }
+    const auto run = std::chrono::duration_cast<duration>(this->service_time * request.cost);
+    if (now + wait + run > request.deadline) {
+        return refusal_reason::deadline;
+    }
+    return wait > this->settings.max_wait ? refusal_reason::wait : refusal_reason::none;
+}
+
+void admission::count_refusal(refusal_reason reason)
+{
+    switch (reason) {
+    case refusal_reason::no_capacity:
+        ++this->counts.refused_capacity;
+        break;
+    case refusal_reason::wait:
+        ++this->counts.refused_wait;
+        break;
+    case refusal_reason::deadline:
+        ++this->counts.refused_deadline;
+        break;
+    case refusal_reason::queue_full:
+        ++this->counts.refused_full;
+        break;
+    case refusal_reason::none:
+        break;
+    }
+}
+
+admission_answer admission::offer(const admission_request& request, time_point now)
+{
+    const auto wait = this->expected_wait(request);
+    auto reason = this->check(request, wait, now);
+    if (reason == refusal_reason::none && this->counts.queued >= this->settings.max_queued) {
+        reason = refusal_reason::queue_full;
+    }
+    if (reason != refusal_reason::none) {
+        this->count_refusal(reason);
+        return {admission_verdict::refused, reason, wait};
+    }
+    if (this->counts.running < this->capacity) {
+        // Every change of capacity or running requests starts waiting ones, so here none waits.
+        ++this->counts.running;
+        ++this->counts.started;
+        return {admission_verdict::started, refusal_reason::none, milliseconds(0)};
+    }
+    this->enqueue(request, now);
+    return {admission_verdict::queued, refusal_reason::none, wait};
+}
+
+void admission::enqueue(const admission_request& request, time_point now)
+{
+    auto& queue = request.spare ? this->spare : this->regular;
+    const auto weight = std::max(request.weight, smallest_weight);
+    auto known = queue.by_account.find(request.account);
+    if (known == queue.by_account.end()) {
+        flow created;
+        created.account = request.account;
+        const auto position = queue.active.insert(queue.active.end(), std::move(created));
+        known = queue.by_account.emplace(request.account, position).first;
+    }
+    auto& target = *known->second;
+    queue.weights += weight - target.weight;
+    target.weight = weight;
+    queue.queued_cost += request.cost;
+    auto& content = target.by_priority[request.priority];
+    content.cost += request.cost;
+    content.entries.push_back({request, now});
+    ++this->counts.queued;
+}
+
+void admission::forget_if_empty(round& queue, std::list<flow>::iterator position)
+{
+    if (!position->empty()) {
+        return;
+    }
+    queue.fresh = queue.fresh || position == queue.active.begin();
+    queue.weights -= position->weight;
+    queue.by_account.erase(position->account);
+    queue.active.erase(position);
+    if (queue.active.empty()) {
+        // Removes what rounding has left.
+        queue.weights = 0;
+        queue.queued_cost = 0;
+    }
+}
+
+admission::waiting admission::take_next(round& queue)
+{
+    for (;;) {
+        const auto front = queue.active.begin();
+        if (queue.fresh) {
+            front->deficit += quantum * front->weight;
+            queue.fresh = false;
+        }
+        if (const auto cost = front->front().request.cost; cost <= front->deficit) {
+            front->deficit -= cost;
+            queue.queued_cost -= cost;
+            --this->counts.queued;
+            auto entry = front->pop_front();
+            this->forget_if_empty(queue, front);
+            return entry;
+        }
+        queue.active.splice(queue.active.end(), queue.active, front);
+        queue.fresh = true;
+    }
+}
+
+void admission::start_waiting(admission_changes& changes, time_point now)
+{
+    while (this->counts.running < this->capacity) {
+        auto* queue = !this->regular.active.empty() ? &this->regular : &this->spare;
+        if (queue->active.empty()) {
+            return;
+        }
+        const auto next = this->take_next(*queue);
+        if (const auto reason = this->check(next.request, duration::zero(), now);
+            reason != refusal_reason::none) {
+            ++this->counts.evicted;
+            changes.refused.push_back({next.request.ticket, reason});
+            continue;
+        }
+        ++this->counts.running;
+        ++this->counts.started;
+        changes.started.push_back(next.request.ticket);
+    }
+}
+
+admission_changes admission::finish(duration took, double cost, time_point now)
+{
+    if (took > duration::zero() && cost > 0) {
+        const fractional_seconds sample(std::chrono::duration<double>(took).count() / cost);
+        this->service_time += service_time_gain * (sample - this->service_time);
+    }
+    this->counts.running -= this->counts.running > 0 ? 1 : 0;
+    admission_changes changes;
+    this->start_waiting(changes, now);
+    return changes;
+}
+
+bool admission::cancel(admission_ticket ticket)
+{
+    for (auto* queue : {&this->regular, &this->spare}) {
+        for (auto position = queue->active.begin(); position != queue->active.end(); ++position) {
+            for (auto level = position->by_priority.begin(); level != position->by_priority.end(); ++level) {
+                auto& entries = level->second.entries;
+                const auto found = std::find_if(entries.begin(), entries.end(), [&](const waiting& entry) {
+                    return entry.request.ticket == ticket;
+                });
+                if (found == entries.end()) {
+                    continue;
+                }
+                level->second.cost -= found->request.cost;
+                queue->queued_cost -= found->request.cost;
+                entries.erase(found);
+                if (entries.empty()) {
+                    position->by_priority.erase(level);
+                }
+                --this->counts.queued;
+                this->forget_if_empty(*queue, position);
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+void admission::evict_late(round& queue, admission_changes& changes, time_point now)
+{
+    for (auto position = queue.active.begin(); position != queue.active.end();) {
+        auto& target = *position;
+        double ahead = 0;
+        for (auto level = target.by_priority.begin(); level != target.by_priority.end();) {
+            auto& entries = level->second.entries;
+            for (auto entry = entries.begin(); entry != entries.end();) {
+                const auto& request = entry->request;
+                const auto wait = this->wait_for(queue, target.account, target.weight, ahead + quantum);
+                auto reason = this->check(request, wait, now);
+                if (reason == refusal_reason::wait &&
+                    now - entry->since + wait <= wait_tolerance * this->settings.max_wait) {
+                    reason = refusal_reason::none;
+                }
+                if (reason == refusal_reason::none) {
+                    ahead += request.cost;
+                    ++entry;
+                    continue;
+                }
+                changes.refused.push_back({request.ticket, reason});
+                ++this->counts.evicted;
+                --this->counts.queued;
+                level->second.cost -= request.cost;
+                queue.queued_cost -= request.cost;
+                entry = entries.erase(entry);
+            }
+            level = entries.empty() ? target.by_priority.erase(level) : std::next(level);
+        }
+        this->forget_if_empty(queue, position++);
+    }
+}
+
+admission_changes admission::update_capacity(std::size_t slots, time_point now)
+{
+    const bool shrank = slots < this->capacity;
+    this->capacity = slots;
+    admission_changes changes;
+    this->start_waiting(changes, now);
+    if (shrank) {
+        this->evict_late(this->regular, changes, now);
+        this->evict_late(this->spare, changes, now);
+    }
+    return changes;
+}
+
+admission_changes admission::expire(time_point now)
+{
+    admission_changes changes;
+    this->evict_late(this->regular, changes, now);
+    this->evict_late(this->spare, changes, now);
+    return changes;
+}
+
+} // namespace rml
--- /dev/null
+++ b/src/decision/admission.hpp
@@ -0,0 +1,167 @@
+/// Admission queue of one pool at one daemon: bounded expected wait, early refusal, weighted fair shares per
+/// account by deficit round robin, priorities within an account, deadlines.
+#pragma once
+
+#include "base/ids.hpp"
+#include "base/time.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+namespace rml {
+
+/// Names one request at this daemon.
+using admission_ticket = std::uint64_t;
+
+struct admission_settings
+{
+    milliseconds max_wait{2000};       ///< longest expected wait in the queue
+    milliseconds initial_service{500}; ///< assumed time of one request until requests have ended
+    std::size_t max_queued{10000};     ///< bounds memory whatever the expected wait
+};
+
+struct admission_request
+{
+    admission_ticket ticket{0};
+    account_id account;
+    double weight{1};          ///< share of the account
+    std::uint32_t priority{1}; ///< lower runs first among the requests of the same account
+    bool spare{false};         ///< over the account's share: runs only when nothing else waits
+    double cost{1};            ///< in units of an average request, above 0
+    time_point deadline{};     ///< end of the whole request
+};
+
+enum class admission_verdict
+{
+    started, ///< runs now
+    queued,  ///< will be named in a later `admission_changes`
+    refused, ///< not run
+};
+
+enum class refusal_reason
+{
+    none,
+    no_capacity, ///< no servable group
+    wait,        ///< the expected wait exceeds the pool's bound
+    deadline,    ///< the deadline would pass before the answer
+    queue_full,
+};
+
+struct admission_answer
+{
+    admission_verdict verdict{admission_verdict::refused};
+    refusal_reason reason{refusal_reason::none};
+    milliseconds expected_wait{0}; ///< for a refusal also a hint when to try again
+};
+
+struct admission_refusal
+{
+    admission_ticket ticket{0};
+    refusal_reason reason{refusal_reason::none};
+};
+
+/// Requests that left the queue.
+struct admission_changes
+{
+    std::vector<admission_ticket> started;
+    std::vector<admission_refusal> refused;
+};
+
+struct admission_stats
+{
+    std::uint64_t started{0};
+    std::uint64_t refused_capacity{0};
+    std::uint64_t refused_wait{0};
+    std::uint64_t refused_deadline{0};
+    std::uint64_t refused_full{0};
+    std::uint64_t evicted{0}; ///< refused after queueing, because capacity shrank or shares changed
+    std::size_t queued{0};
+    std::size_t running{0};
+};
+
+/// Capacity is the number of requests that this daemon may have running in the pool at once. The expected
+/// wait of a request is the cost queued before it in its account over the account's share of the service
+/// rate.
+class admission
+{
+public:
+    explicit admission(const admission_settings& pool) : settings(pool), service_time(pool.initial_service) {}
+
+    /// Sets the capacity. A loss refuses queued requests whose expected wait now exceeds the bound.
+    admission_changes update_capacity(std::size_t slots, time_point now);
+
+    admission_answer offer(const admission_request& request, time_point now);
+
+    /// A started request ended after `took`; 0 leaves the estimate of the service time unchanged.
+    admission_changes finish(duration took, double cost, time_point now);
+
+    /// The caller gave up; false when the ticket is not queued.
+    bool cancel(admission_ticket ticket);
+
+    /// Refuses queued requests whose deadline or wait bound can no longer be met. Call it at least each 100
+    /// ms.
+    admission_changes expire(time_point now);
+
+    /// Expected wait of a request that arrives now.
+    milliseconds expected_wait(const admission_request& request) const;
+
+    const admission_stats& stats() const { return this->counts; }
+
+private:
+    struct waiting
+    {
+        admission_request request;
+        time_point since{};
+    };
+    struct level
+    {
+        std::deque<waiting> entries;
+        double cost{0};
+    };
+    /// One queue of the round: an account, or an account's spare requests.
+    struct flow
+    {
+        account_id account;
+        double weight{0};
+        double deficit{0};
+        std::map<std::uint32_t, level> by_priority; ///< no level is empty
+
+        bool empty() const { return this->by_priority.empty(); }
+        const waiting& front() const { return this->by_priority.begin()->second.entries.front(); }
+        double cost_up_to(std::uint32_t priority) const;
+        waiting pop_front();
+    };
+    /// One deficit round robin.
+    struct round
+    {
+        std::list<flow> active; ///< flows with a waiting request; the front one is served next
+        std::unordered_map<account_id, std::list<flow>::iterator> by_account;
+        double weights{0}; ///< sum over active flows
+        double queued_cost{0};
+        bool fresh{true}; ///< the front flow has not yet received its quantum in this turn
+    };
+
+    double rate() const; ///< cost units per second
+    duration wait_for(const round& queue, const account_id& account, double weight, double ahead) const;
+    refusal_reason check(const admission_request& request, duration wait, time_point now) const;
+    void count_refusal(refusal_reason reason);
+    void enqueue(const admission_request& request, time_point now);
+    waiting take_next(round& queue);
+    void forget_if_empty(round& queue, std::list<flow>::iterator position);
+    void start_waiting(admission_changes& changes, time_point now);
+    void evict_late(round& queue, admission_changes& changes, time_point now);
+
+    admission_settings settings;
+    std::size_t capacity{0};
+    std::chrono::duration<double> service_time; ///< smoothed, per cost unit
+    round regular;
+    round spare;
+    admission_stats counts;
+};
+
+} // namespace rml
