Add parser, check, codec and diff of operators' objects

Cause: nothing may be published on an error, so the set needs one strict reader for files, the store and peers. Ruled out: separate readers for files and for the store's documents; both read the same elements, so decoding runs the same checks. The objective's kind is read from the field "measure", because "kind" names the object's kind.

--- /dev/null
+++ b/src/objects/config_head.hpp
@@ -0,0 +1,52 @@
+/// Documents of the published configuration in the store: `config/head` and `config/set/<generation>`.
+#pragma once
+
+#include "objects/object_codec.hpp"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace rml {
+
+/// Key of the head. It is changed only by compare-and-swap, from generation g to g+1.
+constexpr std::string_view config_head_key = "config/head";
+
+/// "config/set/7"
+std::string config_set_key(std::uint64_t generation);
+
+/// Names the generation in force.
+struct config_head
+{
+    std::uint64_t generation{0}; ///< 0: nothing is published yet
+    std::string digest;          ///< object_set_digest of the set
+    std::string attempt_id;      ///< publication that wrote this generation
+    /// Set by a publisher that takes over the place of an unfinished publication. It changes the head's
+    /// revision and nothing else, so that the unfinished publication can no longer succeed.
+    std::string fence;
+};
+
+std::string encode_config_head(const config_head& head);
+
+/// Fails with `malformed`.
+result<config_head> decode_config_head(std::string_view bytes);
+
+/// A set as stored, with the publication that wrote it.
+struct published_set
+{
+    std::string attempt_id;
+    std::string author;
+    milliseconds published_at{0}; ///< wall clock of the tool, since 1970; for people only
+    object_set set;
+};
+
+/// CBOR `{v, generation, objects, attempt, author, published_ms}`. Fails with `too_large`.
+result<std::string> encode_published_set(const published_set& published);
+
+/// Decodes and checks. Fails as decode_objects does.
+result<published_set> decode_published_set(std::string_view bytes);
+
+/// Reads only who published; the objects are not checked. Fails with `malformed` or `too_large`.
+result<published_set> decode_publication(std::string_view bytes);
+
+} // namespace rml
--- /dev/null
+++ b/src/objects/object_parser.hpp
@@ -0,0 +1,38 @@
+/// Reads operators' object files: JSON with comments, `{"objects":[{"kind":..., "name":..., ...}]}`.
+/// Durations are whole numbers in fields that end in `_ms` or `_s`.
+#pragma once
+
+#include "objects/object_problem.hpp"
+#include "objects/objects.hpp"
+
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <vector>
+
+namespace rml {
+
+/// Text of one file.
+struct object_source
+{
+    std::string file;
+    std::string text;
+};
+
+/// Everything that could be read, and every problem on the way. The set is not yet checked as one.
+struct parsed_objects
+{
+    object_set set;
+    object_origins origins;
+    std::vector<object_problem> problems;
+};
+
+/// Parses several files into one set.
+parsed_objects parse_objects(const std::vector<object_source>& sources);
+
+/// Appends the elements of one list of objects. `file` may be empty.
+void parse_object_list(const nlohmann::json& list, const std::string& file, parsed_objects& into);
+
+/// Reads a set as one published document would hold it and checks it as one: parse_objects and check_objects.
+parsed_objects load_objects(const std::vector<object_source>& sources);
+
+} // namespace rml
--- a/src/objects/objects.hpp
+++ b/src/objects/objects.hpp
@@ -35,6 +35,7 @@
 {
     fabric_domain_id name;
     failure_domain_id failure_domain;
+    std::vector<instance_id> instances; ///< instances wired to the fabric; empty: those of its engines
 };
 
 /// A model engine on an instance.
