--- a/src/decision/evidence.cpp
+++ b/src/decision/evidence.cpp
@@ -10,7 +10,8 @@
 {
     return rank < group.members.size() && report.instance == group.members[rank] &&
            report.group == group.id && report.group_epoch == group.epoch && report.rank == rank &&
-           report.model == group.model && report.version == group.version && report.loaded && !report.leaving;
+           report.model == group.model && report.version == group.version && report.loaded && !report.leaving &&
+           (group.incarnations.empty() || report.incarnation == group.incarnations[rank]);
 }
 
 void evidence_table::install_plan(const committed_plan& plan)
@@ -47,6 +48,7 @@
     group.load = group_load{entry.requests, observed_at};
     group.digest_known = true;
     group.digest_healthy = entry.healthy;
+    group.digest_warm = entry.warm;
     group.digest_observed_at = observed_at;
     if (entry.healthy) {
         return;
@@ -192,4 +194,10 @@
     return state == nullptr ? nullptr : &state->record;
 }
 
+bool evidence_table::warm(const group_id& group) const
+{
+    const auto* state = this->state_of(group);
+    return state != nullptr && state->digest_known && state->digest_warm;
+}
+
 } // namespace rml
--- a/src/decision/evidence.hpp
+++ b/src/decision/evidence.hpp
@@ -65,6 +65,8 @@
     /// Whether a digest named a higher plan revision of the domain than the installed one.
     bool plan_outdated(const failure_domain_id& domain) const;
     std::optional<group_load> load(const group_id& group) const;
+    /// Whether the last digest said that the group's cold start under its present epoch has ended.
+    bool warm(const group_id& group) const;
     /// The group's record in the installed plan, or null.
     const group_record* find(const group_id& group) const;
     const evidence_stats& stats() const { return this->counts; }
@@ -84,6 +86,7 @@
         failure_domain_id domain;
         bool digest_known{false};
         bool digest_healthy{false};
+        bool digest_warm{false};
         time_point digest_observed_at{};
         std::optional<group_load> load;
     };
--- a/src/decision/observation.cpp
+++ b/src/decision/observation.cpp
@@ -19,6 +19,7 @@
 constexpr std::uint8_t digest_format = 1;
 constexpr std::uint8_t lease_valid_flag = 1;
 constexpr std::uint8_t healthy_flag = 1;
+constexpr std::uint8_t warm_flag = 2;
 
 template <class T>
 T saturate(std::uint64_t number)
@@ -421,7 +422,7 @@
     append(bytes, record.session);
     append(bytes, record.sent_ms);
     for (const auto& entry : record.groups) {
-        append(bytes, entry.healthy ? healthy_flag : std::uint8_t{0});
+        append(bytes, static_cast<std::uint8_t>((entry.healthy ? healthy_flag : 0U) | (entry.warm ? warm_flag : 0U)));
         append(bytes, entry.requests);
     }
     return bytes;
@@ -449,7 +450,9 @@
     record.sent_ms = reader.take<std::uint32_t>();
     record.groups.resize(count);
     for (auto& entry : record.groups) {
-        entry.healthy = (reader.take<std::uint8_t>() & healthy_flag) != 0;
+        const auto flags = reader.take<std::uint8_t>();
+        entry.healthy = (flags & healthy_flag) != 0;
+        entry.warm = (flags & warm_flag) != 0;
         entry.requests = reader.take<std::uint8_t>();
     }
     return record;
--- a/src/decision/observation.hpp
+++ b/src/decision/observation.hpp
@@ -153,6 +153,7 @@
 struct digest_entry
 {
     bool healthy{false};      ///< every member serves as planned, by a fresh observation
+    bool warm{false};         ///< the cold start under this epoch has ended; set by the duty holder
     std::uint8_t requests{0}; ///< running and queued at rank 0; saturates at 255
 };
 
--- a/src/model/plan.cpp
+++ b/src/model/plan.cpp
@@ -10,7 +10,8 @@
 bool operator==(const group_record& a, const group_record& b)
 {
     return a.id == b.id && a.pool == b.pool && a.model == b.model && a.version == b.version &&
-           a.fabric == b.fabric && a.epoch == b.epoch && a.members == b.members;
+           a.fabric == b.fabric && a.epoch == b.epoch && a.members == b.members &&
+           a.incarnations == b.incarnations;
 }
 
 result<domain_plan> domain_plan::create(failure_domain_id domain, std::vector<group_record> groups,
@@ -26,6 +27,9 @@
         if (group.members.empty()) {
             return failure{failure_kind::refused, "group " + group.id.str() + " has no member"};
         }
+        if (!group.incarnations.empty() && group.incarnations.size() != group.members.size()) {
+            return failure{failure_kind::refused, "group " + group.id.str() + " lacks incarnations"};
+        }
         if (!ids.insert(group.id).second) {
             return failure{failure_kind::refused, "group " + group.id.str() + " occurs twice"};
         }
@@ -79,7 +83,8 @@
                                       {"version", group.version},
                                       {"fabric", group.fabric.str()},
                                       {"epoch", group.epoch},
-                                      {"members", std::move(members)}});
+                                      {"members", std::move(members)},
+                                      {"incarnations", group.incarnations}});
     }
     document["places"] = nlohmann::json::array();
     for (const auto& place : plan.places()) {
@@ -105,6 +110,7 @@
             for (const auto& member : entry.at("members")) {
                 group.members.emplace_back(member.get<std::string>());
             }
+            group.incarnations = entry.at("incarnations").get<std::vector<std::uint64_t>>();
             groups.push_back(std::move(group));
         }
         std::vector<instance_place> places;
