Run client streams on the strand of their coroutine

Cause: boost::asio::get_associated_executor(yield) does not see the coroutine's executor in Boost 1.74, because only the completion handler is associated with it. client_connection::create therefore built its stream on the context's plain executor, and the stream's timeout handlers could run beside the coroutine on another thread. The same call without a fallback gives the system executor: a stand-in that slept that way crashed at process exit while the system context destroyed its pending timers. Ruled out: the lifetime of the stand-in's state (the stack showed system_context's destructor). Change: http::executor_of(yield) takes the executor from the completion handler; client connections use it. Conclusion: use http::executor_of for timers and streams inside coroutines. A connection that is handed to a coroutine of another strand still needs its operations to run on its own strand.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,6 +1,7 @@
 #include "http/client.hpp"
 
 #include "base/limits.hpp"
+#include "http/executor.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -72,7 +73,7 @@
     this->close();
 }
 
-result<std::unique_ptr<client_connection>> client_connection::create(asio::io_context& context,
+result<std::unique_ptr<client_connection>> client_connection::create(asio::io_context& /*context*/,
                                                                      const endpoint& remote,
                                                                      time_point deadline, yield_context yield)
 {
@@ -81,8 +82,7 @@
     if (code) {
         return failure{failure_kind::connection_refused, "not an IP number: " + remote.address};
     }
-    const auto executor = asio::get_associated_executor(yield, context.get_executor());
-    auto created = std::make_unique<state>(executor);
+    auto created = std::make_unique<state>(executor_of(yield));
     created->host = to_string(remote);
     created->stream.expires_at(deadline);
     created->stream.async_connect(asio::ip::tcp::endpoint(address, remote.port), yield[code]);
