Let an HTTP server break all its connections

Cause: an engine that restarts must break its connections, so that no request reaches another incarnation than the one that was checked. A server that lives on inside a stand-in process had no way to do that. Ruled out: stop(), which ends accepting and leaves open connections alone; aborting in the handler, which does not reach idle connections. Change: server::close_connections() closes each stream on its own strand, where its registration can vanish. Conclusion: idle and busy connections break; new ones are accepted as before.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -38,6 +38,9 @@
     std::atomic<std::uint64_t> malformed{0};
     std::atomic<std::uint64_t> in_flight{0};
     std::atomic<std::uint64_t> open{0};
+    std::mutex connections_lock;
+    std::unordered_map<std::uint64_t, beast::tcp_stream*> connections; ///< open ones by their number
+    std::uint64_t next_connection{0};
 };
 
 namespace {
@@ -221,11 +224,36 @@
 
 namespace detail {
 
+/// Lists a connection for close_connections() as long as the object lives.
+template <class State>
+class connection_entry
+{
+public:
+    connection_entry(State& owner, beast::tcp_stream& stream) : owner(owner)
+    {
+        const std::scoped_lock hold(this->owner.connections_lock);
+        this->number = this->owner.next_connection++;
+        this->owner.connections.emplace(this->number, &stream);
+    }
+    ~connection_entry()
+    {
+        const std::scoped_lock hold(this->owner.connections_lock);
+        this->owner.connections.erase(this->number);
+    }
+    connection_entry(const connection_entry&) = delete;
+    connection_entry& operator=(const connection_entry&) = delete;
+
+private:
+    State& owner;
+    std::uint64_t number{0};
+};
+
 template <class State>
 void serve_connection(const std::shared_ptr<State>& shared, tcp::socket socket, yield_context yield)
 {
     const counter_guard open_guard(shared->open);
     beast::tcp_stream stream(std::move(socket));
+    const connection_entry<State> entry(*shared, stream);
     beast::flat_buffer buffer;
     for (bool first = true; !shared->stopped; first = false) {
         bhttp::request_parser<bhttp::string_body> parser;
@@ -337,6 +365,20 @@
     this->inner->draining = true;
 }
 
+void server::close_connections()
+{
+    const std::scoped_lock hold(this->inner->connections_lock);
+    for (const auto& [number, stream] : this->inner->connections) {
+        // The entry is looked up again on the connection's strand, where alone it can vanish.
+        asio::post(stream->get_executor(), [shared = this->inner, number = number] {
+            const std::scoped_lock inner_hold(shared->connections_lock);
+            if (const auto found = shared->connections.find(number); found != shared->connections.end()) {
+                found->second->close();
+            }
+        });
+    }
+}
+
 void server::stop()
 {
     this->inner->draining = true;
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -89,6 +89,8 @@
 
     /// From now on every response closes its connection. The listening socket stays open.
     void drain();
+    /// Breaks every open connection, also those with a request in flight. The listening socket stays open.
+    void close_connections();
     /// Stops accepting. Requests in flight go on; idle connections are closed.
     void stop();
 
--- a/tests/http/http_test.cpp
+++ b/tests/http/http_test.cpp
@@ -46,6 +46,7 @@
     running_server& operator=(const running_server&) = delete;
 
     endpoint address() const { return this->server->local(); }
+    void close_connections() const { this->server->close_connections(); }
 
 private:
     boost::asio::io_context context;
@@ -80,6 +81,24 @@
         }
     }
 
+    SECTION("closing all connections breaks an idle one, so that nothing is sent to a restarted process")
+    {
+        boost::asio::io_context context;
+        result<http::response> second = failure{};
+        boost::asio::spawn(context, [&](http::yield_context yield) {
+            const auto deadline = steady_clock::now() + call_timeout;
+            auto connected = http::client_connection::create(context, server.address(), deadline, yield);
+            REQUIRE(succeeded(connected));
+            REQUIRE(succeeded(value(connected)->exchange({"GET", "/first", {}, ""}, deadline, yield)));
+            server.close_connections();
+            second = value(connected)->exchange({"GET", "/second", {}, ""}, deadline, yield);
+        });
+        context.run();
+        REQUIRE(failed(second));
+        CHECK(error(second).kind == failure_kind::connection_broken);
+        CHECK(succeeded(http::call(server.address(), {"GET", "/", {}, ""}, call_timeout)));
+    }
+
     SECTION("a body above the limit is refused and the refusal says that it was not run")
     {
         const auto answer =
