Add the store client and the stand-ins of store and service

Cause: control loops, claims and tests need a client of the platform services with typed failures, and something that speaks the other side of docs/protocols.md. Ruled out: sharing pooled connections between coroutines directly. The timers of a Beast stream are bound to the strand that created it, so the pool gives each connection a strand and runs its exchanges there. Treating a malformed answer to a write as malformed was ruled out too: the write may have taken effect, so it is outcome_unknown. Change: src/platform (key-value store, instance list, weight limit, write_once), src/standin kv and service, base/command_line over popt, model/token_stream for answers that anyone can check. Conclusion: the duty, plan and claim code can be built on platform/platform.hpp.

--- /dev/null
+++ b/src/base/command_line.hpp
@@ -0,0 +1,54 @@
+/// Command lines of the programs, over popt. Every program has --help and --version.
+#pragma once
+
+#include "base/failure.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace rml {
+
+/// Exit codes of all programs.
+enum class exit_code
+{
+    success = 0,
+    operation_failed = 1,
+    usage_error = 2,
+    invalid_settings = 3,
+    unavailable = 4,
+};
+
+/// Options of one program. The variables given to add() must outlive parse().
+class command_line
+{
+public:
+    /// `notes` are printed below the options by --help.
+    command_line(std::string program, std::string notes);
+
+    /// An option with a value; the default is the variable's value.
+    void add(const std::string& name, std::string& value, const std::string& help);
+    void add(const std::string& name, std::int64_t& value, const std::string& help);
+    /// An option without a value.
+    void add(const std::string& name, bool& value, const std::string& help);
+
+    /// True when the program shall go on; false after --help or --version. Fails with `malformed` on a usage
+    /// error. Positional arguments are appended to `positional`, or refused when it is null.
+    result<bool> parse(int argc, const char** argv, std::vector<std::string>* positional = nullptr);
+
+private:
+    struct option
+    {
+        std::string name;
+        std::string help;
+        std::string* text{nullptr};
+        std::int64_t* number{nullptr};
+        bool* flag{nullptr};
+    };
+
+    std::string program;
+    std::string notes;
+    std::vector<option> options;
+};
+
+} // namespace rml
--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -65,6 +65,10 @@
 
 // Store and peers.
 constexpr std::size_t store_value_bytes = 1024 * 1024;
+constexpr std::size_t store_idle_connections = 4; // a watch, a renewal and two other calls at once
+constexpr milliseconds store_idle_connection{10000}; // below http_idle_timeout, so that the store closes later
+constexpr int write_once_attempts = 4;
+constexpr milliseconds write_once_pause{50};
 constexpr std::size_t peer_frame_bytes = 1024 * 1024 + 64 * 1024;
 constexpr int peer_protocol_version = 1;
 
