--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,6 +1,7 @@
 #include "http/client.hpp"
 
 #include "base/limits.hpp"
+#include "http/executor.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -53,16 +54,8 @@
     return out;
 }
 
-/// Executor on which the coroutine runs. A connection may pass from one coroutine to the next, so its timers
-/// belong to the coroutine of the call and not to the socket.
-asio::any_io_executor executor_of(yield_context yield)
-{
-    // The completion moves its token out, so it gets a copy.
-    asio::async_completion<yield_context, void(boost::system::error_code)> init(yield);
-    return asio::get_associated_executor(init.completion_handler);
-}
-
-/// Closes the socket when the deadline passes during one operation.
+/// Closes the socket when the deadline passes during one operation. A connection may pass from one coroutine
+/// to the next, so the timer belongs to the coroutine of the call and not to the socket.
 class deadline_guard
 {
 public:
