Divide account limits into floors and grants

Cause: an account's limit holds over all daemons, also in a partition and with an owner that is paused or replaced. Change: decision/quota with quota_owner and quota_client. The owner counts the largest unexpired grant of each daemon, since a lost answer leaves the older one in force; a refusal does not end a grant. An account that is new at an owner waits for the lease and the grants of an owner under an older configuration. Ruled out: grants of whole requests, which need a message per burst.

--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -46,7 +46,10 @@
 // Crash attribution.
 constexpr milliseconds classification_delay{300};
 constexpr milliseconds correlated_loss_window{2000};
+constexpr milliseconds loss_report_delay{1500}; // one report and one digest interval late
 constexpr std::chrono::hours block_lifetime{1};
+constexpr std::size_t crash_records = 4096; // suspects and blocked requests together
+constexpr std::size_t crash_recent_losses = 256;
 
 // Claims.
 constexpr std::chrono::hours claim_lifetime{48}; // a caller may send a key again a day later
--- /dev/null
+++ b/src/decision/quota.cpp
@@ -0,0 +1,259 @@
+#include "decision/quota.hpp"
+
+#include <algorithm>
+
+namespace rml {
+
+namespace {
+
+double to_seconds(duration span)
+{
+    return std::chrono::duration<double>(span).count();
+}
+
+/// Largest number of saved requests, in time at the rate in force. Callers often send a few requests at once.
+constexpr double burst_seconds = 1.0;
+/// Weight of the newest interval in the smoothed rate of requests. High, since grants last only 3 s.
+constexpr double demand_gain = 0.5;
+/// Asked on top of the measured rate, so that a growing account is not held at its last rate.
+constexpr double demand_margin = 1.25;
+/// Asks without an answer that are remembered, in grant lifetimes' worth of asks and spare.
+constexpr std::size_t max_open_asks = 8;
+/// Rates below this are not asked for.
+constexpr double smallest_rate = 1e-3;
+
+/// Part of `mine` when `share` is filled equally over `wanted`.
+double fair_part(std::vector<double> wanted, double mine, double share)
+{
+    std::sort(wanted.begin(), wanted.end());
+    auto open = wanted.size();
+    for (const auto want : wanted) {
+        const auto level = share / static_cast<double>(open);
+        if (want >= level) {
+            return std::min(mine, level);
+        }
+        share -= want;
+        --open;
+    }
+    return mine;
+}
+
+} // namespace
+
+void quota_owner::update_lease(time_point valid_until, time_point now)
+{
+    if (!this->lease_until || now >= *this->lease_until) {
+        for (auto& [account, state] : this->accounts) {
+            state.daemons.clear();
+        }
+        this->ready = now + this->lifetime;
+    }
+    this->lease_until = valid_until;
+}
+
+void quota_owner::update_account(const account_id& account, const quota_division& division, time_point now)
+{
+    const auto [entry, created] = this->accounts.try_emplace(account);
+    entry->second.division = division;
+    if (created) {
+        entry->second.ready = now + limits::duty_lease + this->lifetime;
+    }
+}
+
+double quota_owner::demand::in_force() const
+{
+    double most = 0;
+    for (const auto& entry : this->grants) {
+        most = std::max(most, entry.rate);
+    }
+    return most;
+}
+
+void quota_owner::expire(account_state& state, time_point now)
+{
+    for (auto entry = state.daemons.begin(); entry != state.daemons.end();) {
+        auto& grants = entry->second.grants;
+        grants.erase(std::remove_if(grants.begin(), grants.end(),
+                                    [&](const counted_grant& grant) { return now >= grant.expires; }),
+                     grants.end());
+        const bool ended = grants.empty() && now >= entry->second.until;
+        entry = ended ? state.daemons.erase(entry) : std::next(entry);
+    }
+}
+
+quota_grant quota_owner::grant(const daemon_id& asker, const quota_ask& ask, time_point now)
+{
+    ++this->counts.asks;
+    quota_grant answer{ask.ask, ask.account, 0, this->lifetime};
+    if (!this->lease_until || now >= *this->lease_until || now < this->ready) {
+        ++this->counts.refused_lease;
+        return answer;
+    }
+    const auto known = this->accounts.find(ask.account);
+    if (known == this->accounts.end()) {
+        ++this->counts.refused_limit;
+        return answer;
+    }
+    auto& state = known->second;
+    if (now < state.ready) {
+        ++this->counts.refused_lease;
+        return answer;
+    }
+    expire(state, now);
+    auto& own = state.daemons[asker];
+    if (ask.ask >= own.last_ask) {
+        own.last_ask = ask.ask;
+        own.wanted = std::max(0.0, ask.rate);
+        own.until = now + this->lifetime;
+    }
+    std::vector<double> wanted;
+    double others = 0;
+    for (const auto& [daemon, entry] : state.daemons) {
+        wanted.push_back(entry.wanted);
+        others += daemon == asker ? 0 : entry.in_force();
+    }
+    const auto share = state.division.region_share();
+    answer.rate = std::max(0.0, std::min(fair_part(wanted, own.wanted, share), share - others));
+    if (answer.rate > 0) {
+        // Of two grants with the same rate only the later matters, so the list stays short.
+        const auto covered = [&](const counted_grant& entry) { return entry.rate <= answer.rate; };
+        own.grants.erase(std::remove_if(own.grants.begin(), own.grants.end(), covered), own.grants.end());
+        own.grants.push_back({answer.rate, now + this->lifetime});
+    } else {
+        ++this->counts.refused_limit;
+    }
+    this->counts.grants = state.daemons.size();
+    return answer;
+}
+
+double quota_owner::granted(const account_id& account, time_point now) const
+{
+    const auto known = this->accounts.find(account);
+    double sum = 0;
+    if (known != this->accounts.end()) {
+        for (const auto& [daemon, entry] : known->second.daemons) {
+            double most = 0;
+            for (const auto& grant : entry.grants) {
+                most = std::max(most, now < grant.expires ? grant.rate : 0);
+            }
+            sum += most;
+        }
+    }
+    return sum;
+}
+
+double quota_client::account_state::rate(time_point now) const
+{
+    return this->division.floor() + (now < this->granted_until ? this->granted : 0);
+}
+
+void quota_client::account_state::fill(time_point now)
+{
+    if (now <= this->filled) {
+        return;
+    }
+    // A grant that ended since the last call counts up to its end only.
+    const auto with_grant = std::clamp(this->granted_until, this->filled, now) - this->filled;
+    this->tokens += this->division.floor() * to_seconds(now - this->filled);
+    this->tokens += this->granted * to_seconds(with_grant);
+    this->tokens = std::min(this->tokens, std::max(1.0, this->rate(now) * burst_seconds));
+    this->filled = now;
+}
+
+void quota_client::update_account(const account_id& account, const quota_division& division, time_point now)
+{
+    const auto [entry, created] = this->accounts.try_emplace(account);
+    auto& state = entry->second;
+    if (created) {
+        state.filled = now;
+        state.last_poll = now;
+    } else {
+        state.fill(now);
+    }
+    state.division = division;
+}
+
+bool quota_client::try_acquire(const account_id& account, time_point now)
+{
+    const auto known = this->accounts.find(account);
+    if (known == this->accounts.end()) {
+        ++this->counts.refused;
+        return false;
+    }
+    auto& state = known->second;
+    ++state.arrivals;
+    state.fill(now);
+    if (state.tokens < 1) {
+        ++this->counts.refused;
+        return false;
+    }
+    state.tokens -= 1;
+    ++this->counts.admitted;
+    return true;
+}
+
+std::vector<quota_ask> quota_client::poll(time_point now)
+{
+    std::vector<quota_ask> asks;
+    for (auto& [account, state] : this->accounts) {
+        const auto since = now - state.last_poll;
+        // The first request of an idle account asks at once.
+        const bool woken = state.arrivals > 0 && state.wanted < smallest_rate;
+        if (since < ask_interval && !(woken && since > duration::zero())) {
+            continue;
+        }
+        // A request of an account that was idle counts as if spread over a whole interval.
+        const auto measured = state.arrivals / to_seconds(std::max<duration>(since, ask_interval));
+        state.wanted = woken ? measured : state.wanted + demand_gain * (measured - state.wanted);
+        state.arrivals = 0;
+        state.last_poll = now;
+        const auto wanted =
+            std::min(state.wanted * demand_margin, state.division.limit) - state.division.floor();
+        if (wanted < smallest_rate) {
+            continue;
+        }
+        if (state.open_asks.size() >= max_open_asks) {
+            state.open_asks.erase(state.open_asks.begin());
+        }
+        state.open_asks.emplace(this->next_ask, now);
+        asks.push_back({this->next_ask++, account, wanted});
+        ++this->counts.asks;
+    }
+    return asks;
+}
+
+void quota_client::accept(const quota_grant& answer, time_point now)
+{
+    const auto known = this->accounts.find(answer.account);
+    if (known == this->accounts.end()) {
+        ++this->counts.late_grants;
+        return;
+    }
+    auto& state = known->second;
+    const auto asked = state.open_asks.find(answer.ask);
+    if (asked == state.open_asks.end() || answer.ask <= state.granted_ask) {
+        ++this->counts.late_grants;
+        return;
+    }
+    const auto until = asked->second + std::min(answer.ttl, limits::quota_lifetime);
+    state.open_asks.erase(state.open_asks.begin(), std::next(asked));
+    if (now >= until) {
+        ++this->counts.late_grants;
+        return;
+    }
+    if (answer.rate <= 0) {
+        return; // a refusal does not end the grant before, which its owner still counts
+    }
+    state.fill(now);
+    state.granted = answer.rate;
+    state.granted_ask = answer.ask;
+    state.granted_until = until;
+}
+
+double quota_client::rate(const account_id& account, time_point now) const
+{
+    const auto known = this->accounts.find(account);
+    return known == this->accounts.end() ? 0 : known->second.rate(now);
+}
+
+} // namespace rml
