Relay generations from callers to engines

Cause: the request path had no code beyond the HTTP transport. Ruled out: passing the caller's x-request-id to the engine, since two callers may send the same one and a crossed answer or a cancel could not be told apart; each attempt gets a random id. Change: outcome and claim state machines, engine and service clients with pooled connections bound to an incarnation, caller handler with generations, service calls, entries and health, metrics with Prometheus output. The daemon's decisions are behind caller::serving_state. Tests: one generation as a stream and as a whole over a fake state and a scripted engine; metrics output.

--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -4,6 +4,7 @@
 #include "base/time.hpp"
 
 #include <cstddef>
+#include <cstdint>
 
 namespace rml::limits {
 
@@ -49,7 +50,26 @@
 
 // Claims.
 constexpr std::chrono::hours claim_lifetime{48}; // a caller may send a key again a day later
+constexpr std::size_t idempotency_key_bytes = 256;
 constexpr std::size_t claim_answer_bytes = 16 * 1024;
+constexpr milliseconds claim_poll_interval{200};
+constexpr std::uint32_t claim_poll_doublings = 3; // a waiting repeated request costs few store reads
+constexpr std::uint32_t claim_settle_attempts = 12;
+constexpr std::uint32_t claim_settle_doublings =
+    6; // longest pause 12.8 s, so 12 attempts outlast a short outage
+
+// Targets.
+constexpr milliseconds connect_timeout{1000};
+constexpr milliseconds status_timeout{1000};
+constexpr milliseconds cancel_timeout{2000};
+constexpr milliseconds first_token_timeout{20000};  // an engine's own queue may hold a request for seconds
+constexpr milliseconds token_gap_timeout{4000};     // tokens come 27 ms apart; a silent engine is given up
+constexpr milliseconds target_idle_time{20000};     // below http_idle_timeout, so that our side closes first
+constexpr std::size_t target_idle_connections = 32; // per target
+constexpr milliseconds sink_poll_interval{100};     // notices a caller that left while no token arrives
+constexpr std::size_t event_bytes = 64 * 1024;
+constexpr std::uint32_t generation_attempts = 5;
+constexpr std::uint32_t max_tokens = 32768;
 
 // Callers.
 constexpr std::size_t http_header_bytes = 16 * 1024;
@@ -59,6 +79,7 @@
 constexpr milliseconds http_idle_timeout{60000};
 constexpr milliseconds http_write_timeout{20000};
 constexpr std::size_t http_connections = 4096;
+constexpr std::size_t request_id_bytes = 128;
 constexpr milliseconds request_time{120000}; // longest time of one request, end to end
 constexpr seconds address_lifetime{30};
 constexpr seconds leave_margin{5};
@@ -68,6 +89,9 @@
 constexpr std::size_t peer_frame_bytes = 1024 * 1024 + 64 * 1024;
 constexpr int peer_protocol_version = 1;
 
+// Metrics.
+constexpr std::size_t metric_series = 4096; // bounds memory when a label takes many values
+
 // Logs.
 constexpr std::size_t log_queue_records = 4096;
 constexpr double log_lines_per_second = 2000;
--- /dev/null
+++ b/src/caller/generation.hpp
@@ -0,0 +1,28 @@
+/// Generation requests: attempts, resumption and relay to the caller.
+#pragma once
+
+#include "caller/chat_request.hpp"
+#include "caller/request_context.hpp"
+#include "target/engine_client.hpp"
+
+namespace rml::caller {
+
+/// Used by many coroutines at once.
+class generation_relay
+{
+public:
+    generation_relay(serving_state& state, target::engine_client& engines, request_metrics& metrics)
+        : state(state), engines(engines), metrics(metrics)
+    {
+    }
+
+    /// Answers one request of an account that has the right to the pool.
+    void run(const request_context& request, const chat_request& chat);
+
+private:
+    serving_state& state;
+    target::engine_client& engines;
+    request_metrics& metrics;
+};
+
+} // namespace rml::caller
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -53,21 +53,13 @@
     return out;
 }
 
-/// Executor on which the coroutine runs. A connection may pass from one coroutine to the next, so its timers
-/// belong to the coroutine of the call and not to the socket.
-asio::any_io_executor executor_of(yield_context yield)
-{
-    // The completion moves its token out, so it gets a copy.
-    asio::async_completion<yield_context, void(boost::system::error_code)> init(yield);
-    return asio::get_associated_executor(init.completion_handler);
-}
-
-/// Closes the socket when the deadline passes during one operation.
+/// Closes the socket when the deadline passes during one operation. A connection may pass from one coroutine
+/// to the next, so its timers belong to the coroutine of the call and not to the socket.
 class deadline_guard
 {
 public:
     deadline_guard(asio::ip::tcp::socket& socket, time_point deadline, yield_context yield)
-        : timer(executor_of(yield), deadline), flags(std::make_shared<shared_flags>())
+        : timer(http::executor_of(yield), deadline), flags(std::make_shared<shared_flags>())
     {
         this->timer.async_wait([&socket, shared = this->flags](const boost::system::error_code& code) {
             if (code || shared->ended) {
@@ -110,6 +102,13 @@
 
 } // namespace
 
+asio::any_io_executor executor_of(yield_context yield)
+{
+    // The completion moves its token out, so it gets a copy.
+    asio::async_completion<yield_context, void(boost::system::error_code)> init(yield);
+    return asio::get_associated_executor(init.completion_handler);
+}
+
 struct client_connection::state
 {
     explicit state(const asio::any_io_executor& executor) : socket(executor) {}
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -5,6 +5,7 @@
 #include "base/time.hpp"
 #include "http/message.hpp"
 
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
 #include <memory>
@@ -15,6 +16,9 @@
 
 using yield_context = boost::asio::yield_context;
 
+/// Executor on which the coroutine runs; timers that touch the coroutine's data belong on it.
+boost::asio::any_io_executor executor_of(yield_context yield);
+
 /// One connection. Used by one coroutine at a time; it may pass from one coroutine to another.
 class client_connection
 {
--- /dev/null
+++ b/src/target/connection_pool.cpp
@@ -0,0 +1,93 @@
+#include "target/connection_pool.hpp"
+
+#include "base/limits.hpp"
+
+#include <algorithm>
+#include <mutex>
+#include <utility>
+
+namespace rml::target {
+
+connection_pool::idle_connection connection_pool::pop(const endpoint& remote)
+{
+    const std::scoped_lock lock(this->mutex);
+    const auto found = this->idle.find(to_string(remote));
+    if (found == this->idle.end()) {
+        return {};
+    }
+    auto youngest = std::move(found->second.back());
+    found->second.pop_back();
+    if (found->second.empty()) {
+        this->idle.erase(found);
+    }
+    return youngest;
+}
+
+bound_connection connection_pool::take_idle(const endpoint& remote, std::optional<std::uint64_t> incarnation)
+{
+    const auto oldest = steady_clock::now() - limits::target_idle_time;
+    while (true) {
+        auto candidate = this->pop(remote);
+        if (!candidate.bound.connection) {
+            return {};
+        }
+        const bool usable =
+            candidate.since >= oldest &&
+            candidate.bound.incarnation == incarnation.value_or(candidate.bound.incarnation) &&
+            candidate.bound.connection->reusable();
+        const std::scoped_lock lock(this->mutex);
+        ++(usable ? this->counts.reused : this->counts.discarded);
+        if (usable) {
+            return std::move(candidate.bound);
+        }
+    }
+}
+
+result<std::unique_ptr<http::client_connection>>
+connection_pool::open(const endpoint& remote, time_point deadline, yield_context yield)
+{
+    const auto limit = std::min(deadline, steady_clock::now() + limits::connect_timeout);
+    auto opened = http::client_connection::create(this->context, remote, limit, yield);
+    if (succeeded(opened)) {
+        const std::scoped_lock lock(this->mutex);
+        ++this->counts.opened;
+    }
+    return opened;
+}
+
+void connection_pool::give_back(const endpoint& remote, bound_connection used)
+{
+    if (!used.connection || !used.connection->reusable()) {
+        return;
+    }
+    const auto now = steady_clock::now();
+    std::vector<idle_connection> discarded;
+    const std::scoped_lock lock(this->mutex);
+    auto& connections = this->idle[to_string(remote)];
+    connections.push_back({std::move(used), now});
+    // The oldest are at the front: take_idle() uses the youngest first, so that surplus ones grow old.
+    auto surplus = connections.begin();
+    while (surplus != connections.end() &&
+           (surplus->since < now - limits::target_idle_time ||
+            static_cast<std::size_t>(connections.end() - surplus) > limits::target_idle_connections)) {
+        discarded.push_back(std::move(*surplus));
+        ++surplus;
+        ++this->counts.discarded;
+    }
+    connections.erase(connections.begin(), surplus);
+}
+
+void connection_pool::clear()
+{
+    std::unordered_map<std::string, std::vector<idle_connection>> discarded;
+    const std::scoped_lock lock(this->mutex);
+    discarded.swap(this->idle);
+}
+
+pool_stats connection_pool::stats() const
+{
+    const std::scoped_lock lock(this->mutex);
+    return this->counts;
+}
+
+} // namespace rml::target
--- /dev/null
+++ b/tests/target/raw_server.hpp
@@ -0,0 +1,197 @@
+/// A TCP server whose answers are written by the test byte by byte, so that they can be wrong in any way.
+#pragma once
+
+#include "base/endpoint.hpp"
+#include "http/message.hpp"
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <sys/socket.h>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace rml::test {
+
+/// One connection of a raw_server.
+class raw_connection
+{
+public:
+    raw_connection(boost::asio::ip::tcp::socket socket, int number)
+        : number(number), socket(std::move(socket))
+    {
+    }
+
+    void send(const std::string& bytes)
+    {
+        boost::system::error_code ignored;
+        boost::asio::write(this->socket, boost::asio::buffer(bytes), ignored);
+    }
+
+    /// Blocks until the other side closes.
+    void wait_closed()
+    {
+        char byte = 0;
+        boost::system::error_code code;
+        while (!code) {
+            this->socket.read_some(boost::asio::buffer(&byte, 1), code);
+        }
+    }
+
+    /// Reads one request. False when the other side has closed.
+    bool read(http::request& out)
+    {
+        boost::system::error_code code;
+        std::size_t end = 0;
+        while ((end = this->buffer.find("\r\n\r\n")) == std::string::npos) {
+            if (!this->receive()) {
+                return false;
+            }
+        }
+        this->parse(this->buffer.substr(0, end), out);
+        this->buffer.erase(0, end + 4);
+        const auto length = std::stoul(http::find_header(out.headers, "content-length").value_or("0"));
+        while (this->buffer.size() < length) {
+            if (!this->receive()) {
+                return false;
+            }
+        }
+        out.body = this->buffer.substr(0, length);
+        this->buffer.erase(0, length);
+        return true;
+    }
+
+    void shutdown()
+    {
+        boost::system::error_code ignored;
+        this->socket.shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
+    }
+
+    const int number; ///< counts connections from 1
+
+private:
+    bool receive()
+    {
+        std::string part(4096, '\0');
+        boost::system::error_code code;
+        const auto count = this->socket.read_some(boost::asio::buffer(part), code);
+        this->buffer.append(part, 0, count);
+        return !code;
+    }
+
+    static void parse(const std::string& head, http::request& out)
+    {
+        out = {};
+        const auto first = head.substr(0, head.find("\r\n"));
+        out.method = first.substr(0, first.find(' '));
+        out.target = first.substr(first.find(' ') + 1);
+        out.target.resize(out.target.find(' '));
+        for (auto at = head.find("\r\n"); at != std::string::npos;) {
+            const auto next = head.find("\r\n", at + 2);
+            const auto line = head.substr(at + 2, next == std::string::npos ? next : next - at - 2);
+            const auto colon = line.find(": ");
+            out.headers.push_back({line.substr(0, colon), line.substr(colon + 2)});
+            at = next;
+        }
+    }
+
+    boost::asio::ip::tcp::socket socket;
+    std::string buffer;
+};
+
+/// Calls the script for each request; the connection ends when the script answers false.
+class raw_server
+{
+public:
+    using script = std::function<bool(const http::request&, raw_connection&)>;
+
+    explicit raw_server(script answer)
+        : answer(std::move(answer)), acceptor(this->context, {boost::asio::ip::address_v4::loopback(), 0})
+    {
+        this->accepter = std::thread([this] { this->accept(); });
+    }
+
+    ~raw_server()
+    {
+        this->stopped = true;
+        // Closing a descriptor does not wake a blocking accept; a shutdown does.
+        ::shutdown(this->acceptor.native_handle(), SHUT_RDWR);
+        this->accepter.join();
+        {
+            const std::scoped_lock lock(this->mutex);
+            for (const auto& connection : this->connections) {
+                connection->shutdown();
+            }
+        }
+        for (auto& worker : this->workers) {
+            worker.join();
+        }
+    }
+    raw_server(const raw_server&) = delete;
+    raw_server& operator=(const raw_server&) = delete;
+
+    endpoint address() const { return {"127.0.0.1", this->acceptor.local_endpoint().port()}; }
+    int accepted() const { return this->count; }
+
+private:
+    void accept()
+    {
+        while (!this->stopped) {
+            boost::system::error_code code;
+            boost::asio::ip::tcp::socket socket(this->context);
+            this->acceptor.accept(socket, code);
+            if (code) {
+                return;
+            }
+            socket.set_option(boost::asio::ip::tcp::no_delay(true), code);
+            auto connection = std::make_shared<raw_connection>(std::move(socket), ++this->count);
+            const std::scoped_lock lock(this->mutex);
+            this->connections.push_back(connection);
+            this->workers.emplace_back([this, connection] {
+                http::request message;
+                while (connection->read(message) && this->answer(message, *connection)) {
+                }
+                connection->shutdown();
+            });
+        }
+    }
+
+    script answer;
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor acceptor;
+    std::atomic<bool> stopped{false};
+    std::atomic<int> count{0};
+    std::mutex mutex;
+    std::vector<std::shared_ptr<raw_connection>> connections;
+    std::vector<std::thread> workers;
+    std::thread accepter;
+};
+
+/// One chunk of a chunked body.
+inline std::string chunk(const std::string& data)
+{
+    static const char* const digits = "0123456789abcdef";
+    std::string size;
+    for (auto rest = data.size(); rest > 0; rest /= 16) {
+        size.insert(size.begin(), digits[rest % 16]);
+    }
+    return size + "\r\n" + data + "\r\n";
+}
+
+inline const std::string last_chunk = "0\r\n\r\n";
+
+/// Whole answer with a length.
+inline std::string whole_answer(const std::string& status, const std::string& headers,
+                                const std::string& body)
+{
+    return "HTTP/1.1 " + status + "\r\n" + headers + "content-length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+}
+
+} // namespace rml::test
