--- a/src/control/config_snapshot.cpp
+++ b/src/control/config_snapshot.cpp
@@ -100,7 +100,8 @@
 failure_domain_id config_snapshot::domain_of(const instance_id& instance) const
 {
     const auto* engine = this->find_engine(instance);
-    return engine == nullptr ? failure_domain_id() : value_or_none(this->fabric_domains, engine->fabric_domain);
+    return engine == nullptr ? failure_domain_id()
+                             : value_or_none(this->fabric_domains, engine->fabric_domain);
 }
 
 bool config_snapshot::drained(const failure_domain_id& domain) const
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -60,7 +60,7 @@
 {
 public:
     deadline_guard(asio::ip::tcp::socket& socket, time_point deadline, yield_context yield)
-        : timer(executor_of(yield), deadline), flags(std::make_shared<shared_flags>())
+        : timer(http::executor_of(yield), deadline), flags(std::make_shared<shared_flags>())
     {
         this->timer.async_wait([&socket, shared = this->flags](const boost::system::error_code& code) {
             if (code || shared->ended) {
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -3,6 +3,7 @@
 
 #include "base/failure.hpp"
 #include "base/time.hpp"
+#include "http/executor.hpp"
 #include "http/message.hpp"
 
 #include <boost/asio/io_context.hpp>
--- a/src/peer/messages.cpp
+++ b/src/peer/messages.cpp
@@ -90,41 +90,43 @@
     return {{type_field, "o"}, {"d", m.failure_domain.str()}, {"r", bytes_of(m.reports)}};
 }
 
-json to_document(const slot_ask_message& m)
+json to_document(const slot_ask& m)
 {
     return {{type_field, "slot_ask"},           {"ask", m.ask},
-            {"group", m.group.str()},           {"inc", m.incarnation},
+            {"group", m.target.str()},          {"inc", m.incarnation},
             {"kind", static_cast<int>(m.kind)}, {"n", m.count}};
 }
 
-json to_document(const slot_grant_message& m)
+json to_document(const slot_grant& m)
 {
-    return {{type_field, "slot_grant"}, {"ask", m.ask}, {"n", m.count}, {"ms", m.lifetime.count()}};
+    return {
+        {type_field, "slot_grant"}, {"ask", m.ask}, {"n", m.count}, {"ms", m.ttl.count()}, {"warm", m.warm}};
 }
 
-json to_document(const slot_release_message& m)
+json to_document(const slot_release& m)
 {
     return {{type_field, "slot_release"},
-            {"group", m.group.str()},
+            {"ask", m.ask},
+            {"group", m.target.str()},
             {"inc", m.incarnation},
             {"kind", static_cast<int>(m.kind)},
-            {"ask", m.ask},
-            {"n", m.count},
-            {"ok", m.succeeded}};
+            {"n", m.released},
+            {"ok", m.succeeded},
+            {"bad", m.failed}};
 }
 
-json to_document(const quota_ask_message& m)
+json to_document(const quota_ask& m)
 {
     return {{type_field, "quota_ask"}, {"ask", m.ask}, {"account", m.account.str()}, {"rate", m.rate}};
 }
 
-json to_document(const quota_grant_message& m)
+json to_document(const quota_grant& m)
 {
     return {{type_field, "quota_grant"},
             {"ask", m.ask},
             {"account", m.account.str()},
             {"rate", m.rate},
-            {"ms", m.lifetime.count()}};
+            {"ms", m.ttl.count()}};
 }
 
 /// Enumerator of a number, checked against the highest one.
@@ -197,26 +199,35 @@
 
 message decode_slot_ask(const json& d)
 {
-    return slot_ask_message{d.at("ask").get<std::uint64_t>(), group_id(d.at("group").get<std::string>()),
-                            d.at("inc").get<std::uint64_t>(), checked_enum(d.at("kind"), slot_kind::trial),
-                            d.at("n").get<std::uint32_t>()};
+    return slot_ask{d.at("ask").get<std::uint64_t>(), group_id(d.at("group").get<std::string>()),
+                    d.at("inc").get<std::uint64_t>(), checked_enum(d.at("kind"), slot_kind::trial),
+                    d.at("n").get<std::uint32_t>()};
+}
+
+message decode_slot_grant(const json& d)
+{
+    return slot_grant{d.at("ask").get<std::uint64_t>(), d.at("n").get<std::uint32_t>(),
+                      milliseconds(d.at("ms").get<std::int64_t>()), d.at("warm").get<bool>()};
 }
 
 message decode_slot_release(const json& d)
 {
-    return slot_release_message{group_id(d.at("group").get<std::string>()),
-                                d.at("inc").get<std::uint64_t>(),
-                                checked_enum(d.at("kind"), slot_kind::trial),
-                                d.at("ask").get<std::uint64_t>(),
-                                d.at("n").get<std::uint32_t>(),
-                                d.at("ok").get<bool>()};
+    return slot_release{d.at("ask").get<std::uint64_t>(), group_id(d.at("group").get<std::string>()),
+                        d.at("inc").get<std::uint64_t>(), checked_enum(d.at("kind"), slot_kind::trial),
+                        d.at("n").get<std::uint32_t>(),   d.at("ok").get<std::uint32_t>(),
+                        d.at("bad").get<std::uint32_t>()};
+}
+
+message decode_quota_ask(const json& d)
+{
+    return quota_ask{d.at("ask").get<std::uint64_t>(), account_id(d.at("account").get<std::string>()),
+                     d.at("rate").get<double>()};
 }
 
 message decode_quota_grant(const json& d)
 {
-    return quota_grant_message{d.at("ask").get<std::uint64_t>(),
-                               account_id(d.at("account").get<std::string>()), d.at("rate").get<double>(),
-                               milliseconds(d.at("ms").get<std::int64_t>())};
+    return quota_grant{d.at("ask").get<std::uint64_t>(), account_id(d.at("account").get<std::string>()),
+                       d.at("rate").get<double>(), milliseconds(d.at("ms").get<std::int64_t>())};
 }
 
 result<message> from_document(const json& d)
@@ -244,16 +255,13 @@
         return decode_slot_ask(d);
     }
     if (type == "slot_grant") {
-        return message{slot_grant_message{d.at("ask").get<std::uint64_t>(), d.at("n").get<std::uint32_t>(),
-                                          milliseconds(d.at("ms").get<std::int64_t>())}};
+        return decode_slot_grant(d);
     }
     if (type == "slot_release") {
         return decode_slot_release(d);
     }
     if (type == "quota_ask") {
-        return message{quota_ask_message{d.at("ask").get<std::uint64_t>(),
-                                         account_id(d.at("account").get<std::string>()),
-                                         d.at("rate").get<double>()}};
+        return decode_quota_ask(d);
     }
     if (type == "quota_grant") {
         return decode_quota_grant(d);
--- a/src/peer/messages.hpp
+++ b/src/peer/messages.hpp
@@ -5,6 +5,8 @@
 #include "base/failure.hpp"
 #include "base/ids.hpp"
 #include "base/time.hpp"
+#include "decision/quota.hpp"
+#include "decision/ramp.hpp"
 #include "decision/replication.hpp"
 
 #include <cstdint>
@@ -60,58 +62,9 @@
     std::string reports;
 };
 
-/// What a slot permits.
-enum class slot_kind
-{
-    ramp = 0,  ///< requests to a target in cold start
-    trial = 1, ///< a request suspected of crashing its target
-};
-
-struct slot_ask_message
-{
-    std::uint64_t ask{0};
-    group_id group;
-    std::uint64_t incarnation{0};
-    slot_kind kind{slot_kind::ramp};
-    std::uint32_t count{0};
-};
-
-struct slot_grant_message
-{
-    std::uint64_t ask{0};
-    std::uint32_t count{0};
-    milliseconds lifetime{0};
-};
-
-struct slot_release_message
-{
-    group_id group;
-    std::uint64_t incarnation{0};
-    slot_kind kind{slot_kind::ramp};
-    std::uint64_t ask{0}; ///< the ask whose grant is returned
-    std::uint32_t count{0};
-    bool succeeded{false};
-};
-
-struct quota_ask_message
-{
-    std::uint64_t ask{0};
-    account_id account;
-    double rate{0}; ///< requests per second wanted
-};
-
-struct quota_grant_message
-{
-    std::uint64_t ask{0};
-    account_id account;
-    double rate{0};
-    milliseconds lifetime{0};
-};
-
-using message =
-    std::variant<challenge_message, hello_message, keepalive_message, config_ask_message, push_message,
-                 prune_message, summary_message, graft_message, observe_message, slot_ask_message,
-                 slot_grant_message, slot_release_message, quota_ask_message, quota_grant_message>;
+using message = std::variant<challenge_message, hello_message, keepalive_message, config_ask_message,
+                             push_message, prune_message, summary_message, graft_message, observe_message,
+                             slot_ask, slot_grant, slot_release, quota_ask, quota_grant>;
 
 /// CBOR bytes of one frame.
 std::string encode(const message& m);
--- a/tests/peer/peer_test.cpp
+++ b/tests/peer/peer_test.cpp
@@ -25,11 +25,11 @@
             summary_message{99, {{5, {1, 2}}}},
             graft_message{true, {{6, {7, 8}}}, {9}},
             observe_message{failure_domain_id("d"), "reports"},
-            slot_ask_message{1, group_id("g"), 2, slot_kind::trial, 3},
-            slot_grant_message{1, 2, milliseconds(3000)},
-            slot_release_message{group_id("g"), 2, slot_kind::ramp, 1, 1, true},
-            quota_ask_message{1, account_id("a"), 2.5},
-            quota_grant_message{1, account_id("a"), 2.5, milliseconds(3000)}};
+            slot_ask{1, group_id("g"), 2, slot_kind::trial, 3},
+            slot_grant{1, 2, milliseconds(3000), true},
+            slot_release{1, group_id("g"), 2, slot_kind::ramp, 2, 1, 1},
+            quota_ask{1, account_id("a"), 2.5},
+            quota_grant{1, account_id("a"), 2.5, milliseconds(3000)}};
 }
 
 /// Records what a transport reports and lets a test wait for it.
