Run pooled store calls in the caller's coroutine

Cause: the pool ran each exchange in a second coroutine on the connection's strand, because a client stream's timers were bound to the strand that created it. Ruled out: keeping the second coroutine; it costs a stack and two context switches per call and guards nothing now. Conclusion: no behaviour of the store client changes.

--- a/src/platform/connection_pool.hpp
+++ b/src/platform/connection_pool.hpp
@@ -9,7 +9,6 @@
 #include "http/message.hpp"
 
 #include <atomic>
-#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
 #include <cstdint>
@@ -33,8 +32,7 @@
     bool reused{false}; ///< an idle connection carried it
 };
 
-/// Each connection has a strand of its own and all its operations run there: the timers of a Beast stream are
-/// bound to the executor that created it, so a coroutine of another strand must not use the stream directly.
+/// Lends connections to one call at a time. Used from all threads of the context.
 class connection_pool
 {
 public:
@@ -44,36 +42,23 @@
     exchange_result exchange(const http::request& message, time_point deadline, bool fresh,
                              boost::asio::yield_context yield);
 
-    std::uint64_t opened() const { return this->shared->opened; }
+    std::uint64_t opened() const { return this->connections_opened; }
 
 private:
     struct idle_connection
     {
         std::unique_ptr<http::client_connection> connection;
-        boost::asio::any_io_executor strand;
         time_point since;
     };
-    struct pool_state
-    {
-        pool_state(boost::asio::io_context& owner, endpoint address)
-            : context(owner), remote(std::move(address))
-        {
-        }
-
-        boost::asio::io_context& context;
-        endpoint remote;
-        ranked_mutex lock{lock_rank::connection_pool};
-        std::vector<idle_connection> idle;
-        std::atomic<std::uint64_t> opened{0};
-    };
-    struct pending_call;
 
-    static idle_connection take(pool_state& state, bool fresh);
-    static void give_back(pool_state& state, idle_connection&& used);
-    static void run(pool_state& state, idle_connection& used, pending_call& call,
-                    boost::asio::yield_context yield);
+    std::unique_ptr<http::client_connection> take();
+    void give_back(std::unique_ptr<http::client_connection> used);
 
-    std::shared_ptr<pool_state> shared;
+    boost::asio::io_context& context;
+    endpoint remote;
+    ranked_mutex lock{lock_rank::connection_pool};
+    std::vector<idle_connection> idle;
+    std::atomic<std::uint64_t> connections_opened{0};
 };
 
 } // namespace rml::platform::detail
