--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -54,8 +54,8 @@
     return out;
 }
 
-/// Closes the socket when the deadline passes during one operation. A connection may pass from one coroutine
-/// to the next, so the timer belongs to the coroutine of the call and not to the socket.
+/// Closes the socket when the deadline passes during one operation. The connection may pass from one
+/// coroutine to the next, so the timer belongs to the coroutine of the call and not to the socket.
 class deadline_guard
 {
 public:
