--- a/src/caller/service_calls.cpp
+++ b/src/caller/service_calls.cpp
@@ -165,6 +165,9 @@
             }
         } else if (const auto* unknown = std::get_if<claim_unknown>(&step)) {
             this->refuse({unknown->reason, outcome::unknown, {}, 0});
+            if (unknown->release_claim) {
+                this->settle_in_background(claim.release());
+            }
         } else if (const auto* replay = std::get_if<claim_replay>(&step)) {
             this->replay(replay->answer);
         }
--- a/src/decision/claim.cpp
+++ b/src/decision/claim.cpp
@@ -159,12 +159,13 @@
     const bool late = now >= this->deadline;
     if (failed(reply)) {
         if (late) {
-            return claim_unknown{{failure_kind::outcome_unknown, "claim of this key not readable"}};
+            return claim_unknown{{failure_kind::outcome_unknown, "claim of this key not readable"}, true};
         }
         return this->poll();
     }
     if (!value(reply)) {
-        return late ? claim_step(claim_unknown{{failure_kind::outcome_unknown, "claim of this key expired"}})
+        return late ? claim_step(
+                          claim_unknown{{failure_kind::outcome_unknown, "claim of this key expired"}, false})
                     : this->create(0);
     }
     const auto& [document, revision] = *value(reply);
@@ -184,7 +185,7 @@
         return this->before_send(now);
     }
     if (late) {
-        return claim_unknown{{failure_kind::outcome_unknown, "call with this key still in progress"}};
+        return claim_unknown{{failure_kind::outcome_unknown, "call with this key still in progress"}, false};
     }
     return this->poll();
 }
--- a/src/decision/claim.hpp
+++ b/src/decision/claim.hpp
@@ -94,7 +94,8 @@
 };
 struct claim_unknown
 {
-    failure reason; ///< another request with this key may have run
+    failure reason;            ///< another request with this key may have run
+    bool release_claim{false}; ///< the key may hold the own claim, which was not sent: release it
 };
 using claim_step =
     std::variant<claim_write, claim_read, claim_send, claim_replay, claim_refuse, claim_unknown>;
