Fence plan and orders against late writes; prove the group invariants under faults

Change: plan_commit::take_over commits the plan again unchanged, so that its revision fences earlier holders. Replacements are made only with a valid lease. start_order also compares the order's fencing number with orderable_revision(), which is 0 while a write is unresolved. Ruled out: polling the plan document, which leaves a window of the polling interval.

--- a/src/decision/assignment.cpp
+++ b/src/decision/assignment.cpp
@@ -165,10 +165,12 @@
     return orders;
 }
 
-status assignment::start_order(const assign_order& order, const duty_lease& lease, time_point now)
+status assignment::start_order(const assign_order& order, const duty_lease& lease,
+                               std::uint64_t orderable_revision, time_point now)
 {
     const auto found = this->targets.find(order.instance);
-    if (found == this->targets.end() || !(this->order_for(order.instance, found->second) == order)) {
+    if (found == this->targets.end() || order.fencing != orderable_revision ||
+        !(this->order_for(order.instance, found->second) == order)) {
         ++this->counts.refused_stale;
         return failure{failure_kind::stale, "order to " + order.instance.str()};
     }
--- a/src/decision/assignment.hpp
+++ b/src/decision/assignment.hpp
@@ -57,8 +57,10 @@
     std::vector<assign_order> next_orders(const observation_book& book, const assignment_context& context);
 
     /// To be called directly before an order is sent, with a clock read after everything else was prepared.
-    /// Fails with `lapsed` when the lease is not valid, `stale` when the order is not of the plan in force.
-    status start_order(const assign_order& order, const duty_lease& lease, time_point now);
+    /// `orderable_revision` comes from plan_commit. Fails with `lapsed` when the lease is not valid, `stale`
+    /// when the order is not of the plan in force.
+    status start_order(const assign_order& order, const duty_lease& lease, std::uint64_t orderable_revision,
+                       time_point now);
     /// The order was answered or timed out.
     void finish_order(const instance_id& instance);
 
--- a/src/decision/plan_commit.cpp
+++ b/src/decision/plan_commit.cpp
@@ -14,14 +14,19 @@
     return success();
 }
 
-void plan_commit::refresh()
+void plan_commit::take_over(std::string attempt_id)
 {
     this->known = false;
+    this->claimed = false;
+    this->proposal.reset();
+    this->pending.reset();
+    this->claim_attempt = std::move(attempt_id);
 }
 
-std::optional<plan_call> plan_commit::next_call(time_point now)
+std::optional<plan_call> plan_commit::next_call(const duty_lease& lease, time_point now)
 {
-    if (this->pending || now < this->retry_at || (this->known && !this->proposal)) {
+    const bool may_replace = this->proposal && lease.permits_orders(now);
+    if (this->pending || now < this->retry_at || (this->known && !may_replace)) {
         return std::nullopt;
     }
     plan_call call;
@@ -38,13 +43,16 @@
 
 void plan_commit::settle_proposal()
 {
-    if (!this->proposal) {
-        return;
+    if (this->proposal) {
+        const bool took_effect = this->stored && this->stored->attempt_id == this->proposal->attempt_id;
+        const bool still_possible = this->revision() == this->proposal->expected;
+        this->claimed = this->claimed || took_effect;
+        if (took_effect || !still_possible) {
+            this->proposal.reset();
+        }
     }
-    const bool took_effect = this->stored && this->stored->attempt_id == this->proposal->attempt_id;
-    const bool still_possible = this->revision() == this->proposal->expected;
-    if (took_effect || !still_possible) {
-        this->proposal.reset();
+    if (!this->claimed && !this->proposal && this->stored) {
+        this->proposal = proposed{this->stored->plan, this->claim_attempt, this->stored->revision};
     }
 }
 
@@ -70,6 +78,7 @@
         this->stored = committed_plan{std::move(this->proposal->plan), reply.revision,
                                       std::move(this->proposal->attempt_id)};
         this->proposal.reset();
+        this->claimed = true;
     } else {
         this->known = false; // the read that follows settles the proposal
     }
--- a/src/decision/plan_commit.hpp
+++ b/src/decision/plan_commit.hpp
@@ -40,22 +40,31 @@
 public:
     explicit plan_commit(failure_domain_id domain);
 
+    /// To be called when the duty was acquired. The document is read and committed again unchanged, so that
+    /// its revision rises and a replacement that an earlier holder still has under way fails. Until then
+    /// there are no orders. `attempt_id` is unique to this takeover.
+    void take_over(std::string attempt_id);
     /// Offers a plan made from committed(). Fails with `conflict` while another one is under way or the
     /// stored plan is not known. `attempt_id` is unique to this attempt.
     status propose(domain_plan plan, std::string attempt_id);
-    /// Makes the next call read the document again, for example after a takeover.
-    void refresh();
-
-    std::optional<plan_call> next_call(time_point now);
+    /// The store call to make now, if any. Replacements are made only while the lease is valid: otherwise one
+    /// could come after the takeover by another holder that has read and fenced the document.
+    std::optional<plan_call> next_call(const duty_lease& lease, time_point now);
     /// Fails with `malformed` or `refused` when the stored document does not pass its checks.
     status on_reply(const plan_reply& reply, time_point now);
 
     /// The plan in force, or null while none is known to be stored.
     const committed_plan* committed() const { return this->stored ? &*this->stored : nullptr; }
-    /// Whether committed() is certain: no replacement is under way or unresolved. Orders are sent only then.
-    bool certain() const { return this->known && !this->proposal; }
-    /// Whether propose() succeeds.
-    bool ready() const { return this->certain() && !this->pending; }
+    /// Whether committed() is certain to be the plan in force while the lease lasts. Orders are sent only
+    /// then.
+    bool certain() const { return this->known && this->claimed && !this->proposal; }
+    /// Whether propose() succeeds: certain(), or no plan is stored yet.
+    bool ready() const
+    {
+        return this->known && !this->proposal && !this->pending && (this->claimed || !this->stored);
+    }
+    /// Revision whose orders may be sent now; 0 while committed() is not certain.
+    std::uint64_t orderable_revision() const { return this->certain() ? this->revision() : 0; }
     /// Revision of the stored document; 0: none.
     std::uint64_t revision() const { return this->stored ? this->stored->revision : 0; }
 
@@ -75,7 +84,9 @@
     std::optional<committed_plan> stored;
     std::optional<proposed> proposal;
     std::optional<plan_call> pending;
-    bool known{false};
+    bool known{false};   ///< `stored` was read or acknowledged, and no reply is outstanding
+    bool claimed{false}; ///< a write of this holder took effect since the takeover
+    std::string claim_attempt;
     std::uint64_t calls_made{0};
     time_point retry_at{};
 };
--- a/tests/decision/assignment_test.cpp
+++ b/tests/decision/assignment_test.cpp
@@ -74,14 +74,14 @@
         SECTION("orders under way count as loads, and are repeated only after a delay")
         {
             for (const auto& order : orders) {
-                REQUIRE(succeeded(control.start_order(order, context.lease, at(1))));
+                REQUIRE(succeeded(control.start_order(order, context.lease, 9, at(1))));
                 control.finish_order(order.instance);
             }
             CHECK(control.next_orders(book, context).empty());
             context.now = at(600);
             const auto again = control.next_orders(book, context);
             REQUIRE(again.size() == 3);
-            REQUIRE(succeeded(control.start_order(again[0], context.lease, at(600))));
+            REQUIRE(succeeded(control.start_order(again[0], context.lease, 9, at(600))));
             control.finish_order(again[0].instance);
             context.now = at(1200);
             CHECK(control.next_orders(book, context).size() == 2);
@@ -89,14 +89,20 @@
         }
         SECTION("a lease that lapses between the decision and the sending stops the order")
         {
-            const auto refused = control.start_order(orders[0], context.lease, at(6000));
+            const auto refused = control.start_order(orders[0], context.lease, 9, at(6000));
             REQUIRE(failed(refused));
             CHECK(error(refused).kind == failure_kind::lapsed);
         }
+        SECTION("no order is sent while a replacement of the plan is unresolved")
+        {
+            const auto refused = control.start_order(orders[0], context.lease, 0, at(2));
+            REQUIRE(failed(refused));
+            CHECK(error(refused).kind == failure_kind::stale);
+        }
         SECTION("an order of an earlier plan is not sent")
         {
             control.install_plan(make_plan(10, {make_group("g1", {"a", "b"})}));
-            const auto refused = control.start_order(orders[0], context.lease, at(2));
+            const auto refused = control.start_order(orders[0], context.lease, 10, at(2));
             REQUIRE(failed(refused));
             CHECK(error(refused).kind == failure_kind::stale);
         }
--- /dev/null
+++ b/tests/decision/group_invariants_test.cpp
@@ -0,0 +1,379 @@
+/// Random interleavings of losses, pauses, late orders, two holders, held-back digests and lost store replies
+/// over the decision modules of one failure domain. Guards invariants 1 and 2 and the rule that no order is
+/// sent after the lease lapsed.
+#include "decision/assignment.hpp"
+#include "decision/evidence.hpp"
+#include "decision/grouping.hpp"
+#include "store_model.hpp"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <functional>
+#include <map>
+#include <random>
+#include <rapidcheck.h>
+
+using namespace rml;
+using test::at;
+
+namespace {
+
+constexpr std::int64_t step_ms = 50;
+constexpr std::int64_t run_ms = 60000;
+constexpr std::size_t engine_count = 10;
+const failure_domain_id domain("waco-a");
+const std::string plan_key = "plan/waco-a";
+const std::string duty_key = "duty/waco-a";
+
+struct engine_model
+{
+    engine_status report;
+    bool fenced{false};
+    bool alive{true};
+    std::int64_t back_at{0};
+    std::int64_t loaded_at{0};
+    time_point broken_at{}; ///< the reader saw its connection break
+    std::map<std::pair<std::string, std::uint64_t>, time_point> last_match; ///< served (group, epoch) at
+};
+
+struct message
+{
+    std::int64_t due{0};
+    std::function<void()> deliver;
+};
+
+struct holder
+{
+    holder(const char* name, std::uint16_t session)
+        : name(name), role(domain, daemon_id(name), 1), commit(domain), observer(session), session(session)
+    {
+    }
+
+    std::string name;
+    duty role;
+    plan_commit commit;
+    engine_observer observer;
+    observation_book book;
+    assignment control;
+    std::uint16_t session;
+    std::int64_t paused_until{0};
+    std::int64_t probe_at{0};
+    std::int64_t digest_at{0};
+    std::uint64_t takeovers{0};
+    std::uint64_t attempts{0};
+    std::vector<assign_order> prepared; ///< decided, not sent yet: a pause may come between
+};
+
+class world
+{
+public:
+    explicit world(std::uint32_t seed) : random(seed)
+    {
+        for (std::size_t i = 0; i < engine_count; ++i) {
+            engine_model engine;
+            engine.report.instance = instance_id("i" + std::to_string(i));
+            engine.report.incarnation = 1;
+            engine.fenced = this->chance(0.5);
+            this->engines.push_back(engine);
+        }
+    }
+
+    void run()
+    {
+        for (this->ms = 0; this->ms < run_ms; this->ms += step_ms) {
+            this->deliver_messages();
+            this->change_engines();
+            for (auto* each : {&this->first, &this->second}) {
+                if (this->ms >= each->paused_until) {
+                    this->act(*each);
+                }
+                if (this->chance(0.002)) {
+                    each->paused_until = this->ms + this->between(500, 12000);
+                }
+            }
+            this->read();
+            this->check();
+        }
+    }
+
+    std::uint64_t served{0}; ///< steps with a servable group: the run is not vacuous
+    std::uint64_t sent{0};
+
+private:
+    bool chance(double p) { return std::uniform_real_distribution<>(0, 1)(this->random) < p; }
+    std::int64_t between(std::int64_t low, std::int64_t high)
+    {
+        return std::uniform_int_distribution<std::int64_t>(low, high)(this->random);
+    }
+    time_point now() const { return at(this->ms); }
+    void post(std::int64_t delay, std::function<void()> deliver)
+    {
+        this->messages.push_back({this->ms + delay, std::move(deliver)});
+    }
+
+    void deliver_messages()
+    {
+        const auto split = std::stable_partition(this->messages.begin(), this->messages.end(),
+                                                 [&](const message& m) { return m.due > this->ms; });
+        std::vector<message> due(std::make_move_iterator(split),
+                                 std::make_move_iterator(this->messages.end()));
+        this->messages.erase(split, this->messages.end());
+        for (auto& each : due) {
+            each.deliver();
+        }
+    }
+
+    void change_engines()
+    {
+        for (auto& engine : this->engines) {
+            if (engine.alive && this->chance(0.001)) {
+                engine.alive = false;
+                engine.back_at = this->ms + this->between(200, 20000);
+                if (this->chance(0.7)) {
+                    engine.broken_at = this->now();
+                    this->reader.invalidate(engine.report.instance, this->now());
+                }
+            } else if (!engine.alive && this->ms >= engine.back_at) {
+                const auto id = engine.report.instance;
+                const auto incarnation = engine.report.incarnation + 1;
+                engine.alive = true;
+                engine.report = engine_status{};
+                engine.report.instance = id;
+                engine.report.incarnation = incarnation;
+            }
+            engine.report.loaded = !engine.report.model.empty() && this->ms >= engine.loaded_at;
+            if (engine.alive && engine.report.loaded) {
+                engine.last_match[{engine.report.group.str(), engine.report.group_epoch}] = this->now();
+            }
+        }
+    }
+
+    /// The store call takes effect after a delay or never; its reply may be lost or come after the timeout.
+    template <class Call, class Role>
+    void call_store(holder& who, const Call& call, Role& role)
+    {
+        const auto there = this->chance(0.1) ? this->between(500, 4000) : this->between(0, 100);
+        const auto back = this->chance(0.1) ? this->between(500, 4000) : this->between(0, 100);
+        const bool arrives = !this->chance(0.05);
+        const bool answered = !this->chance(0.05);
+        const auto replied = [this, &who, &role](auto reply) {
+            const auto wait = std::max<std::int64_t>(0, who.paused_until - this->ms);
+            this->post(wait, [this, &role, reply] { role.on_reply(reply, this->now()); });
+        };
+        if (arrives) {
+            this->post(there, [this, call, back, answered, replied] {
+                const auto reply = this->store.apply(call, this->now());
+                this->note_plan();
+                if (answered) {
+                    this->post(back, [replied, reply] { replied(reply); });
+                }
+            });
+        }
+        auto lost = decltype(this->store.apply(call, this->now())){};
+        lost.number = call.number;
+        this->post(limits::store_call_timeout.count(), [replied, lost] { replied(lost); });
+    }
+
+    /// Invariant 2, in the store: a group and epoch name one member list for ever, and no instance is in two
+    /// groups.
+    void note_plan()
+    {
+        const auto revision = this->store.revision_of(plan_key);
+        if (revision == 0 || revision == this->plan_revision) {
+            return;
+        }
+        this->plan_revision = revision;
+        const auto plan = decode_plan(this->store.peek(plan_key, this->now()), revision);
+        RC_ASSERT(succeeded(plan));
+        for (const auto& group : value(plan).plan.groups()) {
+            const auto [known, added] =
+                this->members_of.try_emplace({group.id.str(), group.epoch}, group.members);
+            RC_ASSERT(known->second == group.members);
+        }
+        this->post(this->between(0, 1500), [this, plan] { this->reader.install_plan(value(plan)); });
+    }
+
+    void observe(holder& who)
+    {
+        who.probe_at = this->ms + 500;
+        for (const auto& engine : this->engines) {
+            if (engine.alive) {
+                who.observer.record(engine.report, this->now());
+            } else {
+                who.observer.record_silence(engine.report.instance);
+            }
+        }
+        who.book.apply(daemon_id("observer"), who.observer.take_full_report(this->now()), this->now());
+    }
+
+    void form(holder& who)
+    {
+        if (!who.commit.ready() || !who.role.lease().permits_orders(this->now())) {
+            return;
+        }
+        grouping_input input;
+        input.domain = domain;
+        input.previous = who.commit.committed() == nullptr ? nullptr : &who.commit.committed()->plan;
+        input.previous_revision = who.commit.revision();
+        input.settled = who.role.lease().permits_reassignment(this->now(), false);
+        input.now = this->now();
+        input.pools = {{model_pool_id("drafts"), model_id("m"), "1", 2, 3},
+                       {model_pool_id("estimates"), model_id("n"), "1", 1, 3}};
+        for (std::size_t i = 0; i < engine_count; ++i) {
+            const auto& engine = this->engines[i];
+            const auto* seen = who.book.fresh(engine.report.instance, this->now());
+            input.engines.push_back({engine.report.instance, fabric_domain_id(i < 5 ? "f0" : "f1"),
+                                     seen != nullptr, engine.fenced, false,
+                                     seen == nullptr ? model_id() : seen->report.model, "1"});
+        }
+        auto outcome = form_groups(input);
+        RC_ASSERT(succeeded(outcome));
+        if (value(outcome).changed) {
+            who.commit.propose(std::move(value(outcome).plan), who.name + std::to_string(++who.attempts));
+        }
+    }
+
+    void send_orders(holder& who)
+    {
+        for (const auto& order : std::exchange(who.prepared, {})) {
+            if (failed(who.control.start_order(order, who.role.lease(), who.commit.orderable_revision(),
+                                               this->now()))) {
+                continue;
+            }
+            ++this->sent;
+            // No order after the lease lapsed, and none of a plan that is not in force.
+            RC_ASSERT(this->store.peek(duty_key, this->now()).find(who.name) != std::string::npos);
+            RC_ASSERT(order.fencing == this->store.revision_of(plan_key));
+            const auto delay = this->chance(0.1) ? this->between(2000, 20000) : this->between(0, 300);
+            this->post(delay, [this, order] { this->take_order(order); });
+            this->post(limits::order_timeout.count(),
+                       [&who, order] { who.control.finish_order(order.instance); });
+        }
+        if (who.commit.certain()) {
+            if (who.commit.committed() != nullptr) {
+                who.control.install_plan(*who.commit.committed());
+            }
+            who.prepared = who.control.next_orders(who.book, {who.role.lease(), 4, this->now()});
+        }
+    }
+
+    void take_order(const assign_order& order)
+    {
+        auto& engine =
+            *std::find_if(this->engines.begin(), this->engines.end(), [&](const engine_model& candidate) {
+                return candidate.report.instance == order.instance;
+            });
+        if (!engine.alive || (engine.fenced && order.fencing < engine.report.fencing)) {
+            return;
+        }
+        const bool loads = !order.group.empty() && engine.report.model != order.model;
+        engine.report.group = order.group;
+        engine.report.group_epoch = order.epoch;
+        engine.report.rank = order.rank;
+        engine.report.fencing = order.fencing;
+        if (loads) {
+            engine.report.model = order.model;
+            engine.report.version = order.version;
+            engine.report.loaded = false;
+            engine.loaded_at = this->ms + this->between(100, 3000);
+        }
+    }
+
+    void act(holder& who)
+    {
+        while (const auto call = who.role.next_call(this->now(), true)) {
+            this->call_store(who, *call, who.role);
+        }
+        if (who.role.stats().acquired != who.takeovers) {
+            who.takeovers = who.role.stats().acquired;
+            who.commit.take_over(who.name + "-takeover-" + std::to_string(who.takeovers));
+        }
+        if (who.takeovers > 0) {
+            this->form(who);
+            if (const auto call = who.commit.next_call(who.role.lease(), this->now())) {
+                this->call_store(who, *call, who.commit);
+            }
+        }
+        if (this->ms >= who.probe_at) {
+            this->observe(who);
+        }
+        this->send_orders(who);
+        if (who.role.holds() && who.commit.committed() != nullptr && this->ms >= who.digest_at) {
+            who.digest_at = this->ms + 1000;
+            const auto record =
+                build_digest(*who.commit.committed(), who.book,
+                             {1, who.session, who.role.lease().permits_orders(this->now()), this->now()});
+            const auto delay = this->chance(0.1) ? this->between(300, 15000) : this->between(0, 300);
+            this->post(delay, [this, record] { this->reader.apply_digest(domain, record, this->now()); });
+        }
+    }
+
+    /// The daemon under test probes for itself where its evidence says so; an answer may come late.
+    void read()
+    {
+        for (const auto& [key, members] : this->members_of) {
+            for (const auto& instance : this->reader.probes_due(group_id(key.first), this->now())) {
+                const auto& engine =
+                    *std::find_if(this->engines.begin(), this->engines.end(),
+                                  [&](const engine_model& each) { return each.report.instance == instance; });
+                if (engine.alive) {
+                    const auto asked_at = this->now();
+                    const auto report = engine.report;
+                    this->post(this->between(50, this->chance(0.1) ? 5000 : 200),
+                               [this, report, asked_at] { this->reader.apply_probe(report, asked_at); });
+                }
+            }
+        }
+    }
+
+    void check()
+    {
+        std::map<std::string, std::string> group_of;
+        for (const auto& [key, members] : this->members_of) {
+            const auto* record = this->reader.find(group_id(key.first));
+            if (record == nullptr || record->epoch != key.second ||
+                !this->reader.servable(record->id, this->now())) {
+                continue;
+            }
+            ++this->served;
+            for (const auto& member : record->members) {
+                // Invariant 2 at a daemon: no instance is in two servable groups.
+                RC_ASSERT(group_of.try_emplace(member.str(), key.first).second);
+                const auto& engine =
+                    *std::find_if(this->engines.begin(), this->engines.end(),
+                                  [&](const engine_model& each) { return each.report.instance == member; });
+                // Invariant 1: every member served this very group within the lifetime of evidence, and after
+                // any break of its connection.
+                const auto match = engine.last_match.find(key);
+                RC_ASSERT(match != engine.last_match.end());
+                RC_ASSERT(this->now() - match->second <= limits::evidence_lifetime);
+                RC_ASSERT(match->second >= engine.broken_at);
+            }
+        }
+    }
+
+    std::mt19937 random;
+    std::int64_t ms{0};
+    std::vector<engine_model> engines;
+    std::vector<message> messages;
+    test::store_model store;
+    holder first{"d1", 1};
+    holder second{"d2", 2};
+    evidence_table reader;
+    std::uint64_t plan_revision{0};
+    std::map<std::pair<std::string, std::uint64_t>, std::vector<instance_id>> members_of;
+};
+
+} // namespace
+
+TEST_CASE("no fault makes an incomplete group servable or puts an instance in two groups", "[invariant]")
+{
+    CHECK(rc::check("groups, evidence and orders under random faults", [] {
+        const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+        world each(seed);
+        each.run();
+        RC_ASSERT(each.served > 0U);
+        RC_ASSERT(each.sent > 0U);
+        RC_CLASSIFY(each.served > 1000U, "more than 1000 servable group steps");
+    }));
+}
--- a/tests/decision/store_model.hpp
+++ b/tests/decision/store_model.hpp
@@ -73,6 +73,7 @@
         const auto found = this->keys.find(call.key);
         const auto current = found == this->keys.end() ? 0 : found->second.revision;
         reply.outcome = store_outcome::conflict;
+        reply.revision = current;
         if (current == call.expected) {
             this->keys[call.key] = {call.value, ++this->revision, ""};
             reply.outcome = store_outcome::ok;
@@ -88,6 +89,11 @@
         return this->keys.count(key) == 0 ? std::string() : this->keys[key].value;
     }
 
+    std::uint64_t revision_of(const std::string& key)
+    {
+        return this->keys.count(key) == 0 ? 0 : this->keys[key].revision;
+    }
+
 private:
     struct record
     {
