Widen the faults of the group invariant property

Cause: with the checks removed on a scratch copy, three mechanisms were not shown to be needed: the compare-and-swap of the plan, the repeated commit at a takeover, and the lease check directly before an order. Change: pauses come mostly between a decision and its effect, store writes may be under way for 15 s, and a second property lets two holders believe in the same lease for 20 s.

--- a/tests/decision/group_invariants_test.cpp
+++ b/tests/decision/group_invariants_test.cpp
@@ -61,13 +61,16 @@
     std::int64_t digest_at{0};
     std::uint64_t takeovers{0};
     std::uint64_t attempts{0};
+    bool writing{false};
+    time_point believed_until{};
     std::vector<assign_order> prepared; ///< decided, not sent yet: a pause may come between
 };
 
 class world
 {
 public:
-    explicit world(std::uint32_t seed) : random(seed)
+    /// `overrun`: time for which a holder still believes in a lease that has ended (a fault of its clock).
+    explicit world(std::uint32_t seed, milliseconds overrun) : random(seed), overrun(overrun)
     {
         for (std::size_t i = 0; i < engine_count; ++i) {
             engine_model engine;
@@ -86,9 +89,11 @@
             for (auto* each : {&this->first, &this->second}) {
                 if (this->ms >= each->paused_until) {
                     this->act(*each);
-                }
-                if (this->chance(0.002)) {
-                    each->paused_until = this->ms + this->between(500, 12000);
+                    // Most pauses come at the worst moment: orders are decided, or a store write is under
+                    // way.
+                    if (this->chance(each->prepared.empty() && !each->writing ? 0.002 : 0.03)) {
+                        each->paused_until = this->ms + this->between(500, 12000);
+                    }
                 }
             }
             this->read();
@@ -152,7 +157,8 @@
     template <class Call, class Role>
     void call_store(holder& who, const Call& call, Role& role)
     {
-        const auto there = this->chance(0.1) ? this->between(500, 4000) : this->between(0, 100);
+        const auto late = this->between(500, this->chance(0.3) ? 15000 : 4000);
+        const auto there = this->chance(0.1) ? late : this->between(0, 100);
         const auto back = this->chance(0.1) ? this->between(500, 4000) : this->between(0, 100);
         const bool arrives = !this->chance(0.05);
         const bool answered = !this->chance(0.05);
@@ -193,6 +199,16 @@
         this->post(this->between(0, 1500), [this, plan] { this->reader.install_plan(value(plan)); });
     }
 
+    duty_lease lease_of(holder& who)
+    {
+        auto lease = who.role.lease();
+        if (this->overrun > milliseconds(0) && lease.valid_until != time_point{}) {
+            who.believed_until = std::max(who.believed_until, lease.valid_until + this->overrun);
+        }
+        lease.valid_until = std::max(lease.valid_until, who.believed_until);
+        return lease;
+    }
+
     void observe(holder& who)
     {
         who.probe_at = this->ms + 500;
@@ -208,14 +224,14 @@
 
     void form(holder& who)
     {
-        if (!who.commit.ready() || !who.role.lease().permits_orders(this->now())) {
+        if (!who.commit.ready() || !this->lease_of(who).permits_orders(this->now())) {
             return;
         }
         grouping_input input;
         input.domain = domain;
         input.previous = who.commit.committed() == nullptr ? nullptr : &who.commit.committed()->plan;
         input.previous_revision = who.commit.revision();
-        input.settled = who.role.lease().permits_reassignment(this->now(), false);
+        input.settled = this->lease_of(who).permits_reassignment(this->now(), false);
         input.now = this->now();
         input.pools = {{model_pool_id("drafts"), model_id("m"), "1", 2, 3},
                        {model_pool_id("estimates"), model_id("n"), "1", 1, 3}};
@@ -236,14 +252,16 @@
     void send_orders(holder& who)
     {
         for (const auto& order : std::exchange(who.prepared, {})) {
-            if (failed(who.control.start_order(order, who.role.lease(), who.commit.orderable_revision(),
+            if (failed(who.control.start_order(order, this->lease_of(who), who.commit.orderable_revision(),
                                                this->now()))) {
                 continue;
             }
             ++this->sent;
-            // No order after the lease lapsed, and none of a plan that is not in force.
-            RC_ASSERT(this->store.peek(duty_key, this->now()).find(who.name) != std::string::npos);
-            RC_ASSERT(order.fencing == this->store.revision_of(plan_key));
+            if (this->overrun == milliseconds(0)) {
+                // No order after the lease lapsed, and none of a plan that is not in force.
+                RC_ASSERT(this->store.peek(duty_key, this->now()).find(who.name) != std::string::npos);
+                RC_ASSERT(order.fencing == this->store.revision_of(plan_key));
+            }
             const auto delay = this->chance(0.1) ? this->between(2000, 20000) : this->between(0, 300);
             this->post(delay, [this, order] { this->take_order(order); });
             this->post(limits::order_timeout.count(),
@@ -253,7 +271,7 @@
             if (who.commit.committed() != nullptr) {
                 who.control.install_plan(*who.commit.committed());
             }
-            who.prepared = who.control.next_orders(who.book, {who.role.lease(), 4, this->now()});
+            who.prepared = who.control.next_orders(who.book, {this->lease_of(who), 4, this->now()});
         }
     }
 
@@ -290,7 +308,9 @@
         }
         if (who.takeovers > 0) {
             this->form(who);
-            if (const auto call = who.commit.next_call(who.role.lease(), this->now())) {
+            const auto call = who.commit.next_call(this->lease_of(who), this->now());
+            who.writing = call && call->kind == plan_call_kind::replace;
+            if (call) {
                 this->call_store(who, *call, who.commit);
             }
         }
@@ -302,7 +322,7 @@
             who.digest_at = this->ms + 1000;
             const auto record =
                 build_digest(*who.commit.committed(), who.book,
-                             {1, who.session, who.role.lease().permits_orders(this->now()), this->now()});
+                             {1, who.session, this->lease_of(who).permits_orders(this->now()), this->now()});
             const auto delay = this->chance(0.1) ? this->between(300, 15000) : this->between(0, 300);
             this->post(delay, [this, record] { this->reader.apply_digest(domain, record, this->now()); });
         }
@@ -353,6 +373,7 @@
     }
 
     std::mt19937 random;
+    milliseconds overrun;
     std::int64_t ms{0};
     std::vector<engine_model> engines;
     std::vector<message> messages;
@@ -368,12 +389,13 @@
 
 TEST_CASE("no fault makes an incomplete group servable or puts an instance in two groups", "[invariant]")
 {
-    CHECK(rc::check("groups, evidence and orders under random faults", [] {
-        const auto seed = *rc::gen::arbitrary<std::uint32_t>();
-        world each(seed);
+    const auto run_world = [](milliseconds overrun) {
+        world each(*rc::gen::arbitrary<std::uint32_t>(), overrun);
         each.run();
         RC_ASSERT(each.served > 0U);
         RC_ASSERT(each.sent > 0U);
         RC_CLASSIFY(each.served > 1000U, "more than 1000 servable group steps");
-    }));
+    };
+    CHECK(rc::check("pauses, late orders, lost replies", [&] { run_world(milliseconds(0)); }));
+    CHECK(rc::check("two holders that both believe in their lease", [&] { run_world(seconds(20)); }));
 }
