Block requests that crash the groups that run them

Cause: one request that crashes each group that runs it, sent again by its caller, takes down the pool; blaming every request of a power loss would refuse innocent ones. Change: decision/crash_attribution. Losses count per fingerprint; a loss next to another one in its fabric or failure domain is explained, unless the request was in flight on that one too. One unexplained loss or two of any kind make a suspect, two unexplained ones block for an hour. The decision waits for late loss reports; until then the request is refused. A retry avoids the domains of all its recent losses. Ruled out: counting any second loss as proof. After a blackout, innocent requests share their retry with the crashing one and would be blocked with it.

--- /dev/null
+++ b/src/decision/crash_attribution.hpp
@@ -0,0 +1,184 @@
+/// Finds requests that crash the group that runs them, and stops them after at most two groups.
+///
+/// A request is identified by its fingerprint. A loss of a group counts against the requests in flight on it
+/// unless the loss is explained: another group of the same fabric or failure domain was lost within
+/// `limits::correlated_loss_window`, and the request was not in flight on that one. A request in flight in
+/// one unexplained loss, or in two losses of any kind, is a suspect and is tried only with a trial slot.
+/// After two unexplained losses it is held, and blocked once `limits::loss_report_delay` has passed without
+/// an explanation.
+#pragma once
+
+#include "base/ids.hpp"
+#include "base/limits.hpp"
+#include "base/time.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace rml {
+
+/// Hash of account, path and body.
+struct request_fingerprint
+{
+    std::uint64_t value{0};
+
+    friend bool operator==(const request_fingerprint& a, const request_fingerprint& b)
+    {
+        return a.value == b.value;
+    }
+};
+
+request_fingerprint make_fingerprint(const account_id& account, std::string_view path, std::string_view body);
+
+/// One run of a group and its place. `incarnation` is that of decision/ramp.
+struct group_run
+{
+    group_id group;
+    std::uint64_t incarnation{0};
+    fabric_domain_id fabric;
+    failure_domain_id domain;
+};
+
+/// Whether a request may run now.
+enum class crash_verdict
+{
+    run,     ///< nothing known against it
+    trial,   ///< a suspect: only with a trial slot
+    hold,    ///< a loss is not yet classified; ask again in `limits::classification_delay`
+    refuse,  ///< two unexplained losses, not yet decided: do not run it now
+    blocked, ///< do not run it
+};
+
+/// One loss that counts for a fingerprint, as shared between daemons.
+struct crash_loss
+{
+    std::uint64_t loss{0}; ///< identifies the group and its incarnation
+    bool explained{false}; ///< decided to be correlated
+};
+
+/// What a daemon shares about a fingerprint. A higher version replaces, equal versions are united.
+struct crash_notice
+{
+    request_fingerprint fingerprint;
+    std::uint64_t version{0}; ///< raised when a trial clears the request
+    bool blocked{false};
+    std::vector<crash_loss> losses; ///< at most `crash_attribution::max_losses`
+    milliseconds ttl{0};            ///< what is left at the time of sending
+};
+
+/// A request of this daemon whose group was lost, classified.
+struct classified_request
+{
+    std::uint64_t ticket{0};
+    request_fingerprint fingerprint;
+    crash_verdict verdict{crash_verdict::run}; ///< never `hold`
+    /// Failure domains of its recent losses, to avoid on a retry: a blackout may take the rest of them.
+    std::vector<failure_domain_id> avoid_domains;
+};
+
+struct crash_changes
+{
+    std::vector<classified_request> classified;
+    std::vector<crash_notice> notices;
+};
+
+struct crash_attribution_stats
+{
+    std::uint64_t losses{0};
+    std::uint64_t suspects{0};   ///< requests classified as suspects
+    std::uint64_t cleared{0};    ///< suspects that ended well in a trial
+    std::uint64_t correlated{0}; ///< requests classified as innocent in a correlated loss
+    std::uint64_t blocked{0};    ///< decisions of this daemon
+    std::uint64_t dropped{0};    ///< records dropped for lack of room
+    std::size_t records{0};
+};
+
+class crash_attribution
+{
+public:
+    static constexpr std::size_t max_losses = 4;
+
+    /// Verdict for a request that arrives or is retried.
+    crash_verdict check(request_fingerprint fingerprint, time_point now) const;
+
+    /// Counts a request as sent to the group, directly before it is sent.
+    void begin(std::uint64_t ticket, request_fingerprint fingerprint, const group_run& target, bool trial);
+    /// The request ended without a loss of its group. A trial that succeeded clears the request.
+    crash_changes end(std::uint64_t ticket, bool succeeded, time_point now);
+
+    /// A group was lost at about `at`. All losses are reported here, also those without a request of this
+    /// daemon, since they explain others. Repeated reports of the same run add requests begun since. Requests
+    /// in flight on it are answered by a later `poll`.
+    crash_changes group_lost(const group_run& lost, time_point at, time_point now);
+
+    /// Classifies and decides what is due. Call it at least each 100 ms.
+    crash_changes poll(time_point now);
+
+    /// Takes a notice of another daemon.
+    void apply(const crash_notice& notice, time_point now);
+
+    /// Bytes of the records, losses and requests in flight, without allocator overhead.
+    std::size_t memory() const;
+    const crash_attribution_stats& stats() const { return this->counts; }
+
+private:
+    struct loss_mark
+    {
+        std::uint64_t loss{0};
+        time_point at{};
+        bool decided{false};
+        bool explained{false}; ///< once decided
+    };
+    struct record
+    {
+        std::uint64_t version{0};
+        bool blocked{false};
+        bool local{false}; ///< a request of this daemon was in flight in a loss
+        std::vector<loss_mark> marks;
+        time_point until{};
+    };
+    struct loss_event
+    {
+        std::uint64_t loss{0};
+        fabric_domain_id fabric;
+        failure_domain_id domain;
+        time_point at{};
+    };
+    struct flight
+    {
+        request_fingerprint fingerprint;
+        group_run target;
+        bool trial{false};
+    };
+    struct pending
+    {
+        std::uint64_t ticket{0};
+        request_fingerprint fingerprint;
+        time_point due{};
+    };
+
+    static std::uint64_t loss_key(const group_run& run);
+    bool explained(const record& known, const loss_mark& mark) const;
+    crash_verdict judge(const record& known, time_point now) const;
+    void mark(request_fingerprint fingerprint, record& known, std::uint64_t loss, time_point at);
+    record& find_or_create(request_fingerprint fingerprint, time_point now);
+    std::vector<failure_domain_id> recent_domains(request_fingerprint fingerprint) const;
+    crash_notice make_notice(request_fingerprint fingerprint, const record& known, time_point now) const;
+    void decide(crash_changes& changes, time_point now);
+    void drop_one();
+
+    std::unordered_map<std::uint64_t, record> records; ///< by fingerprint
+    std::unordered_map<std::uint64_t, flight> flights; ///< by ticket
+    std::unordered_map<group_id, std::vector<std::uint64_t>> by_group;
+    std::deque<loss_event> recent;
+    std::deque<pending> unclassified;
+    std::vector<request_fingerprint> undecided;
+    time_point next_expiry{};
+    crash_attribution_stats counts;
+};
+
+} // namespace rml
--- /dev/null
+++ b/tests/decision/crash_attribution_test.cpp
@@ -0,0 +1,406 @@
+#include "decision/crash_attribution.hpp"
+
+#include "decision/random_source.hpp"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <optional>
+#include <rapidcheck.h>
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace rml;
+
+namespace {
+
+constexpr milliseconds step{50};
+
+/// Three daemons, twelve groups in four failure domains, blackouts, and callers that send again, one of them
+/// with a request that crashes each group that runs it.
+class fleet
+{
+public:
+    static constexpr std::size_t daemon_count = 3;
+    static constexpr std::size_t domain_count = 4;
+    static constexpr std::size_t groups_per_domain = 3;
+    static constexpr std::size_t caller_count = 25;
+
+    explicit fleet(random_source& source) : random(source)
+    {
+        for (std::size_t g = 0; g < domain_count * groups_per_domain; ++g) {
+            group created;
+            created.run.group = group_id("g" + std::to_string(g));
+            created.run.incarnation = 1;
+            created.run.fabric = fabric_domain_id("f" + std::to_string(g));
+            created.run.domain = failure_domain_id("d" + std::to_string(g / groups_per_domain));
+            this->groups.push_back(created);
+        }
+        for (std::size_t c = 0; c < caller_count; ++c) {
+            caller created;
+            created.fingerprint = {c + 1};
+            created.sends = this->now + step * static_cast<int>(this->random.below(100));
+            this->callers.push_back(created);
+        }
+        this->crasher_starts = this->now + step * static_cast<int>(100 + this->random.below(200));
+    }
+
+    void advance(bool blackouts)
+    {
+        this->now += step;
+        if (blackouts && this->now >= this->quiet_until && this->random.one_in(60)) {
+            this->black_out();
+        }
+        this->run_groups();
+        this->deliver();
+        for (std::size_t d = 0; d < daemon_count; ++d) {
+            this->share(d, this->daemons[d].poll(this->now));
+        }
+        for (std::size_t c = 0; c < caller_count; ++c) {
+            this->run_caller(c);
+        }
+    }
+
+    /// Losses caused by the crashing request, without those within 2 s of a blackout's loss in the same
+    /// domain: nothing tells these from the blackout.
+    std::size_t crashes() const
+    {
+        const auto alone = [&](const loss& crash) {
+            return this->now > crash.at + limits::correlated_loss_window &&
+                   std::none_of(this->losses.begin(), this->losses.end(), [&](const loss& other) {
+                       const auto apart = other.at > crash.at ? other.at - crash.at : crash.at - other.at;
+                       return !other.by_crash && other.domain == crash.domain &&
+                              apart <= limits::correlated_loss_window;
+                   });
+        };
+        return static_cast<std::size_t>(
+            std::count_if(this->losses.begin(), this->losses.end(),
+                          [&](const loss& entry) { return entry.by_crash && alone(entry); }));
+    }
+    std::size_t blackout_losses() const
+    {
+        return static_cast<std::size_t>(std::count_if(this->losses.begin(), this->losses.end(),
+                                                      [](const loss& entry) { return !entry.by_crash; }));
+    }
+    bool crasher_blocked() const
+    {
+        return std::all_of(std::begin(this->daemons), std::end(this->daemons), [&](const auto& daemon) {
+            return daemon.check({1}, this->now) == crash_verdict::blocked;
+        });
+    }
+    bool innocent_blocked() const
+    {
+        for (const auto& daemon : this->daemons) {
+            for (std::size_t c = 1; c < caller_count; ++c) {
+                if (daemon.check(this->callers[c].fingerprint, this->now) == crash_verdict::blocked) {
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+
+private:
+    struct group
+    {
+        group_run run;
+        std::optional<time_point> dies;
+        std::optional<time_point> returns;
+        bool dies_by_crash{false};
+        std::optional<std::size_t> trial; ///< caller that holds the trial slot
+    };
+    struct loss
+    {
+        failure_domain_id domain;
+        time_point at{};
+        bool by_crash{false};
+    };
+    struct caller
+    {
+        request_fingerprint fingerprint;
+        time_point sends{};
+        std::size_t daemon{0};
+        std::optional<std::size_t> on; ///< group that runs the request
+        bool trial{false};
+        bool waiting{false}; ///< for the classification after a loss
+        std::uint64_t ticket{0};
+        time_point ends{};
+        std::vector<failure_domain_id> avoid;
+        bool stays{false}; ///< retried by the same daemon
+    };
+    struct letter
+    {
+        std::size_t daemon{0};
+        std::optional<crash_notice> notice;
+        group_run lost;
+        time_point at{};
+        time_point due{};
+    };
+
+    void black_out()
+    {
+        const auto domain = this->random.below(domain_count);
+        const auto first = domain * groups_per_domain;
+        const auto last = first + groups_per_domain;
+        std::size_t alive = 0;
+        for (auto g = first; g < last; ++g) {
+            alive += this->groups[g].returns || this->groups[g].dies ? 0 : 1;
+        }
+        if (alive < 2) {
+            return; // a single loss cannot be told from a crash
+        }
+        this->quiet_until = this->now + seconds(8);
+        for (auto g = first; g < last; ++g) {
+            if (!this->groups[g].returns && !this->groups[g].dies) {
+                this->groups[g].dies = this->now + step * static_cast<int>(this->random.below(30));
+                this->groups[g].dies_by_crash = false;
+            }
+        }
+    }
+
+    void run_groups()
+    {
+        for (std::size_t g = 0; g < this->groups.size(); ++g) {
+            auto& target = this->groups[g];
+            if (target.returns && this->now >= *target.returns) {
+                target.returns.reset();
+                ++target.run.incarnation;
+            }
+            if (target.dies && this->now >= *target.dies) {
+                this->lose(g);
+            }
+        }
+    }
+
+    void lose(std::size_t g)
+    {
+        auto& target = this->groups[g];
+        this->losses.push_back({target.run.domain, this->now, target.dies_by_crash});
+        target.dies.reset();
+        target.dies_by_crash = false;
+        target.returns = this->now + seconds(3);
+        target.trial.reset();
+        std::vector<bool> informed(daemon_count, false);
+        for (auto& entry : this->callers) {
+            if (entry.on == g) {
+                entry.on.reset();
+                entry.waiting = true;
+                informed[entry.daemon] = true;
+            }
+        }
+        for (std::size_t d = 0; d < daemon_count; ++d) {
+            if (informed[d]) {
+                this->share(d, this->daemons[d].group_lost(target.run, this->now, this->now));
+            }
+            // The digest reports it too, later.
+            this->letters.push_back({d, std::nullopt, target.run, this->now,
+                                     this->now + step * static_cast<int>(this->random.below(24))});
+        }
+    }
+
+    void share(std::size_t from, const crash_changes& changes)
+    {
+        for (const auto& notice : changes.notices) {
+            for (std::size_t d = 0; d < daemon_count; ++d) {
+                for (int copies = this->random.pick({1, 1, 2}); d != from && copies > 0; --copies) {
+                    this->letters.push_back(
+                        {d, notice, {}, {}, this->now + step * this->random.pick({0, 1, 4, 8})});
+                }
+            }
+        }
+        for (const auto& answer : changes.classified) {
+            for (auto& entry : this->callers) {
+                if (entry.waiting && entry.daemon == from && entry.ticket == answer.ticket) {
+                    entry.waiting = false;
+                    entry.avoid = answer.avoid_domains;
+                    const bool again =
+                        answer.verdict == crash_verdict::run || answer.verdict == crash_verdict::trial;
+                    entry.stays = again;
+                    entry.sends = again ? this->now : this->later();
+                }
+            }
+        }
+    }
+
+    void deliver()
+    {
+        for (const auto& entry : std::exchange(this->letters, {})) {
+            if (entry.due > this->now) {
+                this->letters.push_back(entry);
+            } else if (entry.notice) {
+                this->daemons[entry.daemon].apply(*entry.notice, this->now);
+            } else {
+                this->share(entry.daemon,
+                            this->daemons[entry.daemon].group_lost(entry.lost, entry.at, this->now));
+            }
+        }
+    }
+
+    time_point later()
+    {
+        return this->now + milliseconds(1000) + step * static_cast<int>(this->random.below(40));
+    }
+
+    void run_caller(std::size_t c)
+    {
+        auto& self = this->callers[c];
+        const bool crasher = c == 0;
+        if (self.on && this->now >= self.ends) {
+            auto& target = this->groups[*self.on];
+            target.trial = target.trial == c ? std::nullopt : target.trial;
+            self.on.reset();
+            this->share(self.daemon, this->daemons[self.daemon].end(self.ticket, true, this->now));
+            self.sends = this->later();
+            self.avoid = {};
+            self.stays = false;
+        }
+        if (self.on || self.waiting || this->now < self.sends ||
+            (crasher && this->now < this->crasher_starts)) {
+            return;
+        }
+        if (!self.stays) {
+            self.daemon = this->random.below(daemon_count);
+        }
+        auto& daemon = this->daemons[self.daemon];
+        const auto verdict = daemon.check(self.fingerprint, this->now);
+        const auto g = this->random.below(this->groups.size());
+        auto& target = this->groups[g];
+        const bool usable = !target.returns && std::find(self.avoid.begin(), self.avoid.end(),
+                                                         target.run.domain) == self.avoid.end();
+        if (verdict == crash_verdict::run || verdict == crash_verdict::trial) {
+            self.trial = verdict == crash_verdict::trial;
+            if (!usable || (self.trial && target.trial)) {
+                return; // tries another group in the next step
+            }
+            this->start(c, g);
+            return;
+        }
+        self.sends = this->later();
+        self.avoid = {};
+        self.stays = false;
+    }
+
+    void start(std::size_t c, std::size_t g)
+    {
+        auto& self = this->callers[c];
+        auto& target = this->groups[g];
+        self.on = g;
+        self.ticket = ++this->tickets;
+        self.ends = this->now + milliseconds(500) + step * static_cast<int>(this->random.below(30));
+        if (self.trial) {
+            target.trial = c;
+        }
+        this->daemons[self.daemon].begin(self.ticket, self.fingerprint, target.run, self.trial);
+        if (c != 0) {
+            return;
+        }
+        self.ends = time_point::max();
+        const auto crash = this->now + step * static_cast<int>(1 + this->random.below(8));
+        if (!target.dies || crash < *target.dies) {
+            target.dies = crash;
+            target.dies_by_crash = true;
+        }
+    }
+
+    random_source& random;
+    time_point now{seconds(1000)};
+    time_point quiet_until{};
+    time_point crasher_starts{};
+    crash_attribution daemons[daemon_count];
+    std::vector<group> groups;
+    std::vector<caller> callers;
+    std::vector<letter> letters;
+    std::uint64_t tickets{0};
+    std::vector<loss> losses;
+};
+
+group_run make_run(const char* id, const char* domain)
+{
+    return {group_id(id), 1, fabric_domain_id(id), failure_domain_id(domain)};
+}
+
+} // namespace
+
+TEST_CASE("a crashing request takes at most two groups and innocent requests are never blocked", "[crash]")
+{
+    // Guards against a request that takes down group after group, and against blaming requests that were in
+    // flight when a power feed failed.
+    for (const bool blackouts : {false, true}) {
+        std::size_t blocked = 0;
+        std::size_t lost = 0;
+        const bool held = rc::check(blackouts ? "with blackouts" : "without blackouts", [&] {
+            random_source random;
+            fleet system(random);
+            for (int i = 0; i < 1200; ++i) {
+                system.advance(blackouts);
+                RC_ASSERT(system.crashes() <= 2U);
+                RC_ASSERT(!system.innocent_blocked());
+            }
+            blocked += system.crasher_blocked() ? 1 : 0;
+            lost += system.blackout_losses();
+        });
+        CAPTURE(blackouts, blocked, lost);
+        CHECK(held);
+        CHECK(blocked >= 90);
+        CHECK((lost > 500) == blackouts);
+    }
+}
+
+TEST_CASE("losses are classified by what was lost with them", "[crash]")
+{
+    crash_attribution daemon;
+    const request_fingerprint print = make_fingerprint(account_id("a"), "/v1", "body");
+    time_point now{seconds(1000)};
+    daemon.begin(1, print, make_run("g1", "d1"), false);
+    daemon.group_lost(make_run("g1", "d1"), now, now);
+    CHECK(daemon.check(print, now) == crash_verdict::hold);
+    SECTION("a loss of its own makes a suspect")
+    {
+        now += limits::classification_delay;
+        const auto changes = daemon.poll(now);
+        REQUIRE(changes.classified.size() == 1);
+        CHECK(changes.classified[0].verdict == crash_verdict::trial);
+        crash_attribution other;
+        other.apply(changes.notices.at(0), now);
+        CHECK(other.check(print, now) == crash_verdict::trial);
+
+        SECTION("which a good trial clears everywhere")
+        {
+            daemon.begin(2, print, make_run("g2", "d2"), true);
+            const auto cleared = daemon.end(2, true, now);
+            CHECK(daemon.check(print, now) == crash_verdict::run);
+            other.apply(cleared.notices.at(0), now);
+            other.apply(changes.notices.at(0), now); // late
+            CHECK(other.check(print, now) == crash_verdict::run);
+        }
+        SECTION("which a second loss blocks everywhere, for an hour")
+        {
+            other.begin(2, print, make_run("g2", "d2"), true);
+            const auto second = other.group_lost(make_run("g2", "d2"), now, now);
+            daemon.apply(second.notices.at(0), now);
+            CHECK(daemon.check(print, now) == crash_verdict::refuse);
+            now += seconds(4);
+            other.poll(now);
+            CHECK(other.check(print, now) == crash_verdict::blocked);
+            CHECK(daemon.check(print, now) == crash_verdict::blocked);
+            CHECK(other.check(print, now + limits::block_lifetime) == crash_verdict::run);
+        }
+        SECTION("which a late report of another loss in the failure domain clears")
+        {
+            daemon.group_lost(make_run("g3", "d1"), now + milliseconds(900), now + seconds(1));
+            CHECK(daemon.check(print, now + seconds(1)) == crash_verdict::run);
+        }
+    }
+    SECTION("the records are bounded, and blocked requests stay longest")
+    {
+        crash_notice blocked{print, 0, true, {}, milliseconds(1000000)};
+        daemon.apply(blocked, now);
+        for (std::uint64_t i = 0; i < limits::crash_records + 100; ++i) {
+            daemon.apply({{i}, 0, false, {{i, false}}, milliseconds(3000000)}, now);
+        }
+        daemon.poll(now);
+        CHECK(daemon.stats().records == limits::crash_records);
+        CHECK(daemon.check(print, now) == crash_verdict::blocked);
+    }
+}
