Add the control loops of the daemon

Change: fleet (links, items, members), duty loop per failure domain (lease, plan, orders, digest, slots), observation, configuration reading, the request path's serving state over shared tables, claims over the store, operators' endpoints. rml-entryd builds them in one place.

--- /dev/null
+++ b/src/control/claims.hpp
@@ -0,0 +1,36 @@
+/// Claim documents in the platform's key-value store.
+#pragma once
+
+#include "caller/claim_store.hpp"
+#include "platform/platform.hpp"
+
+#include <mutex>
+
+namespace rml::control {
+
+using yield_context = boost::asio::yield_context;
+
+/// Claims expire with a store lease of limits::claim_lifetime. One lease is shared by the claims of a period,
+/// so that a claim costs one write and not two; a claim then lives at least claim_lifetime and at most one
+/// period longer.
+class store_claims final : public caller::claim_store
+{
+public:
+    explicit store_claims(platform::key_value_store& store) : store(store) {}
+
+    claim_write_reply create(const std::string& key, const claim_document& document, time_point deadline,
+                             yield_context yield) override;
+    claim_read_reply read(const std::string& key, time_point deadline, yield_context yield) override;
+    claim_write_reply update(const std::string& key, const claim_document& document, std::uint64_t expect,
+                             time_point deadline, yield_context yield) override;
+
+private:
+    result<platform::lease_id> current_lease(time_point deadline, yield_context yield);
+
+    platform::key_value_store& store;
+    std::mutex lease_mutex;
+    platform::lease_id lease;
+    time_point lease_start{};
+};
+
+} // namespace rml::control
--- /dev/null
+++ b/src/control/duty_loop.cpp
@@ -0,0 +1,511 @@
+#include "control/duty_loop.hpp"
+
+#include "base/hash.hpp"
+#include "base/limits.hpp"
+#include "base/log.hpp"
+#include "decision/evidence.hpp"
+#include "decision/plan_epochs.hpp"
+#include "http/executor.hpp"
+
+#include <algorithm>
+#include <boost/asio/spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+
+namespace rml::control {
+
+namespace {
+
+constexpr milliseconds step_interval{100};
+constexpr milliseconds forming_interval{500};
+// A watch may take its full wait; the deadline lies after it, so that one that hangs is noticed.
+constexpr milliseconds watch_margin{1000};
+
+store_outcome outcome_of(const failure& f)
+{
+    switch (f.kind) {
+    case failure_kind::conflict:
+        return store_outcome::conflict;
+    case failure_kind::not_found:
+    case failure_kind::lapsed:
+        return store_outcome::not_found;
+    default:
+        return store_outcome::lost;
+    }
+}
+
+template <class T>
+store_outcome outcome_of(const result<T>& r)
+{
+    return succeeded(r) ? store_outcome::ok : outcome_of(error(r));
+}
+
+} // namespace
+
+std::string plan_item_key(const failure_domain_id& domain)
+{
+    return "plan/" + domain.str();
+}
+
+std::string digest_item_key(const failure_domain_id& domain)
+{
+    return "digest/" + domain.str();
+}
+
+std::string encode_published_digest(const daemon_id& holder, const digest& record)
+{
+    const auto packed = encode_digest(record);
+    const auto bytes = nlohmann::json::to_cbor(
+        nlohmann::json::array({holder.str(), nlohmann::json::binary({packed.begin(), packed.end()})}));
+    return {bytes.begin(), bytes.end()};
+}
+
+result<published_digest> decode_published_digest(const std::string& payload)
+{
+    try {
+        const auto document = nlohmann::json::from_cbor(payload);
+        const auto& packed = document.at(1).get_binary();
+        auto record = decode_digest({packed.begin(), packed.end()});
+        if (failed(record)) {
+            return error(record);
+        }
+        return published_digest{daemon_id(document.at(0).get<std::string>()), value(std::move(record))};
+    } catch (const nlohmann::json::exception& e) {
+        return failure{failure_kind::malformed, std::string("digest item: ") + e.what()};
+    }
+}
+
+duty_loop::duty_loop(duty_environment& shared, failure_domain_id domain)
+    : shared(shared), domain(domain), lease_duty(domain, shared.self, shared.incarnation), commit(domain)
+{
+}
+
+void duty_loop::start()
+{
+    boost::asio::spawn(this->shared.strand, [this](yield_context yield) { this->run(yield); });
+}
+
+void duty_loop::run(yield_context yield)
+{
+    boost::asio::steady_timer timer(http::executor_of(yield));
+    while (!this->stopped) {
+        this->step(yield);
+        boost::system::error_code ignored;
+        timer.expires_after(step_interval);
+        timer.async_wait(yield[ignored]);
+    }
+}
+
+bool duty_loop::is_candidate() const
+{
+    std::vector<duty_member> members;
+    for (const auto& member : this->shared.others.members().live()) {
+        if (member.region == this->shared.region && member.state == member_state::alive) {
+            members.push_back({member.id, member.failure_domain});
+        }
+    }
+    const auto candidates = rank_duty_candidates(this->domain, members);
+    return std::find(candidates.begin(), candidates.end(), this->shared.self) != candidates.end();
+}
+
+void duty_loop::step(yield_context yield)
+{
+    const auto config = this->shared.tables.config.get();
+    if (!this->call_pending) {
+        if (const auto call = this->lease_duty.next_call(steady_clock::now(), this->is_candidate())) {
+            this->make_duty_call(*call);
+        }
+    }
+    const auto lease = this->lease_duty.lease();
+    if (this->holds() != this->was_holding) {
+        this->was_holding = this->holds();
+        log(log_level::info, this->was_holding ? "duty acquired" : "duty lost",
+            {{"domain", this->domain.str()}});
+        if (this->was_holding) {
+            this->commit.take_over(this->next_attempt());
+        } else {
+            this->slots.destroy_lease();
+        }
+    }
+    if (!this->was_holding) {
+        return;
+    }
+    this->slots.update_lease(lease.valid_until, steady_clock::now());
+    this->commit_plan(yield);
+    const auto now = steady_clock::now();
+    if (this->commit.committed() == nullptr && !this->commit.ready()) {
+        return;
+    }
+    this->record_losses(*config, now);
+    if (now - this->last_forming >= forming_interval && this->commit.ready()) {
+        this->last_forming = now;
+        this->form(*config, now);
+        this->commit_plan(yield);
+    }
+    this->install_plan();
+    this->send_orders(*config, steady_clock::now());
+    this->update_slots(*config, steady_clock::now());
+    this->publish_digest(steady_clock::now());
+}
+
+void duty_loop::make_duty_call(const duty_call& call)
+{
+    // A watch waits for seconds, so the call runs beside the loop.
+    this->call_pending = true;
+    boost::asio::spawn(this->shared.strand, [this, call](yield_context yield) {
+        const auto reply = this->perform(call, yield);
+        this->call_pending = false;
+        this->lease_duty.on_reply(reply, steady_clock::now());
+    });
+}
+
+duty_reply duty_loop::perform(const duty_call& call, yield_context yield)
+{
+    auto& store = this->shared.store;
+    const auto deadline = steady_clock::now() + limits::store_call_timeout;
+    duty_reply reply;
+    reply.number = call.number;
+    switch (call.kind) {
+    case duty_call_kind::read: {
+        const auto found = store.get(call.key, deadline, yield);
+        reply.outcome = outcome_of(found);
+        if (succeeded(found) && !value(found)) {
+            reply.outcome = store_outcome::not_found;
+        } else if (succeeded(found)) {
+            reply.revision = value(found)->revision;
+            reply.value = value(found)->value;
+        }
+        break;
+    }
+    case duty_call_kind::watch: {
+        const auto seen = store.watch(call.key, call.revision, call.wait,
+                                      steady_clock::now() + call.wait + watch_margin, yield);
+        reply.outcome = outcome_of(seen);
+        if (succeeded(seen) && !value(seen).changed) {
+            reply.outcome = store_outcome::unchanged;
+        } else if (succeeded(seen) && !value(seen).record) {
+            reply.outcome = store_outcome::not_found;
+        } else if (succeeded(seen)) {
+            reply.revision = value(seen).record->revision;
+            reply.value = value(seen).record->value;
+        }
+        break;
+    }
+    case duty_call_kind::create_lease: {
+        const auto created = store.create_lease(call.ttl, deadline, yield);
+        reply.outcome = outcome_of(created);
+        reply.lease = succeeded(created) ? value(created).str() : std::string();
+        break;
+    }
+    case duty_call_kind::create_key: {
+        const auto created =
+            store.create(call.key, call.value, platform::lease_id(call.lease), deadline, yield);
+        reply.outcome = outcome_of(created);
+        reply.revision = succeeded(created) ? value(created) : 0;
+        break;
+    }
+    case duty_call_kind::renew_lease:
+        reply.outcome = outcome_of(store.renew_lease(platform::lease_id(call.lease), deadline, yield));
+        break;
+    case duty_call_kind::destroy_lease:
+        reply.outcome = outcome_of(store.destroy_lease(platform::lease_id(call.lease), deadline, yield));
+        break;
+    }
+    if (reply.outcome != store_outcome::lost) {
+        this->shared.others.update_store_answer(steady_clock::now());
+    }
+    return reply;
+}
+
+void duty_loop::commit_plan(yield_context yield)
+{
+    // A read and a write, and a read after a lost reply; further calls are left to the next step.
+    constexpr int calls_per_step = 3;
+    for (int i = 0; i < calls_per_step; ++i) {
+        const auto call = this->commit.next_call(this->lease_duty.lease(), steady_clock::now());
+        if (!call) {
+            return;
+        }
+        const auto deadline = steady_clock::now() + limits::store_call_timeout;
+        plan_reply reply;
+        reply.number = call->number;
+        if (call->kind == plan_call_kind::read) {
+            const auto found = this->shared.store.get(call->key, deadline, yield);
+            reply.outcome = outcome_of(found);
+            if (succeeded(found) && !value(found)) {
+                reply.outcome = store_outcome::not_found;
+            } else if (succeeded(found)) {
+                reply.revision = value(found)->revision;
+                reply.value = value(found)->value;
+            }
+        } else {
+            const auto written =
+                call->expected == 0
+                    ? this->shared.store.create(call->key, call->value, platform::lease_id(), deadline, yield)
+                    : this->shared.store.update(call->key, call->value, call->expected, platform::lease_id(),
+                                                deadline, yield);
+            reply.outcome = outcome_of(written);
+            reply.revision = succeeded(written) ? value(written) : 0;
+        }
+        if (const auto applied = this->commit.on_reply(reply, steady_clock::now()); failed(applied)) {
+            log(log_level::error, "stored plan is not usable",
+                {{"domain", this->domain.str()}, kind_field(error(applied)), context_field(error(applied))});
+            return;
+        }
+    }
+}
+
+void duty_loop::record_losses(const config_snapshot& config, time_point now)
+{
+    std::set<instance_id> seen;
+    for (const auto* engine : config.engines_of(this->domain)) {
+        if (this->observations.fresh(engine->instance, now) != nullptr) {
+            seen.insert(engine->instance);
+        }
+    }
+    for (const auto& instance : this->answering) {
+        if (seen.count(instance) == 0 && config.find_engine(instance) != nullptr) {
+            this->risk.record_loss(instance, now);
+            log(log_level::warning, "engine lost",
+                {{"instance", instance.str()}, {"domain", this->domain.str()}});
+        }
+    }
+    this->answering = std::move(seen);
+}
+
+std::vector<engine_view> duty_loop::engine_views(const config_snapshot& config, time_point now) const
+{
+    const auto* plan = this->commit.committed();
+    std::vector<engine_view> views;
+    for (const auto* engine : config.engines_of(this->domain)) {
+        engine_view view;
+        view.instance = engine->instance;
+        view.fabric = engine->fabric_domain;
+        view.fenced = engine->fenced_orders;
+        if (const auto* seen = this->observations.fresh(engine->instance, now)) {
+            view.usable = !seen->report.leaving && this->shared.leaving.count(engine->instance) == 0;
+            view.model = seen->report.loaded ? seen->report.model : model_id();
+            view.version = seen->report.version;
+            const auto* group = plan == nullptr ? nullptr : plan->plan.group_of(engine->instance);
+            if (group != nullptr) {
+                const auto rank = static_cast<std::size_t>(
+                    std::find(group->members.begin(), group->members.end(), engine->instance) -
+                    group->members.begin());
+                view.ready = serves_as_planned(seen->report, *group, rank);
+            }
+        }
+        views.push_back(std::move(view));
+    }
+    return views;
+}
+
+std::vector<pool_demand> duty_loop::demands(const config_snapshot& config, time_point) const
+{
+    std::vector<pool_request> requests;
+    std::vector<pool_demand> wanted;
+    for (const auto& pool : config.set().pools) {
+        const auto* model = config.find_model(pool.model);
+        if (model == nullptr) {
+            continue;
+        }
+        pool_request request{pool.name, model->group_size, pool.groups, {}};
+        for (const auto& name : pool.failure_domains) {
+            if (!config.drained(name)) {
+                request.domains.push_back(name);
+            }
+        }
+        requests.push_back(std::move(request));
+        wanted.push_back({pool.name, pool.model, model->version, model->group_size, 0});
+    }
+    std::vector<fabric_capacity> fabrics;
+    for (const auto& fabric : config.set().fabric_domains) {
+        const auto engines =
+            std::count_if(config.set().engines.begin(), config.set().engines.end(),
+                          [&](const engine_object& engine) { return engine.fabric_domain == fabric.name; });
+        fabrics.push_back({fabric.name, fabric.failure_domain, static_cast<std::uint32_t>(engines)});
+    }
+    const auto division = divide_pools(requests, fabrics);
+    for (auto& demand : wanted) {
+        const auto share = division.find({demand.pool, this->domain});
+        demand.groups = share == division.end() ? 0 : share->second;
+    }
+    return wanted;
+}
+
+void duty_loop::form(const config_snapshot& config, time_point now)
+{
+    const auto lease = this->lease_duty.lease();
+    grouping_input input;
+    input.domain = this->domain;
+    input.drained = config.drained(this->domain);
+    input.engines = this->engine_views(config, now);
+    input.pools = this->demands(config, now);
+    const auto* committed = this->commit.committed();
+    input.previous = committed == nullptr ? nullptr : &committed->plan;
+    input.previous_revision = this->commit.revision();
+    input.risk = &this->risk;
+    input.settled = now >= lease.settled_at;
+    input.now = now;
+    auto formed = form_groups(input);
+    if (failed(formed)) {
+        log(log_level::error, "groups not formed",
+            {{"domain", this->domain.str()}, context_field(error(formed))});
+        return;
+    }
+    auto& outcome = value(formed);
+    this->last_grouping = outcome.stats;
+    auto epochs =
+        record_incarnations(outcome.plan.groups(), this->observations, input.previous_revision + 1, now);
+    if (!outcome.changed && !epochs.changed) {
+        return;
+    }
+    auto plan = domain_plan::create(this->domain, std::move(epochs.groups), outcome.plan.places());
+    if (failed(plan)) {
+        log(log_level::error, "plan refused", {{"domain", this->domain.str()}, context_field(error(plan))});
+        return;
+    }
+    this->commit.propose(value(std::move(plan)), this->next_attempt());
+}
+
+std::string duty_loop::next_attempt()
+{
+    return this->shared.self.str() + ":" + std::to_string(this->shared.incarnation) + ":" +
+           std::to_string(++this->attempts);
+}
+
+void duty_loop::install_plan()
+{
+    const auto* committed = this->commit.committed();
+    if (committed == nullptr || !this->commit.certain() || committed->revision == this->installed_revision) {
+        return;
+    }
+    this->installed_revision = committed->revision;
+    this->orders.install_plan(*committed);
+    {
+        const std::lock_guard guard(this->shared.tables.groups.mutex);
+        this->shared.tables.groups.evidence.install_plan(*committed);
+        this->shared.tables.groups.plans.insert_or_assign(this->domain, *committed);
+    }
+    this->shared.others.publish(item{plan_item_key(this->domain),
+                                     {committed->revision, 0},
+                                     item_class::durable,
+                                     encode_plan(committed->plan, committed->attempt_id)});
+    log(log_level::info, "plan in force",
+        {{"domain", this->domain.str()},
+         {"revision", static_cast<std::int64_t>(committed->revision)},
+         {"groups", static_cast<std::int64_t>(committed->plan.groups().size())}});
+}
+
+void duty_loop::send_orders(const config_snapshot& config, time_point now)
+{
+    if (!this->commit.certain()) {
+        return;
+    }
+    const auto lease = this->lease_duty.lease();
+    const auto domains = std::max<std::size_t>(1, config.set().failure_domains.size());
+    const auto share = std::max<std::size_t>(1, this->shared.concurrent_loads / domains);
+    for (const auto& order : this->orders.next_orders(this->observations, {lease, share, now})) {
+        if (const auto* engine = config.find_engine(order.instance)) {
+            this->send_order(order, *engine);
+        }
+    }
+}
+
+void duty_loop::send_order(const assign_order& order, const engine_object& engine)
+{
+    if (const auto allowed = this->orders.start_order(order, this->lease_duty.lease(),
+                                                      this->commit.orderable_revision(), steady_clock::now());
+        failed(allowed)) {
+        return;
+    }
+    boost::asio::spawn(this->shared.strand, [this, order, address = engine.address](yield_context yield) {
+        target::assign_order sent{order.group, order.epoch,   order.rank,   order.members,
+                                  order.model, order.version, order.fencing};
+        const auto answer =
+            this->shared.engines.assign(address, sent, steady_clock::now() + limits::order_timeout, yield);
+        this->orders.finish_order(order.instance);
+        if (failed(answer)) {
+            log(log_level::warning, "order failed",
+                {{"instance", order.instance.str()},
+                 kind_field(error(answer)),
+                 context_field(error(answer))});
+        }
+    });
+}
+
+void duty_loop::update_slots(const config_snapshot& config, time_point now)
+{
+    const auto* committed = this->commit.committed();
+    if (committed == nullptr) {
+        return;
+    }
+    for (const auto& group : committed->plan.groups()) {
+        const auto* pool = config.find_pool(group.pool);
+        if (pool == nullptr) {
+            continue;
+        }
+        this->slots.update_target(group.id, group.epoch,
+                                  {pool->start_slots, pool->full_slots, pool->ramp_step}, now);
+        const auto* leader = this->observations.fresh(group.members.front(), now);
+        if (leader != nullptr && serves_as_planned(leader->report, group, 0)) {
+            this->slots.observe(group.id, group.epoch, leader->report.running + leader->report.queued,
+                                leader->observed_at);
+        }
+    }
+}
+
+void duty_loop::publish_digest(time_point now)
+{
+    const auto* committed = this->commit.committed();
+    if (committed == nullptr || committed->revision != this->installed_revision) {
+        return;
+    }
+    const auto lease = this->lease_duty.lease();
+    digest_context context;
+    context.generation = static_cast<std::uint32_t>(this->shared.tables.config.get()->generation());
+    context.session = static_cast<std::uint16_t>(hash64(this->shared.self.str(), this->shared.incarnation));
+    context.lease_valid = lease.permits_orders(now);
+    context.now = now;
+    auto record = build_digest(*committed, this->observations, context);
+    std::string health;
+    for (std::size_t i = 0; i < record.groups.size(); ++i) {
+        const auto& group = committed->plan.groups()[i];
+        record.groups[i].warm = this->slots.warm(group.id, group.epoch);
+        health += record.groups[i].healthy ? (record.groups[i].warm ? 'w' : 'c') : '-';
+    }
+    if (health == this->last_health && now - this->last_digest < limits::digest_interval) {
+        return;
+    }
+    this->last_health = health;
+    this->last_digest = now;
+    const auto key = digest_item_key(this->domain);
+    // The sequence goes on from the last digest seen, so that it grows over a change of holder.
+    const auto* last = this->shared.others.find(key);
+    const auto sequence = last == nullptr ? 1 : last->version.minor + 1;
+    const auto major = std::max(last == nullptr ? 0 : last->version.major, committed->revision);
+    this->shared.others.publish(item{
+        key, {major, sequence}, item_class::periodic, encode_published_digest(this->shared.self, record)});
+    const std::lock_guard guard(this->shared.tables.groups.mutex);
+    this->shared.tables.groups.evidence.apply_digest(this->domain, record, now);
+}
+
+void duty_loop::on_observations(const daemon_id& observer, const observer_report& report,
+                                time_point received_at)
+{
+    this->observations.apply(observer, report, received_at);
+}
+
+slot_grant duty_loop::on_slot_ask(const daemon_id& asker, const slot_ask& ask, time_point now)
+{
+    if (!this->holds()) {
+        return slot_grant{ask.ask, 0, milliseconds(0), false};
+    }
+    return this->slots.grant(asker, ask, now);
+}
+
+void duty_loop::on_slot_release(const daemon_id& asker, const slot_release& release, time_point now)
+{
+    this->slots.release(asker, release, now);
+}
+
+} // namespace rml::control
--- /dev/null
+++ b/src/control/duty_loop.hpp
@@ -0,0 +1,112 @@
+/// Control of the engines of one failure domain: lease, plan, orders, digest and slots. Runs on the control
+/// strand, at every daemon of the region; it makes store calls only as a candidate for the duty.
+#pragma once
+
+#include "control/fleet.hpp"
+#include "control/tables.hpp"
+#include "decision/assignment.hpp"
+#include "decision/duty.hpp"
+#include "decision/grouping.hpp"
+#include "decision/observation.hpp"
+#include "decision/plan_commit.hpp"
+#include "decision/ramp.hpp"
+#include "decision/shared_risk.hpp"
+#include "platform/platform.hpp"
+#include "target/engine_client.hpp"
+
+#include <atomic>
+#include <set>
+
+namespace rml::control {
+
+/// Key of the replicated plan and digest of a failure domain.
+std::string plan_item_key(const failure_domain_id& domain);
+std::string digest_item_key(const failure_domain_id& domain);
+
+/// Payload of a digest item: the daemon that published it, and the digest.
+struct published_digest
+{
+    daemon_id holder;
+    digest record;
+};
+std::string encode_published_digest(const daemon_id& holder, const digest& record);
+/// Fails with `malformed`.
+result<published_digest> decode_published_digest(const std::string& payload);
+
+/// What the loops of all failure domains share.
+struct duty_environment
+{
+    boost::asio::io_context& context;
+    control_strand& strand;
+    fleet& others;
+    shared_tables& tables;
+    platform::key_value_store& store;
+    target::engine_client& engines;
+    daemon_id self;
+    region_id region;
+    std::uint64_t incarnation{0};
+    /// Engines that the instance list names as leaving.
+    const std::set<instance_id>& leaving;
+    /// Loads that the weight store allows at once, over all domains.
+    const std::uint32_t& concurrent_loads;
+};
+
+class duty_loop
+{
+public:
+    duty_loop(duty_environment& shared, failure_domain_id domain);
+
+    /// Spawns the loop's coroutine. It ends after stop().
+    void start();
+    void stop() { this->stopped = true; }
+
+    bool holds() const { return this->lease_duty.holds(); }
+    const observation_book& book() const { return this->observations; }
+    const grouping_stats& groups() const { return this->last_grouping; }
+    const plan_commit& plan() const { return this->commit; }
+
+    void on_observations(const daemon_id& observer, const observer_report& report, time_point received_at);
+    /// Answers an ask for slots; refuses when this daemon does not hold the duty.
+    slot_grant on_slot_ask(const daemon_id& asker, const slot_ask& ask, time_point now);
+    void on_slot_release(const daemon_id& asker, const slot_release& release, time_point now);
+
+private:
+    void run(yield_context yield);
+    void step(yield_context yield);
+    bool is_candidate() const;
+    void make_duty_call(const duty_call& call);
+    duty_reply perform(const duty_call& call, yield_context yield);
+    void commit_plan(yield_context yield);
+    void form(const config_snapshot& config, time_point now);
+    void record_losses(const config_snapshot& config, time_point now);
+    std::vector<engine_view> engine_views(const config_snapshot& config, time_point now) const;
+    std::vector<pool_demand> demands(const config_snapshot& config, time_point now) const;
+    /// Id of a write, unique over all daemons and their runs.
+    std::string next_attempt();
+    void install_plan();
+    void send_orders(const config_snapshot& config, time_point now);
+    void send_order(const assign_order& order, const engine_object& engine);
+    void publish_digest(time_point now);
+    void update_slots(const config_snapshot& config, time_point now);
+
+    duty_environment& shared;
+    failure_domain_id domain;
+    duty lease_duty;
+    plan_commit commit;
+    assignment orders;
+    observation_book observations;
+    shared_risk risk;
+    slot_holder slots;
+    grouping_stats last_grouping;
+    std::set<instance_id> answering; ///< engines that answered at the last look, for loss records
+    std::string last_health;         ///< health bits of the last digest, to publish changes at once
+    time_point last_digest{};
+    time_point last_forming{};
+    std::uint64_t installed_revision{0};
+    std::uint64_t attempts{0};
+    bool call_pending{false};
+    bool was_holding{false};
+    std::atomic<bool> stopped{false};
+};
+
+} // namespace rml::control
--- a/src/control/fleet.cpp
+++ b/src/control/fleet.cpp
@@ -32,7 +32,7 @@
     this->own_incarnation = this->options.self.incarnation;
 }
 
-status fleet::start()
+status fleet::start(const endpoint& caller_address)
 {
     peer::transport_options transport_options;
     transport_options.listen = this->options.listen;
@@ -46,6 +46,7 @@
     // The port may have been picked by the system.
     auto self = this->options.self;
     self.peer_address.port = this->links->local().port;
+    self.caller_address = caller_address;
     this->options.self = self;
     this->view = membership(self);
     this->publish(this->view.announce());
--- a/src/control/fleet.hpp
+++ b/src/control/fleet.hpp
@@ -9,6 +9,7 @@
 #include "decision/replication.hpp"
 #include "peer/transport.hpp"
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/strand.hpp>
 #include <deque>
@@ -22,7 +23,7 @@
 
 namespace rml::control {
 
-using control_strand = boost::asio::io_context::strand;
+using control_strand = boost::asio::strand<boost::asio::io_context::executor_type>;
 
 /// Receives what other daemons send. Called on the control strand.
 class fleet_listener
@@ -55,7 +56,7 @@
           fleet_listener& listener);
 
     /// Binds the peer address. Fails with `unavailable`.
-    status start();
+    status start(const endpoint& caller_address);
     void stop();
 
     /// Contacts a daemon whose address came from the instance list.
--- /dev/null
+++ b/src/control/serving.hpp
@@ -0,0 +1,110 @@
+/// The request path's view of the daemon: admission, group choice, slots, retries and claims over the shared
+/// tables.
+#pragma once
+
+#include "base/ids.hpp"
+#include "caller/serving_state.hpp"
+#include "control/tables.hpp"
+#include "peer/messages.hpp"
+#include "target/engine_client.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+
+namespace rml::control {
+
+/// Sends messages to the duty holder of a failure domain. May be called from any thread.
+class duty_mailbox
+{
+public:
+    duty_mailbox() = default;
+    duty_mailbox(const duty_mailbox&) = delete;
+    duty_mailbox& operator=(const duty_mailbox&) = delete;
+    virtual ~duty_mailbox() = default;
+
+    virtual void send_to_holder(const failure_domain_id& domain, const peer::message& m) = 0;
+};
+
+/// A queued request. State is guarded by the admission table's mutex; the timer belongs to the waiting
+/// coroutine.
+struct admission_waiter
+{
+    enum class state
+    {
+        waiting,
+        started,
+        refused,
+    };
+
+    explicit admission_waiter(const boost::asio::any_io_executor& executor) : timer(executor) {}
+
+    boost::asio::steady_timer timer;
+    state current{state::waiting};
+    refusal_reason reason{refusal_reason::none};
+};
+
+struct serving_stats
+{
+    std::uint64_t dispatched{0};
+    std::uint64_t cold_dispatched{0};
+    std::uint64_t no_group{0};
+    std::uint64_t probes{0};
+};
+
+class serving final : public caller::serving_state
+{
+public:
+    serving(boost::asio::io_context& context, shared_tables& tables, target::connection_pool& connections,
+            duty_mailbox& mailbox, caller::claim_store& claims, failure_domain_id own_domain);
+
+    std::shared_ptr<const account_object> find_account(std::string_view token) const override;
+    std::shared_ptr<const office_service_object> find_service(const service_id& name) const override;
+    caller::entry_list entries() const override;
+    bool ready() const override;
+    caller::admission_result acquire_admission(const caller::admission_request& request,
+                                               yield_context yield) override;
+    result<caller::dispatch_permit> acquire_permit(const caller::dispatch_request& request,
+                                                   yield_context yield) override;
+    void finish_permit(const caller::dispatch_permit& permit, const caller::permit_report& report) override;
+    bool take_retry_token() override;
+    caller::claim_store& claims() override { return this->claim_documents; }
+    void record(const caller::request_record& ended) override;
+
+    /// Brings the routing tables in line with configuration, plans and evidence. Called by the control loop.
+    void refresh(time_point now);
+    /// Refuses queued requests whose time is over. Called by the control loop.
+    void expire(time_point now);
+    serving_stats stats() const;
+
+private:
+    class ticket;
+
+    void finish_admission(const std::string& queue, duration took);
+    void wake(const admission_changes& changes);
+    admission& queue_for(const caller::admission_request& request, const std::string& key);
+    std::size_t capacity_of(const model_pool_object& pool, time_point now) const;
+    void refresh_pool(const config_snapshot& config, const model_pool_object& pool, time_point now);
+    result<route> choose(const caller::dispatch_request& request, const std::vector<group_id>& avoided,
+                         time_point now);
+    /// Group of the route as planned, if there is evidence for it now; probes the members when nobody else
+    /// does.
+    result<group_record> check_evidence(const group_id& group, yield_context yield);
+    result<caller::dispatch_permit> begin(const caller::dispatch_request& request, const route& chosen,
+                                          const group_record& record, time_point now);
+    void ask_slots(const model_pool_object& pool, time_point now);
+    void pause(milliseconds time, yield_context yield) const;
+
+    boost::asio::io_context& context;
+    shared_tables& tables;
+    target::engine_client engines;
+    duty_mailbox& mailbox;
+    caller::claim_store& claim_documents;
+    failure_domain_id own_domain;
+    std::atomic<std::uint64_t> dispatched_count{0};
+    std::atomic<std::uint64_t> cold_count{0};
+    std::atomic<std::uint64_t> no_group_count{0};
+    std::atomic<std::uint64_t> probe_count{0};
+};
+
+} // namespace rml::control
--- /dev/null
+++ b/src/control/tables.hpp
@@ -0,0 +1,159 @@
+/// Tables shared by the request path and the control loops. Each has one mutex; the ranks in
+/// base/ranked_mutex.hpp give the lock order. No lock is held over I/O.
+#pragma once
+
+#include "base/endpoint.hpp"
+#include "base/ranked_mutex.hpp"
+#include "base/time.hpp"
+#include "caller/serving_state.hpp"
+#include "control/config_snapshot.hpp"
+#include "decision/admission.hpp"
+#include "decision/evidence.hpp"
+#include "decision/prefix_cache.hpp"
+#include "decision/quota.hpp"
+#include "decision/ramp.hpp"
+#include "decision/retry_budget.hpp"
+#include "decision/routing.hpp"
+#include "model/plan.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace rml::control {
+
+using yield_context = boost::asio::yield_context;
+
+/// Object set in force. Rank config_table.
+class config_table
+{
+public:
+    std::shared_ptr<const config_snapshot> get() const
+    {
+        const std::lock_guard guard(this->mutex);
+        return this->current;
+    }
+    void update(std::shared_ptr<const config_snapshot> next)
+    {
+        const std::lock_guard guard(this->mutex);
+        this->current = std::move(next);
+    }
+
+private:
+    mutable ranked_mutex mutex{lock_rank::config_table};
+    std::shared_ptr<const config_snapshot> current{config_snapshot::create({})};
+};
+
+/// Addresses for callers and readiness. Rank member_table.
+class member_table
+{
+public:
+    struct view
+    {
+        caller::entry_list entries;
+        std::size_t daemons_in_region{1}; ///< live daemons of this region, this one included
+        bool config_ready{false};
+        bool isolated{false};
+        bool leaving{false};
+    };
+    view get() const
+    {
+        const std::lock_guard guard(this->mutex);
+        return this->current;
+    }
+    template <class Change>
+    void update(Change change)
+    {
+        const std::lock_guard guard(this->mutex);
+        change(this->current);
+    }
+
+private:
+    mutable ranked_mutex mutex{lock_rank::member_table};
+    view current;
+};
+
+/// Plans and evidence. Rank group_table.
+struct group_table
+{
+    mutable ranked_mutex mutex{lock_rank::group_table};
+    evidence_table evidence;
+    std::map<failure_domain_id, committed_plan> plans;
+};
+
+/// A request that was sent to a group and has not ended.
+struct dispatched
+{
+    model_pool_id pool;
+    route chosen;
+    std::optional<slot_use> slot;
+    std::uint64_t epoch{0};
+    std::uint64_t fingerprint{0};
+    instance_id leader; ///< rank 0
+    failure_domain_id domain;
+};
+
+/// Routing state per pool and the requests in flight. Rank load_table.
+struct load_table
+{
+    mutable ranked_mutex mutex{lock_rank::load_table};
+    std::unordered_map<model_pool_id, std::unique_ptr<routing>> pools;
+    prefix_cache prefixes;
+    std::unordered_map<std::uint64_t, dispatched> in_flight;
+    std::unordered_map<model_pool_id, time_point> last_demand;
+    std::uint64_t next_permit{0};
+    std::uint64_t random{0};
+};
+
+/// Slots this daemon holds. Rank slot_table.
+struct slot_table
+{
+    explicit slot_table(std::uint64_t first_ask) : client(first_ask) {}
+    mutable ranked_mutex mutex{lock_rank::slot_table};
+    slot_client client;
+};
+
+struct admission_waiter;
+
+/// Admission queues and account rates. Rank admission_table.
+struct admission_table
+{
+    explicit admission_table(std::uint64_t first_ask) : quota(first_ask) {}
+    mutable ranked_mutex mutex{lock_rank::admission_table};
+    std::unordered_map<std::string, std::unique_ptr<admission>> queues; ///< by pool or service
+    std::unordered_map<admission_ticket, std::shared_ptr<admission_waiter>> waiters;
+    quota_client quota;
+    admission_ticket next_ticket{0};
+};
+
+/// Retry budget. Rank crash_table.
+struct crash_table
+{
+    mutable ranked_mutex mutex{lock_rank::crash_table};
+    retry_budget retries;
+};
+
+struct shared_tables
+{
+    /// `incarnation` makes ask numbers unique across restarts of the daemon.
+    explicit shared_tables(std::uint64_t incarnation)
+        : slots(incarnation << ask_bits), admissions(incarnation << ask_bits)
+    {
+    }
+
+    static constexpr unsigned ask_bits = 20; ///< asks of one run before numbers could meet those of the next
+
+    config_table config;
+    member_table members;
+    group_table groups;
+    load_table loads;
+    slot_table slots;
+    admission_table admissions;
+    crash_table crashes;
+};
+
+} // namespace rml::control
--- a/src/decision/routing.cpp
+++ b/src/decision/routing.cpp
@@ -304,4 +304,14 @@
     }
 }
 
+std::vector<group_id> routing::groups() const
+{
+    std::vector<group_id> ids;
+    ids.reserve(this->entries.size());
+    for (const auto& known : this->entries) {
+        ids.push_back(known.group.id);
+    }
+    return ids;
+}
+
 } // namespace rml
--- a/src/decision/routing.hpp
+++ b/src/decision/routing.hpp
@@ -94,6 +94,8 @@
     result<microseconds> score(const group_id& id, const route_request& request, const prefix_cache& cache,
                                time_point now) const;
     std::size_t size() const { return this->entries.size(); }
+    /// Ids of all known groups.
+    std::vector<group_id> groups() const;
     const routing_stats& stats() const { return this->counts; }
 
 private:
--- a/src/entryd/daemon.cpp
+++ b/src/entryd/daemon.cpp
@@ -51,7 +51,7 @@
             return error(listening);
         }
         this->server = value(std::move(listening));
-        if (auto started = this->unit->start(); failed(started)) {
+        if (auto started = this->unit->start(this->server->local()); failed(started)) {
             return started;
         }
         this->start_workers();
--- a/src/entryd/serving_unit.cpp
+++ b/src/entryd/serving_unit.cpp
@@ -1,83 +1,82 @@
 #include "entryd/serving_unit.hpp"
 
+#include "control/node.hpp"
+#include "http/server.hpp"
+#include "operator/operator_handler.hpp"
+
+#include <chrono>
+
 namespace rml::entryd {
 
 namespace {
 
-/// Refuses every claim, so that no once-only request is sent.
-class no_claims final : public caller::claim_store
+control::node_options node_options_of(const settings& configured)
 {
-public:
-    claim_write_reply create(const std::string&, const claim_document&, time_point,
-                             caller::yield_context) override
-    {
-        return unavailable();
-    }
-    claim_read_reply read(const std::string&, time_point, caller::yield_context) override
-    {
-        return unavailable();
-    }
-    claim_write_reply update(const std::string&, const claim_document&, std::uint64_t, time_point,
-                             caller::yield_context) override
-    {
-        return unavailable();
-    }
-
-private:
-    static failure unavailable() { return {failure_kind::unavailable, "no store"}; }
-};
+    control::node_options options;
+    options.daemon = configured.daemon;
+    options.incarnation = static_cast<std::uint64_t>(
+        std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+            .count());
+    options.region = configured.region;
+    options.failure_domain = configured.failure_domain;
+    options.peer_listen = configured.listen.peer;
+    options.store = configured.platform.store;
+    options.instances = configured.platform.instances;
+    options.weights = configured.platform.weights;
+    options.peer_secret = configured.peer_secret;
+    return options;
+}
 
-/// A daemon without configuration: knows no account and refuses all work.
-class unconfigured_state final : public caller::serving_state
+/// The control node with the operators' listener.
+class node_unit final : public serving_unit
 {
 public:
-    std::shared_ptr<const account_object> find_account(std::string_view) const override { return nullptr; }
-    std::shared_ptr<const office_service_object> find_service(const service_id&) const override
-    {
-        return nullptr;
-    }
-    caller::entry_list entries() const override { return {}; }
-    bool ready() const override { return false; }
-    caller::admission_result acquire_admission(const caller::admission_request&,
-                                               caller::yield_context) override
+    node_unit(boost::asio::io_context& context, const settings& configured)
+        : context(context), configured(configured), node(context, node_options_of(configured)),
+          handler(this->node, configured.operator_token)
     {
-        return caller::admission_refusal{unconfigured(), {}};
     }
-    result<caller::dispatch_permit> acquire_permit(const caller::dispatch_request&,
-                                                   caller::yield_context) override
+
+    caller::serving_state& state() override { return this->node.requests(); }
+
+    status start(const endpoint& caller_address) override
     {
-        return unconfigured();
+        auto listening =
+            http::server::create(this->context, this->configured.listen.operators, this->handler);
+        if (failed(listening)) {
+            return error(listening);
+        }
+        this->operators = value(std::move(listening));
+        return this->node.start(caller_address);
     }
-    void finish_permit(const caller::dispatch_permit&, const caller::permit_report&) override {}
-    bool take_retry_token() override { return false; }
-    caller::claim_store& claims() override { return this->stored; }
-    void record(const caller::request_record&) override {}
 
-private:
-    static failure unconfigured() { return {failure_kind::unavailable, "no configuration"}; }
+    void leave() override { this->node.leave(); }
 
-    no_claims stored;
-};
+    void stop() override
+    {
+        if (this->operators) {
+            this->operators->stop();
+        }
+        this->node.stop();
+    }
 
-class unconfigured_unit final : public serving_unit
-{
-public:
-    caller::serving_state& state() override { return this->current; }
-    status start() override { return success(); }
-    void leave() override {}
-    void stop() override {}
-    std::optional<endpoint> peer_address() const override { return std::nullopt; }
-    std::optional<endpoint> operator_address() const override { return std::nullopt; }
+    std::optional<endpoint> peer_address() const override { return this->node.peer_address(); }
+    std::optional<endpoint> operator_address() const override { return this->operators->local(); }
 
 private:
-    unconfigured_state current;
+    boost::asio::io_context& context;
+    const settings& configured;
+    control::node node;
+    operator_handler handler;
+    std::unique_ptr<http::server> operators;
 };
 
 } // namespace
 
-std::unique_ptr<serving_unit> create_serving_unit(boost::asio::io_context&, const settings&, metric_registry&)
+std::unique_ptr<serving_unit> create_serving_unit(boost::asio::io_context& context,
+                                                  const settings& configured, metric_registry&)
 {
-    return std::make_unique<unconfigured_unit>();
+    return std::make_unique<node_unit>(context, configured);
 }
 
 } // namespace rml::entryd
--- a/src/entryd/serving_unit.hpp
+++ b/src/entryd/serving_unit.hpp
@@ -23,8 +23,9 @@
     virtual ~serving_unit() = default;
 
     virtual caller::serving_state& state() = 0;
-    /// Starts the work on the io_context. Fails with `unavailable` when an address cannot be bound.
-    virtual status start() = 0;
+    /// Starts the work on the io_context; other daemons list `caller_address` to callers. Fails with
+    /// `unavailable` when an address cannot be bound.
+    virtual status start(const endpoint& caller_address) = 0;
     /// Announces that this daemon leaves. The unit goes on serving until stop().
     virtual void leave() = 0;
     /// Ends all work, so that the io_context runs out of it.
