Keep observations fresh and ask for one cold-start slot at a time

Cause 1: observers probed and reported half as often as the design says, so every observation (lifetime 1.7 s) went stale each 2 s and the duty holder logged all engines as lost. Cause 2: each daemon asked for two slots of a cold group and kept the unused one for its lifetime of 3 s; with two slots per group the third daemon's request waited longer than the pool's max_wait of 2 s. Change: probe each 500 ms, report each second; one slot per ask, asked for when a request needs it and by each fourth request while warm groups serve.

--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -21,7 +21,7 @@
 constexpr milliseconds refresh_interval{50};
 constexpr milliseconds list_interval{2000};
 constexpr milliseconds probe_timeout{
-    400}; // below observe_interval, so that probes of one engine do not overlap
+    400}; // below probe_interval, so that probes of one engine do not overlap
 constexpr milliseconds watch_margin{1000}; // a watch that hangs ends this long after its wait
 constexpr std::size_t config_readers = 2; // per region: store calls stay independent of the number of daemons
 
@@ -495,7 +495,7 @@
                 this->probe(instance, config->find_engine(instance)->address);
             }
         }
-        pause(limits::observe_interval, yield);
+        pause(limits::probe_interval, yield);
         full = !full;
         this->send_reports(full, steady_clock::now());
     }
--- a/src/control/serving.cpp
+++ b/src/control/serving.cpp
@@ -15,9 +15,12 @@
 namespace {
 
 constexpr milliseconds permit_poll{10};
-// Demand in this period lets a daemon ask for slots of cold groups.
-constexpr milliseconds demand_memory{2000};
-constexpr std::uint32_t slots_per_ask = 2;
+// One slot per ask: a slot that a daemon holds without using it keeps another daemon's request waiting.
+constexpr std::uint32_t slots_per_ask = 1;
+constexpr milliseconds slot_ask_interval{50};
+// While warm groups serve, every n-th request asks for a slot of the cold ones, so that their cold start goes
+// on.
+constexpr std::uint64_t warm_up_every = 4;
 // Daemons may admit more than their equal share, since callers spread unevenly; the engines' queues bound the
 // rest.
 constexpr double capacity_share = 2.0;
@@ -124,10 +127,6 @@
     const auto config = this->tables.config.get();
     const auto account = config->find_account(request.account);
     const auto key = request.pool.empty() ? "service/" + request.service.str() : "pool/" + request.pool.str();
-    if (!request.pool.empty()) {
-        const std::lock_guard guard(this->tables.loads.mutex);
-        this->tables.loads.last_demand[request.pool] = now;
-    }
     std::shared_ptr<admission_waiter> waiter;
     rml::admission_ticket number = 0;
     {
@@ -339,6 +338,9 @@
         permit.id = ++loads.next_permit;
         loads.in_flight.emplace(permit.id, std::move(entry));
     }
+    if (permit.id % warm_up_every == 0) {
+        this->ask_slots(*config->find_pool(request.pool), now);
+    }
     permit.group = record.id;
     permit.epoch = record.epoch;
     permit.incarnation = record.incarnations.front();
@@ -453,7 +455,10 @@
             const std::lock_guard guard(this->tables.slots.mutex);
             auto& client = this->tables.slots.client;
             client.update_incarnation(group.id, group.epoch);
-            if (!client.warm(group.id, group.epoch) && client.pending(group.id, slot_kind::ramp, now) == 0) {
+            auto& last = this->tables.slots.last_ask[group.id];
+            if (!client.warm(group.id, group.epoch) && client.pending(group.id, slot_kind::ramp, now) == 0 &&
+                now - last >= slot_ask_interval) {
+                last = now;
                 ask = client.ask(group.id, group.epoch, slot_kind::ramp, slots_per_ask, now);
             }
         }
@@ -555,15 +560,6 @@
     const auto config = this->tables.config.get();
     for (const auto& pool : config->set().pools) {
         this->refresh_pool(*config, pool, now);
-        bool wanted = false;
-        {
-            const std::lock_guard guard(this->tables.loads.mutex);
-            const auto demand = this->tables.loads.last_demand.find(pool.name);
-            wanted = demand != this->tables.loads.last_demand.end() && now - demand->second < demand_memory;
-        }
-        if (wanted) {
-            this->ask_slots(pool, now);
-        }
         const auto capacity = this->capacity_of(pool, now);
         const std::lock_guard guard(this->tables.admissions.mutex);
         auto& queue = this->tables.admissions.queues["pool/" + pool.name.str()];
--- a/src/control/tables.hpp
+++ b/src/control/tables.hpp
@@ -104,7 +104,6 @@
     std::unordered_map<model_pool_id, std::unique_ptr<routing>> pools;
     prefix_cache prefixes;
     std::unordered_map<std::uint64_t, dispatched> in_flight;
-    std::unordered_map<model_pool_id, time_point> last_demand;
     std::uint64_t next_permit{0};
     std::uint64_t random{0};
 };
@@ -115,6 +114,7 @@
     explicit slot_table(std::uint64_t first_ask) : client(first_ask) {}
     mutable ranked_mutex mutex{lock_rank::slot_table};
     slot_client client;
+    std::unordered_map<group_id, time_point> last_ask;
 };
 
 struct admission_waiter;
