Test the request path against misbehaving targets

Cause: only the path without faults was tested. Seen while writing: two tests used 127.0.0.1:1 as an address on which nothing listens; something does on this machine, so they failed. They use a bound socket that does not listen now. One test read the record of a request before the handler had written it and failed in 1 of 3 runs; it waits for the record now. Conclusion: no fault of the request path found by these tests so far.

--- a/tests/caller/generation_test.cpp
+++ b/tests/caller/generation_test.cpp
@@ -47,3 +47,215 @@
     }
     CHECK(daemon.state.open_permits == 0);
 }
+
+// Guards against tokens that are missing or doubled when a group dies in the middle of an answer.
+TEST_CASE("an answer whose group died is resumed on another group", "[caller]")
+{
+    for (const bool stream : {true, false}) {
+        for (std::size_t received = 0; received <= 4; ++received) {
+            INFO("stream " << stream << " tokens before the loss " << received);
+            scripted_engine dying([received](const http::request& message, raw_connection& connection) {
+                connection.send(stream_head(request_id_of(message)) + correct_tokens(message, received));
+                return false;
+            });
+            scripted_engine other(
+                [](const http::request& message, raw_connection& connection) {
+                    connection.send(stream_head(request_id_of(message), "g2@7") + correct_tokens(message, 4) +
+                                    done_chunk());
+                    return true;
+                },
+                "g2");
+            running_daemon daemon;
+            daemon.add_group(dying, "g1");
+            daemon.add_group(other, "g2");
+            const auto answer = daemon.generate(stream);
+            CHECK(answer.status == 200);
+            CHECK(content_of(answer) == four_tokens);
+            CHECK(is_done(answer) == stream);
+            // After the last token nothing is left to generate.
+            CHECK(other.generations == (received < 4 ? 1 : 0));
+            CHECK(daemon.state.open_permits == 0);
+            CHECK(daemon.state.ends.front() == caller::permit_end::target_lost);
+        }
+    }
+}
+
+TEST_CASE("an answer that cannot be completed says so", "[caller]")
+{
+    scripted_engine dying([](const http::request& message, raw_connection& connection) {
+        connection.send(stream_head(request_id_of(message)) + correct_tokens(message, 2));
+        return false;
+    });
+    running_daemon daemon;
+    daemon.add_group(dying, "g1");
+
+    SECTION("no other group: a stream ends with an error event and without [DONE]")
+    {
+        const auto answer = daemon.generate(true);
+        CHECK(content_of(answer) == "t0 t1 ");
+        CHECK_FALSE(is_done(answer));
+        CHECK(answer.body.find(R"("outcome":"unknown")") != std::string::npos);
+    }
+    SECTION("no other group: a whole answer is 502 and unknown")
+    {
+        const auto answer = daemon.generate(false);
+        CHECK(answer.status == 502);
+        CHECK(outcome_of(answer) == "unknown");
+    }
+    SECTION("retry budget spent: no second group is asked")
+    {
+        // Guards against retries that multiply the load when many groups fail at once.
+        scripted_engine other(serve, "g2");
+        daemon.add_group(other, "g2");
+        daemon.state.retry_tokens = 0;
+        CHECK(daemon.generate(false).status == 502);
+        CHECK(other.generations == 0);
+    }
+    CHECK(daemon.wait_for_record().result == outcome::unknown);
+}
+
+// Guards against a not-run that is not true, and against an unknown where not-run is known.
+TEST_CASE("a generation that no engine ran is not-run", "[caller]")
+{
+    const auto refuse = [](const http::request& message, raw_connection& connection) {
+        connection.send(not_run_answer(message));
+        return true;
+    };
+    running_daemon daemon;
+
+    SECTION("all groups refuse")
+    {
+        scripted_engine first(refuse);
+        scripted_engine second(refuse, "g2");
+        daemon.add_group(first, "g1");
+        daemon.add_group(second, "g2");
+        for (const bool stream : {true, false}) {
+            const auto answer = daemon.generate(stream);
+            CHECK(answer.status == 503);
+            CHECK(outcome_of(answer) == "not-run");
+        }
+        CHECK(second.generations == 2);
+    }
+    SECTION("one group may have run it before another refuses")
+    {
+        scripted_engine first([](const http::request&, raw_connection&) { return false; });
+        scripted_engine second(refuse, "g2");
+        daemon.add_group(first, "g1");
+        daemon.add_group(second, "g2");
+        CHECK(outcome_of(daemon.generate(false)) == "unknown");
+    }
+    SECTION("no engine is reachable, which takes no retry from the budget")
+    {
+        const closed_address closed;
+        daemon.state.permits.push_back({1, group_id("g1"), 7, 11, closed.address()});
+        daemon.state.permits.push_back({2, group_id("g2"), 7, 11, closed.address()});
+        daemon.state.retry_tokens = 0;
+        const auto answer = daemon.generate(true);
+        CHECK(answer.status == 503);
+        CHECK(outcome_of(answer) == "not-run");
+        CHECK(daemon.state.ends.size() == 2);
+        CHECK_FALSE(daemon.state.dispatches.back().is_retry);
+    }
+    SECTION("no group at all")
+    {
+        const auto answer = daemon.generate(false);
+        CHECK(answer.status == 503);
+        CHECK(outcome_of(answer) == "not-run");
+    }
+    SECTION("not admitted")
+    {
+        daemon.state.refuse_admission = true;
+        const auto answer = daemon.generate(false);
+        CHECK(answer.status == 429);
+        CHECK(outcome_of(answer) == "not-run");
+        CHECK(http::find_header(answer.headers, "retry-after") == "2");
+        CHECK(answer.body.find(R"("retry_after_ms":1500)") != std::string::npos);
+        CHECK(daemon.state.dispatches.empty());
+    }
+}
+
+TEST_CASE("deadlines are passed on and kept", "[caller]")
+{
+    std::atomic<int> left{-1};
+    scripted_engine silent([&](const http::request& message, raw_connection& connection) {
+        left = std::stoi(http::find_header(message.headers, "x-rml-deadline-ms").value_or("-1"));
+        connection.wait_closed();
+        return false;
+    });
+    running_daemon daemon;
+    daemon.add_group(silent, "g1");
+    auto message = running_daemon::chat(false);
+
+    SECTION("an engine that stays silent")
+    {
+        message.headers.push_back({"x-rml-deadline-ms", "300"});
+        const auto answer = daemon.call(message);
+        CHECK(answer.status == 504);
+        CHECK(outcome_of(answer) == "unknown");
+        CHECK(left > 0);
+        CHECK(left <= 300);
+        CHECK(daemon.state.ends == std::vector<caller::permit_end>{caller::permit_end::timeout});
+    }
+    SECTION("a deadline that has passed on arrival sends nothing")
+    {
+        message.headers.push_back({"x-rml-deadline-ms", "0"});
+        const auto answer = daemon.call(message);
+        CHECK(answer.status == 504);
+        CHECK(outcome_of(answer) == "not-run");
+        CHECK(silent.generations == 0);
+    }
+}
+
+// Guards against engines that work for callers who have left.
+TEST_CASE("a caller that disconnects cancels at the engine", "[caller]")
+{
+    std::atomic<bool> asked{false};
+    scripted_engine slow([&](const http::request& message, raw_connection& connection) {
+        connection.send(stream_head(request_id_of(message)) + token_chunk(0, "a"));
+        asked = true;
+        connection.wait_closed();
+        return false;
+    });
+    running_daemon daemon;
+    daemon.add_group(slow, "g1");
+    const bool stream = GENERATE(true, false);
+
+    boost::asio::io_context context;
+    boost::asio::spawn(context, [&](http::yield_context yield) {
+        const auto deadline = steady_clock::now() + call_timeout;
+        auto connection = http::client_connection::create(context, daemon.address(), deadline, yield);
+        REQUIRE(succeeded(connection));
+        value(connection)->write_request(running_daemon::chat(stream), deadline, yield);
+        while (!asked) {
+            std::this_thread::sleep_for(milliseconds(1));
+        }
+        value(connection)->close();
+    });
+    context.run();
+    CHECK(daemon.wait_for_record().caller_gone);
+    for (int i = 0; i < 10000 && slow.cancels == 0; ++i) {
+        std::this_thread::sleep_for(milliseconds(1));
+    }
+    CHECK(slow.cancels == 1);
+    CHECK(daemon.state.ends == std::vector<caller::permit_end>{caller::permit_end::caller_gone});
+}
+
+TEST_CASE("callers that send the same request id get their own answers", "[caller]")
+{
+    // Guards against ids of callers that are used to match answers, or to cancel.
+    std::mutex mutex;
+    std::vector<std::string> ids;
+    scripted_engine engine([&](const http::request& message, raw_connection& connection) {
+        {
+            const std::scoped_lock lock(mutex);
+            ids.push_back(request_id_of(message));
+        }
+        return serve(message, connection);
+    });
+    running_daemon daemon;
+    daemon.add_group(engine, "g1");
+    CHECK(content_of(daemon.generate(false)) == four_tokens);
+    CHECK(content_of(daemon.generate(false)) == four_tokens);
+    REQUIRE(ids.size() == 2);
+    CHECK(ids[0] != ids[1]);
+}
--- a/tests/caller/running_daemon.hpp
+++ b/tests/caller/running_daemon.hpp
@@ -67,6 +67,16 @@
                     R"("max_tokens":4,"stream":)" + (stream ? "true" : "false") + "}"};
     }
 
+    /// Waits for the record of the only request, which follows its answer.
+    caller::request_record wait_for_record() const
+    {
+        for (int i = 0; i < 10000 && this->state.record_count() == 0; ++i) {
+            std::this_thread::sleep_for(milliseconds(1));
+        }
+        REQUIRE(this->state.record_count() == 1);
+        return this->state.records.front();
+    }
+
     endpoint address() const { return this->server->local(); }
 
     boost::asio::io_context context;
--- /dev/null
+++ b/tests/target/engine_client_test.cpp
@@ -0,0 +1,395 @@
+#include "base/limits.hpp"
+#include "scripted_engine.hpp"
+#include "target/engine_client.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/spawn.hpp>
+#include <catch2/catch.hpp>
+#include <functional>
+
+using namespace rml;
+using namespace rml::test;
+using namespace rml::target;
+
+namespace {
+
+constexpr milliseconds long_time{20000};
+
+class collecting_sink final : public token_sink
+{
+public:
+    status on_token(const std::string& token) override
+    {
+        this->text += token;
+        if (this->refuse) {
+            return failure{failure_kind::connection_broken, "caller"};
+        }
+        return success();
+    }
+    bool closed() const override { return this->left; }
+
+    std::string text;
+    bool refuse{false};
+    bool left{false};
+};
+
+/// Client side: runs one coroutine at a time to its end, with all background work that it starts.
+class client_side
+{
+public:
+    generate_report generate(const engine_target& target, collecting_sink& sink,
+                             std::vector<std::string> resume = {}, milliseconds time = long_time)
+    {
+        generate_report report;
+        this->run([&](yield_context yield) {
+            const generate_request request{"attempt-" + std::to_string(++this->attempts), "prompt", 4, 0,
+                                           std::move(resume)};
+            report = this->engines.generate(target, request, sink, steady_clock::now() + time, yield);
+        });
+        return report;
+    }
+
+    void run(const std::function<void(yield_context)>& work)
+    {
+        boost::asio::spawn(this->context, [&](yield_context yield) { work(yield); });
+        this->context.run();
+        this->context.restart();
+    }
+
+    boost::asio::io_context context;
+    connection_pool pool{context};
+    engine_client engines{context, pool};
+
+private:
+    int attempts{0};
+};
+
+/// Answers with the head and the given chunks, then keeps the connection.
+raw_server::script answer_with(const std::string& chunks)
+{
+    return [chunks](const http::request& message, raw_connection& connection) {
+        connection.send(stream_head(request_id_of(message)) + chunks);
+        return true;
+    };
+}
+
+} // namespace
+
+TEST_CASE("a correct answer is passed on and its connection reused", "[target]")
+{
+    std::string incarnation = "11";
+    scripted_engine engine([&](const http::request& message, raw_connection& connection) {
+        connection.send(stream_head(request_id_of(message), "g1@7", incarnation) +
+                        correct_tokens(message, 4) + done_chunk());
+        return true;
+    });
+    client_side client;
+    collecting_sink sink;
+    const auto report = client.generate(engine.target(), sink);
+    CHECK(report.end == generate_end::completed);
+    CHECK(report.outcome.current() == outcome::completed);
+    CHECK(sink.text == "t0 t1 t2 t3 ");
+
+    SECTION("a resumed one starts after the tokens that were passed on")
+    {
+        collecting_sink rest;
+        CHECK(client.generate(engine.target(), rest, {"a", "b"}).end == generate_end::completed);
+        CHECK(rest.text == "t2 t3 ");
+        CHECK(engine.connections() == 1);
+        CHECK(engine.status_reads == 1);
+    }
+
+    SECTION("a restarted engine is not reached over a connection of the earlier run")
+    {
+        // Guards against a request that reaches another incarnation than the one that was checked.
+        engine.incarnation = 12;
+        incarnation = "12";
+        collecting_sink other;
+        CHECK(client.generate(engine.target(), other).end == generate_end::completed);
+        CHECK(engine.status_reads == 2);
+        CHECK(engine.connections() == 2);
+        CHECK(client.pool.stats().discarded == 1);
+    }
+
+    SECTION("an engine that left the group gets no request")
+    {
+        // Guards against work for a group whose member was reassigned.
+        auto target = engine.target();
+        target.epoch = 8;
+        client.pool.clear();
+        collecting_sink other;
+        const auto refused = client.generate(target, other);
+        CHECK(refused.end == generate_end::not_sent);
+        CHECK(refused.reason.kind == failure_kind::stale);
+        CHECK(refused.outcome.current() == outcome::not_run);
+        CHECK(engine.generations == 1);
+    }
+}
+
+TEST_CASE("a wrong answer is a typed failure and reaches no caller", "[target]")
+{
+    struct wrong_answer
+    {
+        std::string name;
+        raw_server::script script;
+        failure_kind kind;
+        std::string passed_on; ///< tokens that may reach the caller
+    };
+    const std::vector<wrong_answer> cases{
+        {"answer to another request",
+         [](const http::request&, raw_connection& connection) {
+             connection.send(stream_head("attempt-99") + token_chunk(0, "x") + done_chunk());
+             return true;
+         },
+         failure_kind::malformed, ""},
+        {"answer without a request id",
+         [](const http::request&, raw_connection& connection) {
+             connection.send("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\nx-group: g1@7\r\n\r\n" +
+                             token_chunk(0, "x") + done_chunk());
+             return true;
+         },
+         failure_kind::malformed, ""},
+        {"another epoch of the group",
+         [](const http::request& message, raw_connection& connection) {
+             connection.send(stream_head(request_id_of(message), "g1@8") + token_chunk(0, "x") +
+                             done_chunk());
+             return true;
+         },
+         failure_kind::stale, ""},
+        {"another incarnation",
+         [](const http::request& message, raw_connection& connection) {
+             connection.send(stream_head(request_id_of(message), "g1@7", "12") + token_chunk(0, "x") +
+                             done_chunk());
+             return true;
+         },
+         failure_kind::stale, ""},
+        {"doubled token", answer_with(token_chunk(0, "a") + token_chunk(0, "a") + done_chunk()),
+         failure_kind::malformed, "a"},
+        {"missing token", answer_with(token_chunk(0, "a") + token_chunk(2, "c") + done_chunk()),
+         failure_kind::malformed, "a"},
+        {"tokens before the resumed position", answer_with(token_chunk(1, "b") + done_chunk()),
+         failure_kind::malformed, ""},
+        {"more tokens than asked for",
+         answer_with(token_chunk(0, "a") + token_chunk(1, "b") + token_chunk(2, "c") + token_chunk(3, "d") +
+                     token_chunk(4, "e") + done_chunk()),
+         failure_kind::malformed, "abcd"},
+        {"event that is no token", answer_with(token_chunk(0, "a") + chunk("data: {\"index\":\"x\"}\n\n")),
+         failure_kind::malformed, "a"},
+        {"endless event", answer_with(chunk("data: " + std::string(limits::event_bytes + 10, 'x'))),
+         failure_kind::too_large, ""},
+        {"end without [DONE]", answer_with(token_chunk(0, "a") + last_chunk), failure_kind::connection_broken,
+         "a"},
+        {"cut within a chunk",
+         [](const http::request& message, raw_connection& connection) {
+             connection.send(stream_head(request_id_of(message)) + token_chunk(0, "a") + "20\r\ndata: ");
+             return false;
+         },
+         failure_kind::connection_broken, "a"},
+        {"closed without an answer", [](const http::request&, raw_connection&) { return false; },
+         failure_kind::connection_broken, ""},
+        {"garbage",
+         [](const http::request&, raw_connection& connection) {
+             connection.send("\x16\x03\x01 no HTTP at all\r\n\r\n");
+             return true;
+         },
+         failure_kind::malformed, ""},
+        {"server error",
+         [](const http::request& message, raw_connection& connection) {
+             connection.send(
+                 whole_answer("500 Error", "x-request-id: " + request_id_of(message) + "\r\n", ""));
+             return true;
+         },
+         failure_kind::unavailable, ""},
+        {"unavailable, but not said to be not run",
+         [](const http::request& message, raw_connection& connection) {
+             connection.send(
+                 whole_answer("503 Unavailable", "x-request-id: " + request_id_of(message) + "\r\n", ""));
+             return true;
+         },
+         failure_kind::unavailable, ""},
+        {"refusal of another request",
+         [](const http::request&, raw_connection& connection) {
+             connection.send(whole_answer("503 Unavailable", "x-request-id: z\r\nx-not-run: true\r\n", ""));
+             return true;
+         },
+         failure_kind::malformed, ""},
+    };
+    for (const auto& each : cases) {
+        INFO(each.name);
+        scripted_engine engine(each.script);
+        client_side client;
+        collecting_sink sink;
+        const auto report = client.generate(engine.target(), sink);
+        CHECK(report.end == generate_end::failed);
+        CHECK(report.reason.kind == each.kind);
+        CHECK(sink.text == each.passed_on);
+        // The engine may have run the request.
+        CHECK(report.outcome.current() == outcome::unknown);
+        // Guards against the rest of a wrong answer being taken for the next one.
+        client.generate(engine.target(), sink);
+        CHECK(client.pool.stats().reused == 0);
+    }
+}
+
+TEST_CASE("an engine that refuses before running is believed", "[target]")
+{
+    for (const char* status : {"503 Unavailable", "429 Too Many Requests"}) {
+        scripted_engine engine([status](const http::request& message, raw_connection& connection) {
+            connection.send(not_run_answer(message, status));
+            return true;
+        });
+        client_side client;
+        collecting_sink sink;
+        const auto report = client.generate(engine.target(), sink);
+        CHECK(report.end == generate_end::refused);
+        CHECK(report.outcome.current() == outcome::not_run);
+        CHECK(client.generate(engine.target(), sink).end == generate_end::refused);
+        CHECK(engine.connections() == 1);
+    }
+    SECTION("no connection at all is not run")
+    {
+        client_side client;
+        collecting_sink sink;
+        const closed_address closed;
+        const auto report = client.generate({closed.address(), group_id("g1"), 7, 11}, sink);
+        CHECK(report.end == generate_end::not_sent);
+        CHECK(report.reason.kind == failure_kind::connection_refused);
+        CHECK(report.outcome.current() == outcome::not_run);
+    }
+}
+
+// Guards against a late answer that is taken for the answer to the next request on the connection.
+TEST_CASE("a request that ends early is cancelled and its connection closed", "[target]")
+{
+    std::atomic<int> closed{0};
+    scripted_engine engine([&](const http::request& message, raw_connection& connection) {
+        connection.send(stream_head(request_id_of(message)) + token_chunk(0, "a"));
+        connection.wait_closed();
+        ++closed;
+        return false;
+    });
+    client_side client;
+    collecting_sink sink;
+
+    SECTION("at the deadline")
+    {
+        const auto report = client.generate(engine.target(), sink, {}, milliseconds(100));
+        CHECK(report.end == generate_end::timed_out);
+        CHECK(report.reason.kind == failure_kind::timeout);
+    }
+    SECTION("when the sink fails")
+    {
+        sink.refuse = true;
+        CHECK(client.generate(engine.target(), sink).end == generate_end::sink_closed);
+    }
+    SECTION("when the caller leaves while no token arrives")
+    {
+        sink.left = true;
+        CHECK(client.generate(engine.target(), sink).end == generate_end::sink_closed);
+    }
+    CHECK(sink.text == "a");
+    CHECK(engine.cancels == 1);
+    CHECK(client.pool.take_idle(engine.address(), std::nullopt).connection == nullptr);
+}
+
+TEST_CASE("bytes without a request are never taken for an answer", "[target]")
+{
+    // The second answer names the next request, as an engine that mixes up connections might.
+    scripted_engine engine([](const http::request& message, raw_connection& connection) {
+        const auto tokens = correct_tokens(message, 4);
+        std::string bytes = stream_head(request_id_of(message)) + tokens + done_chunk();
+        if (connection.number == 1) {
+            bytes += stream_head("attempt-2") + token_chunk(0, "wrong") + done_chunk();
+        }
+        connection.send(bytes);
+        return true;
+    });
+    client_side client;
+    collecting_sink first;
+    CHECK(client.generate(engine.target(), first).end == generate_end::completed);
+    collecting_sink second;
+    CHECK(client.generate(engine.target(), second).end == generate_end::completed);
+    CHECK(second.text == "t0 t1 t2 t3 ");
+    CHECK(engine.connections() == 2);
+}
+
+// Guards against an answer that looks whole although a part of it was lost, whatever the place of the cut.
+TEST_CASE("an answer cut at any byte is not complete", "[target]")
+{
+    std::size_t length = 0;
+    std::size_t cut = 0;
+    scripted_engine engine([&](const http::request& message, raw_connection& connection) {
+        const auto whole = stream_head(request_id_of(message)) + correct_tokens(message, 4) + done_chunk();
+        length = whole.size();
+        connection.send(whole.substr(0, cut));
+        return false;
+    });
+    client_side client;
+    const std::string all = "t0 t1 t2 t3 ";
+    do {
+        collecting_sink sink;
+        const auto report = client.generate(engine.target(), sink);
+        INFO(cut);
+        REQUIRE(all.substr(0, sink.text.size()) == sink.text);
+        if (report.end == generate_end::completed) {
+            // Only the end of the chunked body may be missing; [DONE] was read.
+            REQUIRE(sink.text == all);
+            REQUIRE(cut + std::string("\r\n0\r\n\r\n").size() >= length);
+        } else {
+            REQUIRE(report.end == generate_end::failed);
+            REQUIRE(report.outcome.current() == outcome::unknown);
+        }
+    } while (++cut <= length);
+}
+
+TEST_CASE("status, orders and cancels", "[target]")
+{
+    std::string body;
+    std::string status = "200 OK";
+    raw_server server([&](const http::request& message, raw_connection& connection) {
+        body = message.body;
+        engine_status report;
+        report.incarnation = 4;
+        connection.send(whole_answer(status, "", encode_engine_status(report)));
+        return true;
+    });
+    client_side client;
+    client.run([&](yield_context yield) {
+        const auto deadline = steady_clock::now() + long_time;
+        SECTION("repeated status reads use one connection")
+        {
+            for (int i = 0; i < 3; ++i) {
+                const auto report = client.engines.read_status(server.address(), deadline, yield);
+                CHECK(succeeded(report));
+            }
+            CHECK(server.accepted() == 1);
+        }
+        SECTION("an order carries its fencing number, and an old one is told")
+        {
+            assign_order order;
+            order.group = group_id("g1");
+            order.members = {instance_id("a"), instance_id("b")};
+            order.fencing = 17;
+            CHECK(succeeded(client.engines.assign(server.address(), order, deadline, yield)));
+            CHECK(nlohmann::json::parse(body)["fencing"] == 17);
+            CHECK(nlohmann::json::parse(body)["members"].size() == 2);
+            status = "409 Conflict";
+            const auto stale = client.engines.assign(server.address(), order, deadline, yield);
+            REQUIRE(failed(stale));
+            CHECK(error(stale).kind == failure_kind::stale);
+            // Guards against an order that is taken for refused although it may have taken effect.
+            status = "500 Error";
+            const auto broken = client.engines.assign(server.address(), order, deadline, yield);
+            REQUIRE(failed(broken));
+            CHECK(error(broken).kind == failure_kind::outcome_unknown);
+        }
+        SECTION("a cancel of an unknown request is told")
+        {
+            CHECK(succeeded(client.engines.cancel(server.address(), "r", deadline, yield)));
+            status = "404 Not Found";
+            const auto unknown = client.engines.cancel(server.address(), "r", deadline, yield);
+            REQUIRE(failed(unknown));
+            CHECK(error(unknown).kind == failure_kind::not_found);
+        }
+    });
+}
--- a/tests/target/raw_server.hpp
+++ b/tests/target/raw_server.hpp
@@ -173,6 +173,23 @@
     std::thread accepter;
 };
 
+/// An address on which nothing listens: bound, so that no other process gets it, and refusing connections.
+class closed_address
+{
+public:
+    closed_address() : acceptor(context)
+    {
+        this->acceptor.open(boost::asio::ip::tcp::v4());
+        this->acceptor.bind({boost::asio::ip::address_v4::loopback(), 0});
+    }
+
+    endpoint address() const { return {"127.0.0.1", this->acceptor.local_endpoint().port()}; }
+
+private:
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor acceptor;
+};
+
 /// One chunk of a chunked body.
 inline std::string chunk(const std::string& data)
 {
