Show each mechanism of the plan's fencing to be needed

Cause: on a scratch copy the property still passed without the compare-and-swap's conflict, the repeated commit at a takeover, and the comparison of an order's fencing number. Change: a plan write may be held back while its holder pauses, decided orders may wait over a plan change, and no group may go back to an earlier epoch in the stored plans.

--- a/tests/decision/group_invariants_test.cpp
+++ b/tests/decision/group_invariants_test.cpp
@@ -155,10 +155,10 @@
 
     /// The store call takes effect after a delay or never; its reply may be lost or come after the timeout.
     template <class Call, class Role>
-    void call_store(holder& who, const Call& call, Role& role)
+    void call_store(holder& who, const Call& call, Role& role, bool held_back = false)
     {
-        const auto late = this->between(500, this->chance(0.3) ? 15000 : 4000);
-        const auto there = this->chance(0.1) ? late : this->between(0, 100);
+        const auto late = this->between(500, held_back ? 15000 : 4000);
+        const auto there = held_back || this->chance(0.1) ? late : this->between(0, 100);
         const auto back = this->chance(0.1) ? this->between(500, 4000) : this->between(0, 100);
         const bool arrives = !this->chance(0.05);
         const bool answered = !this->chance(0.05);
@@ -195,6 +195,10 @@
             const auto [known, added] =
                 this->members_of.try_emplace({group.id.str(), group.epoch}, group.members);
             RC_ASSERT(known->second == group.members);
+            // A plan made from an older one would take a group back to an earlier epoch.
+            auto& latest = this->latest_epoch[group.id.str()];
+            RC_ASSERT(group.epoch >= latest);
+            latest = group.epoch;
         }
         this->post(this->between(0, 1500), [this, plan] { this->reader.install_plan(value(plan)); });
     }
@@ -306,18 +310,20 @@
             who.takeovers = who.role.stats().acquired;
             who.commit.take_over(who.name + "-takeover-" + std::to_string(who.takeovers));
         }
+        if (this->ms >= who.probe_at) {
+            this->observe(who);
+        }
+        this->send_orders(who);
         if (who.takeovers > 0) {
             this->form(who);
             const auto call = who.commit.next_call(this->lease_of(who), this->now());
             who.writing = call && call->kind == plan_call_kind::replace;
             if (call) {
-                this->call_store(who, *call, who.commit);
+                const bool held_back = who.writing && this->chance(0.1);
+                this->call_store(who, *call, who.commit, held_back);
+                who.paused_until = held_back ? this->ms + this->between(5000, 12000) : who.paused_until;
             }
         }
-        if (this->ms >= who.probe_at) {
-            this->observe(who);
-        }
-        this->send_orders(who);
         if (who.role.holds() && who.commit.committed() != nullptr && this->ms >= who.digest_at) {
             who.digest_at = this->ms + 1000;
             const auto record =
@@ -382,6 +388,7 @@
     holder second{"d2", 2};
     evidence_table reader;
     std::uint64_t plan_revision{0};
+    std::map<std::string, std::uint64_t> latest_epoch;
     std::map<std::pair<std::string, std::uint64_t>, std::vector<instance_id>> members_of;
 };
 
