Decide in time linear in the engines when a pool cannot be satisfied

Cause: a pool that wants more than the capacity made every decision search all fabric domains against all groups. Change: retirable groups and movable groups are collected once per search.

--- a/src/decision/grouping.cpp
+++ b/src/decision/grouping.cpp
@@ -87,8 +87,10 @@
     bool create_one(std::size_t pool);
     bool retire_surplus(std::size_t pool);
     void move_smaller_groups(std::size_t pool);
-    std::vector<std::pair<std::size_t, std::size_t>> moves_out_of(std::size_t fabric,
-                                                                  std::uint32_t size) const;
+    std::vector<std::vector<std::size_t>> movable_groups() const;
+    std::vector<std::pair<std::size_t, std::size_t>> moves_out_of(std::size_t fabric, std::uint32_t size,
+                                                                  std::vector<std::size_t> smaller,
+                                                                  std::vector<std::uint32_t> surplus) const;
     bool is_ready(const whole_group& group) const;
     std::vector<std::uint32_t> retirable() const;
     bool all_movable(const group_record& record) const;
@@ -476,17 +478,33 @@
     return serving;
 }
 
+std::vector<std::vector<std::size_t>> planner::movable_groups() const
+{
+    std::vector<std::vector<std::size_t>> by_fabric(this->fabrics.size());
+    for (std::size_t i = 0; i < this->whole.size(); ++i) {
+        const auto& group = this->whole[i];
+        if (group.kept && !group.given_up && this->all_movable(group.record)) {
+            by_fabric[group.fabric].push_back(i);
+        }
+    }
+    return by_fabric;
+}
+
 bool planner::retire_surplus(std::size_t pool)
 {
     const auto size = this->pools[pool].demand->group_size;
+    const auto budget = this->retirable();
+    if (std::all_of(budget.begin(), budget.end(), [](std::uint32_t groups) { return groups == 0; })) {
+        return false;
+    }
+    const auto candidates = this->movable_groups();
     for (std::size_t fabric = 0; fabric < this->fabrics.size(); ++fabric) {
-        auto left = this->retirable();
+        auto left = budget;
         std::vector<std::size_t> retired;
         auto room = this->fabrics[fabric].free;
-        for (std::size_t i = 0; i < this->whole.size() && room < size; ++i) {
+        for (const auto i : candidates[fabric]) {
             const auto& group = this->whole[i];
-            if (group.kept && !group.given_up && group.fabric == fabric && left[group.pool] > 0 &&
-                this->all_movable(group.record)) {
+            if (room < size && left[group.pool] > 0) {
                 --left[group.pool];
                 room += group.record.members.size();
                 retired.push_back(i);
@@ -504,44 +522,36 @@
     return false;
 }
 
-/// Pool and new fabric domain of each smaller group to move so that a group of `size` fits; empty if none
+/// Pool and new fabric domain of each of the groups to move so that a group of `size` fits; empty if none
 /// does.
-std::vector<std::pair<std::size_t, std::size_t>> planner::moves_out_of(std::size_t fabric,
-                                                                       std::uint32_t size) const
+std::vector<std::pair<std::size_t, std::size_t>>
+planner::moves_out_of(std::size_t fabric, std::uint32_t size, std::vector<std::size_t> smaller,
+                      std::vector<std::uint32_t> surplus) const
 {
-    std::vector<std::size_t> free;
-    for (const auto& each : this->fabrics) {
-        free.push_back(each.free);
-    }
-    std::vector<const whole_group*> smaller;
-    for (const auto& group : this->whole) {
-        if (group.kept && !group.given_up && group.fabric == fabric && group.record.members.size() < size &&
-            this->all_movable(group.record)) {
-            smaller.push_back(&group);
-        }
-    }
-    std::stable_sort(smaller.begin(), smaller.end(), [](const whole_group* a, const whole_group* b) {
-        return a->record.members.size() > b->record.members.size();
+    auto room = this->fabrics[fabric].free;
+    std::stable_sort(smaller.begin(), smaller.end(), [&](std::size_t a, std::size_t b) {
+        return this->whole[a].record.members.size() > this->whole[b].record.members.size();
     });
+    std::unordered_map<std::size_t, std::size_t>
+        taken; // free engines of other fabric domains used by earlier moves
     std::vector<std::pair<std::size_t, std::size_t>> moves;
-    auto surplus = this->retirable();
-    for (const auto* group : smaller) {
-        const auto members = group->record.members.size();
-        if (surplus[group->pool] > 0) {
-            --surplus[group->pool]; // another group of the pool serves already
-            free[fabric] += members;
+    for (const auto i : smaller) {
+        const auto members = this->whole[i].record.members.size();
+        if (surplus[this->whole[i].pool] > 0) {
+            --surplus[this->whole[i].pool]; // another group of the pool serves already
+            room += members;
             continue;
         }
-        for (std::size_t other = 0; other < free.size() && free[fabric] < size; ++other) {
-            if (other != fabric && free[other] >= members) {
-                free[other] -= members;
-                free[fabric] += members;
-                moves.emplace_back(group->pool, other);
+        for (std::size_t other = 0; other < this->fabrics.size() && room < size; ++other) {
+            if (other != fabric && this->fabrics[other].free >= taken[other] + members) {
+                taken[other] += members;
+                room += members;
+                moves.emplace_back(this->whole[i].pool, other);
                 break;
             }
         }
     }
-    return free[fabric] >= size ? moves : std::vector<std::pair<std::size_t, std::size_t>>();
+    return room >= size ? moves : std::vector<std::pair<std::size_t, std::size_t>>();
 }
 
 /// Forms the copies elsewhere first. When they serve, retire_surplus() gives up the groups that stand in the
@@ -549,14 +559,22 @@
 void planner::move_smaller_groups(std::size_t pool)
 {
     const auto size = this->pools[pool].demand->group_size;
+    const auto is_smaller = [&](std::size_t i) { return this->whole[i].record.members.size() < size; };
     const bool under_way = std::any_of(this->whole.begin(), this->whole.end(), [&](const whole_group& group) {
         return group.kept && !group.given_up && group.record.members.size() < size && !this->is_ready(group);
     });
     if (under_way) {
         return;
     }
+    const auto surplus = this->retirable();
+    auto candidates = this->movable_groups();
     for (std::size_t fabric = 0; fabric < this->fabrics.size() && this->stats.moved == 0; ++fabric) {
-        for (const auto& [moved_pool, other] : this->moves_out_of(fabric, size)) {
+        auto& groups = candidates[fabric];
+        groups.erase(std::stable_partition(groups.begin(), groups.end(), is_smaller), groups.end());
+        if (groups.empty()) {
+            continue;
+        }
+        for (const auto& [moved_pool, other] : this->moves_out_of(fabric, size, groups, surplus)) {
             this->create_in(moved_pool, other);
             ++this->stats.moved;
         }
