Tell several senders of digests apart and bound the tables

Cause: found by review. Two holders that both publish, as during a partition from the store, reset the estimate of the delay at each turn, so that no digest counted as evidence; and a former holder without observers' reports called every group unhealthy. Two reports of one observer within a millisecond must both count. Change: the delay is estimated per run of a sender, for the last four; a digest with a lapsed lease does not count while another sender's lease is valid. Tables of evidence and observers forget replaced instances and daemons. shared_risk drops a quarter of its pairs at once instead of searching all pairs per dropped one.

--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -28,6 +28,7 @@
 // An observation older than this at the duty holder is not reported as healthy: 0.5 s probe and 1 s report,
 // and 0.2 s for the transfer.
 constexpr milliseconds observation_lifetime{1700};
+constexpr std::size_t digest_sessions = 4; // senders of one domain's digests that are told apart
 constexpr milliseconds probe_interval{500};
 constexpr milliseconds digest_spread{300}; // longest transfer of a digest that is not delayed by a queue
 constexpr milliseconds observe_interval{1000};
--- a/src/decision/evidence.cpp
+++ b/src/decision/evidence.cpp
@@ -3,6 +3,7 @@
 #include "base/limits.hpp"
 
 #include <algorithm>
+#include <unordered_set>
 
 namespace rml {
 
@@ -40,6 +41,21 @@
         fresh.domain = plan.plan.domain();
         this->groups[record.id] = std::move(fresh);
     }
+    this->forget_unused_members();
+}
+
+void evidence_table::forget_unused_members()
+{
+    if (this->members.size() <= 2 * limits::max_engines) {
+        return;
+    }
+    std::unordered_set<instance_id> used;
+    for (const auto& [id, group] : this->groups) {
+        used.insert(group.record.members.begin(), group.record.members.end());
+    }
+    for (auto it = this->members.begin(); it != this->members.end();) {
+        it = used.count(it->first) == 0 ? this->members.erase(it) : std::next(it);
+    }
 }
 
 void evidence_table::apply_entry(group_state& group, const digest_entry& entry, time_point observed_at)
@@ -63,17 +79,19 @@
     auto& state = this->domains[domain];
     state.announced_revision = std::max(state.announced_revision, record.plan_revision);
     const auto delay = state.delay.delay_of(record.session, record.sent_ms, received_at);
-    const bool same_run = state.received && state.session == record.session;
-    // The difference of two wrapping clocks is read as signed.
-    const bool repeated = same_run && static_cast<std::int32_t>(record.sent_ms - state.sent_ms) <= 0;
-    if (record.plan_revision != state.revision || record.groups.size() != state.order.size() || repeated ||
-        !delay) {
+    // A holder that lost its lease no longer gets the observers' reports, so it would call every group
+    // unhealthy.
+    const bool former_holder = !record.lease_valid && state.holder_session != record.session &&
+                               received_at - state.holder_heard_at <= limits::evidence_lifetime;
+    if (!delay || former_holder || record.plan_revision != state.revision ||
+        record.groups.size() != state.order.size()) {
         ++this->counts.digests_ignored;
         return;
     }
-    state.received = true;
-    state.session = record.session;
-    state.sent_ms = record.sent_ms;
+    if (record.lease_valid) {
+        state.holder_session = record.session;
+        state.holder_heard_at = received_at;
+    }
     const auto observed_at = received_at - *delay - limits::digest_spread - milliseconds(record.oldest_ms);
     for (std::size_t i = 0; i < record.groups.size(); ++i) {
         this->apply_entry(this->groups.at(state.order[i]), record.groups[i], observed_at);
--- a/src/decision/evidence.hpp
+++ b/src/decision/evidence.hpp
@@ -28,7 +28,7 @@
 struct evidence_stats
 {
     std::uint64_t digests_applied{0};
-    std::uint64_t digests_ignored{0}; ///< of another plan revision, repeated, or of unknown age
+    std::uint64_t digests_ignored{0}; ///< of another plan or a former holder, repeated, or of unknown age
     std::uint64_t invalidations{0};
 };
 
@@ -94,9 +94,8 @@
         std::uint64_t announced_revision{0};
         std::vector<group_id> order; ///< of the installed plan, the order of the digest's entries
         delay_estimator delay;
-        std::uint16_t session{0};
-        std::uint32_t sent_ms{0};
-        bool received{false};
+        std::uint16_t holder_session{0}; ///< sender of the last digest with a valid lease
+        time_point holder_heard_at{};
     };
 
     const group_state* state_of(const group_id& group) const;
@@ -104,6 +103,7 @@
     bool probe_covers(const group_state& group, std::size_t rank, const member_state& member,
                       time_point now) const;
     const member_state& member(const instance_id& instance) const;
+    void forget_unused_members();
     void apply_entry(group_state& group, const digest_entry& entry, time_point observed_at);
 
     std::unordered_map<group_id, group_state> groups;
--- a/src/decision/observation.cpp
+++ b/src/decision/observation.cpp
@@ -131,25 +131,42 @@
     return observed;
 }
 
-std::optional<milliseconds> delay_estimator::delay_of(std::uint16_t run, std::uint32_t sent_ms,
+bool delay_estimator::knows(std::uint16_t session) const
+{
+    return std::any_of(this->runs.begin(), this->runs.end(),
+                       [&](const run& each) { return each.session == session; });
+}
+
+std::optional<milliseconds> delay_estimator::delay_of(std::uint16_t session, std::uint32_t sent_ms,
                                                       time_point received_at)
 {
-    if (!this->started || this->session != run) {
-        this->started = true;
-        this->session = run;
-        this->sent_base = sent_ms;
-        this->received_base = received_at;
+    const auto found = std::find_if(this->runs.begin(), this->runs.end(),
+                                    [&](const run& each) { return each.session == session; });
+    if (found == this->runs.end()) {
+        if (this->runs.size() == limits::digest_sessions) {
+            this->runs.erase(
+                std::min_element(this->runs.begin(), this->runs.end(), [](const run& a, const run& b) {
+                    return a.received_last < b.received_last;
+                }));
+        }
+        this->runs.push_back({session, sent_ms, sent_ms, received_at, received_at});
         return std::nullopt;
     }
-    const auto sent_elapsed = milliseconds(static_cast<std::int32_t>(sent_ms - this->sent_base));
-    const auto received_elapsed = received_at - this->received_base;
+    // The difference of two wrapping clocks is read as signed.
+    if (static_cast<std::int32_t>(sent_ms - found->last_sent) < 0) {
+        return std::nullopt;
+    }
+    found->last_sent = sent_ms;
+    found->received_last = received_at;
+    const auto sent_elapsed = milliseconds(static_cast<std::int32_t>(sent_ms - found->sent_base));
+    const auto received_elapsed = received_at - found->received_base;
     const auto delay = std::chrono::duration_cast<milliseconds>(received_elapsed - sent_elapsed);
     // Clocks of two daemons drift by up to 100 ppm; 1000 ppm of the time since the base is taken off, so that
     // drift does not add up to a false delay.
     const auto drift = std::chrono::duration_cast<milliseconds>(received_elapsed) / 1000;
     if (delay <= drift) {
-        this->sent_base = sent_ms;
-        this->received_base = received_at;
+        found->sent_base = sent_ms;
+        found->received_base = received_at;
         return delay < -limits::digest_spread ? std::nullopt : std::optional(milliseconds(0));
     }
     return delay - drift;
@@ -314,9 +331,17 @@
 
 void observation_book::apply(const daemon_id& observer, const observer_report& report, time_point received_at)
 {
+    if (this->delays.size() > 2 * limits::max_daemons) {
+        this->delays.clear(); // daemons that were replaced since
+    }
+    auto& estimator = this->delays[observer];
+    const bool first = !estimator.knows(report.session);
+    const auto delay = estimator.delay_of(report.session, report.sent_ms, received_at);
     // Reports come over a direct link and are built when they are sent, so the first one of a run is not an
-    // old one.
-    const auto delay = this->delays[observer].delay_of(report.session, report.sent_ms, received_at);
+    // old one. Any other of unknown age is dropped; the fingerprints of the next one show what was missed.
+    if (!first && !delay) {
+        return;
+    }
     const auto sent_at = received_at - delay.value_or(milliseconds(0));
     for (const auto& change : report.changes) {
         const auto& instance = change.report.instance;
--- a/src/decision/observation.hpp
+++ b/src/decision/observation.hpp
@@ -24,21 +24,32 @@
                                              const std::vector<daemon_id>& live_daemons);
 
 /// Estimates how long a message was under way beyond the fastest one seen, from the sender's monotonic clock.
-/// A message that a queue held back during a partition is thereby not taken for a fresh one.
+/// A message that a queue held back during a partition is thereby not taken for a fresh one. Several senders
+/// may take turns, such as two holders during a partition.
 class delay_estimator
 {
 public:
+    /// Whether a message of this run of a sender was seen lately.
+    bool knows(std::uint16_t session) const;
+
     /// Delay of a message sent at `sent_ms` of the sender's clock (wraps) in run `session`. Not known for the
-    /// first message of a run, which may be a stored one of a sender that has ended, and for one that came
-    /// much faster than all before it, since it may stem from a queue that is only now being emptied.
+    /// first message of a run, which may be a stored one of a sender that has ended; for one that is not
+    /// newer than the last one; and for one that came much faster than all before it, since it may stem from
+    /// a queue that is only now being emptied.
     std::optional<milliseconds> delay_of(std::uint16_t session, std::uint32_t sent_ms,
                                          time_point received_at);
 
 private:
-    bool started{false};
-    std::uint16_t session{0};
-    std::uint32_t sent_base{0};
-    time_point received_base{};
+    struct run
+    {
+        std::uint16_t session{0};
+        std::uint32_t last_sent{0};
+        std::uint32_t sent_base{0}; ///< of the fastest message
+        time_point received_base{};
+        time_point received_last{};
+    };
+
+    std::vector<run> runs;
 };
 
 /// One engine in an observer's compact report: 20 bytes packed.
--- a/src/decision/shared_risk.cpp
+++ b/src/decision/shared_risk.cpp
@@ -21,11 +21,21 @@
 
 void shared_risk::drop_weakest(time_point now)
 {
-    const auto weaker = [&](const auto& a, const auto& b) {
-        return decayed(a.second, now) < decayed(b.second, now);
-    };
-    this->pairs.erase(std::min_element(this->pairs.begin(), this->pairs.end(), weaker));
-    ++this->dropped;
+    // A quarter at once, so that a large loss does not search all pairs for each new one.
+    std::vector<double> counts;
+    counts.reserve(this->pairs.size());
+    for (const auto& [key, state] : this->pairs) {
+        counts.push_back(decayed(state, now));
+    }
+    const auto quarter = counts.begin() + static_cast<std::ptrdiff_t>(counts.size() / 4);
+    std::nth_element(counts.begin(), quarter, counts.end());
+    auto left = counts.size() / 4;
+    for (auto it = this->pairs.begin(); it != this->pairs.end() && left > 0;) {
+        const bool weak = decayed(it->second, now) <= *quarter;
+        it = weak ? this->pairs.erase(it) : std::next(it);
+        left -= weak ? 1 : 0;
+        this->dropped += weak ? 1 : 0;
+    }
 }
 
 void shared_risk::count_coincidence(const instance_id& a, const instance_id& b, time_point now)
--- a/tests/decision/observation_test.cpp
+++ b/tests/decision/observation_test.cpp
@@ -215,6 +215,20 @@
         CHECK_FALSE(table.servable(group, at(2010)));
         CHECK(table.probes_due(group, at(2010)).empty());
     }
+    SECTION("a former holder that still sends does not outvote the holder")
+    {
+        auto former = build_digest(plan, observation_book(), {4, 8, false, at(1900)});
+        table.apply_digest(domain, former, at(1910));
+        former.sent_ms += 1000;
+        table.apply_digest(domain, digest_at(plan, 2000), at(2010));
+        table.apply_digest(domain, former, at(2910));
+        CHECK(table.servable(group, at(2910)));
+        table.apply_digest(domain, digest_at(plan, 3000), at(3010));
+        CHECK(table.servable(group, at(5500)));
+        former.sent_ms += 3000;
+        table.apply_digest(domain, former, at(6100));
+        CHECK_FALSE(table.servable(group, at(6100)));
+    }
     SECTION("a digest that was held back or repeated is no fresh evidence")
     {
         table.apply_digest(domain, digest_at(plan, 2000), at(9000));
