Close gaps that mutants of the decision modules showed

Cause: with a check removed, five mutants passed all tests: doubled asks granted again, own losses explaining each other, earlier losses' domains not avoided, late cache additions applied, the cache kept over a restart. Change: a section for each of the first four. The cache property looks at a random block instead of the one just reported, and a restart is told by the number alone. The loops of the retry test are bounded; with the check removed, they did not end.

--- a/tests/decision/crash_attribution_test.cpp
+++ b/tests/decision/crash_attribution_test.cpp
@@ -386,6 +386,23 @@
             CHECK(daemon.check(print, now) == crash_verdict::blocked);
             CHECK(other.check(print, now + limits::block_lifetime) == crash_verdict::run);
         }
+        SECTION("which losing a second group of the same failure domain does not excuse")
+        {
+            daemon.begin(2, print, make_run("g2", "d1"), true);
+            daemon.group_lost(make_run("g2", "d1"), now, now);
+            now += seconds(4);
+            daemon.poll(now);
+            CHECK(daemon.check(print, now) == crash_verdict::blocked);
+        }
+        SECTION("which avoids the failure domains of all its losses")
+        {
+            daemon.begin(2, print, make_run("g2", "d2"), true);
+            daemon.group_lost(make_run("g2", "d2"), now, now);
+            now += limits::classification_delay;
+            const auto second = daemon.poll(now);
+            const std::vector<failure_domain_id> both{failure_domain_id("d1"), failure_domain_id("d2")};
+            CHECK(second.classified.at(0).avoid_domains == both);
+        }
         SECTION("which a late report of another loss in the failure domain clears")
         {
             daemon.group_lost(make_run("g3", "d1"), now + milliseconds(900), now + seconds(1));
--- a/tests/decision/prefix_cache_test.cpp
+++ b/tests/decision/prefix_cache_test.cpp
@@ -48,6 +48,10 @@
                 if (what == 3) {
                     event.incarnation = ++incarnation;
                     event.sequence = sequence = 1;
+                    event.kind = prefix_event_kind::stored; // nothing but the number tells of the restart
+                    event.blocks = {block};
+                    truth = {block};
+                    stored.insert(block);
                     delayed.clear();
                 }
             }
@@ -71,14 +75,32 @@
                 delayed.pop_front();
             }
             cache.update(other, event, now);
-            const auto expected = cache.expected_blocks(group, {block}, now);
+            const auto probe = static_cast<prefix_block>(1 + random.below(39));
+            const auto expected = cache.expected_blocks(group, {probe}, now);
             RC_ASSERT(expected >= 0);
             RC_ASSERT(expected <= 1);
-            RC_ASSERT(expected == 0 || stored.count(block) == 1);
-            RC_ASSERT(lost || expected == 0 || truth.count(block) == 1);
+            RC_ASSERT(expected == 0 || stored.count(probe) == 1);
+            RC_ASSERT(lost || expected == 0 || truth.count(probe) == 1);
             RC_ASSERT(cache.expected_blocks(other, {block}, now) == 0);
             RC_ASSERT(cache.memory() <= 16U * 16U);
         }
     });
     CHECK(held);
 }
+
+TEST_CASE("a late event may remove blocks but not add them", "[prefix_cache]")
+{
+    // Guards against routing by a block that was stored, evicted, and reported in the wrong order.
+    prefix_cache cache;
+    const group_id group("g");
+    const time_point now{seconds(1000)};
+    cache.update(group, {1, 1, prefix_event_kind::stored, {5}}, now);
+    cache.update(group, {1, 4, prefix_event_kind::stored, {6}}, now);
+    cache.update(group, {1, 3, prefix_event_kind::stored, {7}}, now);
+    cache.update(group, {1, 2, prefix_event_kind::evicted, {5}}, now);
+    CHECK(cache.expected_blocks(group, {5}, now) == 0);
+    CHECK(cache.expected_blocks(group, {7}, now) == 0);
+    CHECK(cache.expected_blocks(group, {6, 7}, now) == 1);
+    CHECK(cache.stats().stale == 2);
+    CHECK(cache.stats().gaps == 1);
+}
--- a/tests/decision/ramp_test.cpp
+++ b/tests/decision/ramp_test.cpp
@@ -292,6 +292,15 @@
         holder.observe(target, 7, 0, now);
         CHECK(ask(5).count == 2);
         CHECK(ask(1).count == 0);
+        SECTION("a doubled ask gets the same answer and no further slot")
+        {
+            holder.update_target(group_id("h"), 7, ramp, now);
+            holder.observe(group_id("h"), 7, 0, now);
+            const slot_ask request{99, group_id("h"), 7, slot_kind::ramp, 1};
+            CHECK(holder.grant(asker, request, now).count == 1);
+            CHECK(holder.grant(asker, request, now).count == 1);
+            CHECK(holder.grant(asker, {100, group_id("h"), 7, slot_kind::ramp, 5}, now).count == 1);
+        }
         SECTION("success over a step doubles the limit, up to warm")
         {
             for (const std::uint32_t limit : {4U, 8U, 16U}) {
--- a/tests/decision/retry_budget_test.cpp
+++ b/tests/decision/retry_budget_test.cpp
@@ -9,6 +9,20 @@
 
 using namespace rml;
 
+namespace {
+
+/// Retries until refused, at most 1000 times.
+int spend(retry_budget& budget, time_point now)
+{
+    int allowed = 0;
+    while (allowed < 1000 && budget.try_retry(now)) {
+        ++allowed;
+    }
+    return allowed;
+}
+
+} // namespace
+
 TEST_CASE("retries stay within the share of first tries plus the minimum", "[retry_budget]")
 {
     // Guards against a retry storm: counts every window of the history exactly instead of in buckets.
@@ -50,10 +64,7 @@
     time_point now{seconds(1000)};
     SECTION("an idle daemon has the minimum")
     {
-        int allowed = 0;
-        while (budget.try_retry(now)) {
-            ++allowed;
-        }
+        const auto allowed = spend(budget, now);
         CHECK(allowed == 10);
         CHECK(budget.stats().refused == 1);
         CHECK(budget.try_retry(now + seconds(11)));
@@ -63,10 +74,7 @@
         for (int i = 0; i < 1000; ++i) {
             budget.record_first_try(now);
         }
-        int allowed = 0;
-        while (budget.try_retry(now)) {
-            ++allowed;
-        }
+        const auto allowed = spend(budget, now);
         CHECK(allowed == 100);
     }
 }
