Check the head again before replacing an unfinished set document

Cause: the race test found a published set that was replaced ("set of generation 3 replaced", 10 schedules per run of the property). A publisher that paused between its fence and its read of the set could read the set of a later fence, which was then published, and overwrite it. Ruled out: a fault of the test's late writes; the sequence needs only two publishers that take over one place. Change: the head is read after the set, and the place is taken over only while the head still shows the own fence.

--- a/src/operator/publisher.cpp
+++ b/src/operator/publisher.cpp
@@ -230,11 +230,20 @@
     if (!this->fence(base, attempt_id, report)) {
         return false;
     }
-    // Read after the fence: whoever wrote the value before it can no longer swap the head.
+    // The head is read again after the set: while it still shows this fence, the set was written under an
+    // older one, and its writer can no longer swap the head. Otherwise the set may belong to a later fence.
     const auto found = this->get(key);
-    if (failed(found) || !value(found)) {
+    const auto now = this->read_head();
+    if (failed(found) || !value(found) || failed(now)) {
         end(report, publish_outcome::not_published,
-            failed(found) ? error(found) : failure{failure_kind::not_found, key});
+            failed(found) ? error(found)
+            : failed(now) ? error(now)
+                          : failure{failure_kind::not_found, key});
+        return false;
+    }
+    if (value(now).revision != base.revision) {
+        report.generation = value(now).head.generation;
+        end(report, publish_outcome::conflict, {failure_kind::conflict, "another publication came first"});
         return false;
     }
     failure reason;
--- a/tests/objects/object_generator.hpp
+++ b/tests/objects/object_generator.hpp
@@ -75,6 +75,32 @@
     return set;
 }
 
+/// A small valid set: two failure domains with four engines each and one pool.
+inline object_set small_set()
+{
+    object_set set;
+    set.regions.push_back({region_id("region")});
+    set.models.push_back({model_id("model"), "v1", 80, 4});
+    for (int d = 0; d < 2; ++d) {
+        const failure_domain_id domain(numbered("domain-", d));
+        const fabric_domain_id fabric(numbered("fabric-", d));
+        set.failure_domains.push_back({domain, region_id("region"), service_state::in_service});
+        set.fabric_domains.push_back({fabric, domain, {}});
+        for (int e = 0; e < 4; ++e) {
+            const auto number = static_cast<std::uint16_t>(10 * d + e + 1);
+            set.engines.push_back(
+                {instance_id(numbered("instance-", number)), endpoint{"127.0.0.1", number}, fabric, 8, true});
+        }
+    }
+    model_pool_object pool;
+    pool.name = model_pool_id("pool");
+    pool.model = model_id("model");
+    pool.failure_domains = {failure_domain_id("domain-0"), failure_domain_id("domain-1")};
+    set.pools.push_back(pool);
+    set.accounts.push_back({account_id("account"), std::string(64, 'a'), 1, 10, {model_pool_id("pool")}, {}});
+    return set;
+}
+
 /// Replaces, removes or inserts up to four bytes.
 inline std::string mutate(std::string text)
 {
