--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -142,7 +142,7 @@
 domain_a_requests() {
     local sum=0 value
     for address in $(sed -n 's/^listening \([0-9.:]*\).*/\1/p' "$work/engines-a.out"); do
-        value=$(curl -s "http://$address/stats" | grep -o '"requests":[0-9]*' | head -1 | cut -d: -f2)
+        value=$(curl -s "http://$address/stats" | grep -o '"started":[0-9]*' | head -1 | cut -d: -f2)
         sum=$((sum + ${value:-0}))
     done
     echo "$sum"
--- /dev/null
+++ b/tests/process/groups_test.cpp
@@ -0,0 +1,177 @@
+#include "process/site.hpp"
+#include "process/traffic.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace rml;
+using namespace rml::test;
+
+namespace {
+
+std::uint64_t sum_of(const site& place, const char* field, std::size_t per_domain)
+{
+    std::uint64_t sum = 0;
+    for (std::size_t domain = 0; domain < 2; ++domain) {
+        for (std::size_t i = 0; i < per_domain; ++i) {
+            sum += site::stats(place.engine_address(domain, i)).value(field, std::uint64_t{0});
+        }
+    }
+    return sum;
+}
+
+/// Index of the daemon that holds the duty of the domain, by the view of daemon `by`.
+std::size_t holder_of(const site& place, const std::string& domain, std::size_t by)
+{
+    for (const auto& entry : place.status(by).at("domains")) {
+        if (entry.at("name") == domain) {
+            const auto holder = entry.at("holder").get<std::string>();
+            return static_cast<std::size_t>(std::stoul(holder.substr(holder.rfind('-') + 1)));
+        }
+    }
+    return 0;
+}
+
+/// Daemons other than `excluded`.
+std::vector<std::size_t> others(std::size_t excluded)
+{
+    std::vector<std::size_t> rest;
+    for (std::size_t i = 0; i < 3; ++i) {
+        if (i != excluded) {
+            rest.push_back(i);
+        }
+    }
+    return rest;
+}
+
+} // namespace
+
+TEST_CASE("a group with a missing member does not serve and is repaired with a spare", "[process][groups]")
+{
+    // Guards invariant 1: no group serves while a member is missing.
+    site_options options;
+    options.engines_per_domain = 5; // two groups of two and a spare
+    site place(options);
+    REQUIRE(place.publish() == 0);
+    REQUIRE(place.wait_servable(0, 4));
+    REQUIRE(place.wait_servable(2, 4));
+
+    SECTION("a member goes down under load")
+    {
+        traffic load(place, {0, 1, 2}, 6, 12);
+        REQUIRE(site::wait_until([&] { return load.current().whole > 40; }));
+        site::set_faults(place.engine_address(0, 0), {{"down", true}});
+        const auto before = load.current().whole;
+        REQUIRE(site::wait_until([&] { return load.current().whole > before + 100; }));
+        CHECK(place.wait_servable(1, 4));
+        const auto counts = load.stop();
+        INFO(describe(counts));
+        CHECK(counts.wrong == 0);
+        CHECK(sum_of(place, "started_with_missing_member", 5) == 0);
+
+        SECTION("and a spare comes back as a new incarnation")
+        {
+            site::set_faults(place.engine_address(0, 0), {{"down", false}});
+            CHECK(place.wait_servable(0, 4));
+            CHECK(sum_of(place, "started_with_missing_member", 5) == 0);
+        }
+    }
+    SECTION("a member goes down together with the holder of the duty")
+    {
+        const auto holder = holder_of(place, "d0", 0);
+        const auto rest = others(holder);
+        traffic load(place, rest, 4, 12);
+        REQUIRE(site::wait_until([&] { return load.current().whole > 20; }));
+        site::set_faults(place.engine_address(0, 1), {{"down", true}});
+        place.daemon(holder).kill_now();
+        CHECK(site::wait_until([&] { return place.servable_groups(rest.front()) == 4; }));
+        const auto counts = load.stop();
+        INFO(describe(counts));
+        CHECK(counts.wrong == 0);
+        CHECK(sum_of(place, "started_with_missing_member", 5) == 0);
+    }
+    SECTION("the holder of the duty is frozen past its lease while another one takes over")
+    {
+        const auto holder = holder_of(place, "d0", 0);
+        const auto rest = others(holder);
+        place.daemon(holder).freeze();
+        CHECK(site::wait_until([&] { return holder_of(place, "d0", rest.front()) != holder; }));
+        site::set_faults(place.engine_address(0, 2), {{"down", true}});
+        CHECK(site::wait_until([&] { return place.servable_groups(rest.front()) == 4; }));
+        place.daemon(holder).resume();
+        traffic load(place, {0, 1, 2}, 6, 8);
+        REQUIRE(site::wait_until([&] { return load.current().whole > 100; }));
+        const auto counts = load.stop();
+        INFO(describe(counts));
+        CHECK(counts.wrong == 0);
+        CHECK(sum_of(place, "started_with_missing_member", 5) == 0);
+    }
+}
+
+TEST_CASE("a target in cold start is never overloaded", "[process][cold]")
+{
+    // Guards invariant 3. A stand-in engine falls over and restarts when it runs more than two requests while
+    // cold.
+    site_options options;
+    options.engine_arguments = {"--warm-step-ms=1500", "--cold-slots=2"};
+    site place(options);
+    REQUIRE(place.publish() == 0);
+    REQUIRE(place.wait_servable(0, 4));
+
+    traffic load(place, {0, 1, 2}, 12, 8);
+    REQUIRE(site::wait_until([&] { return load.current().whole > 60; }));
+    SECTION("at first start")
+    {
+        const auto counts = load.stop();
+        INFO(describe(counts));
+        CHECK(counts.wrong == 0);
+        CHECK(sum_of(place, "overloads_while_cold", 4) == 0);
+    }
+    SECTION("after an engine restarts without warning")
+    {
+        site::set_faults(place.engine_address(0, 0), {{"restart", true}});
+        site::set_faults(place.engine_address(1, 0), {{"restart", true}});
+        const auto before = load.current().whole;
+        REQUIRE(site::wait_until([&] { return load.current().whole > before + 150; }));
+        const auto counts = load.stop();
+        INFO(describe(counts));
+        CHECK(counts.wrong == 0);
+        CHECK(sum_of(place, "overloads_while_cold", 4) == 0);
+    }
+}
+
+TEST_CASE("an engine that is leaving receives no new work", "[process][leaving]")
+{
+    // Guards invariant 8, although the instance list is read only every two seconds.
+    site_options options;
+    options.engines_per_domain = 5;
+    site place(options);
+    REQUIRE(place.publish() == 0);
+    REQUIRE(place.wait_servable(0, 4));
+    const auto leader = [&]() -> std::string {
+        for (std::size_t i = 0; i < 5; ++i) {
+            const auto answer =
+                http::call(place.engine_address(0, i), {"GET", "/status", {}, ""}, milliseconds(2000));
+            const auto document = nlohmann::json::parse(value(answer).body);
+            if (document.at("rank") == 0 && document.at("group") != "") {
+                return document.at("instance");
+            }
+        }
+        return "";
+    }();
+    REQUIRE_FALSE(leader.empty());
+    const auto number = static_cast<std::size_t>(std::stoul(leader.substr(leader.rfind('e') + 1)));
+    place.write_instances({leader});
+    REQUIRE(site::wait_until([&] {
+        const auto answer =
+            http::call(place.engine_address(0, number), {"GET", "/status", {}, ""}, milliseconds(2000));
+        return nlohmann::json::parse(value(answer).body).at("group") == "";
+    }));
+    REQUIRE(place.wait_servable(0, 4));
+    const auto before = site::stats(place.engine_address(0, number)).at("started").get<std::uint64_t>();
+    traffic load(place, {0, 1, 2}, 4, 6);
+    REQUIRE(site::wait_until([&] { return load.current().whole > 60; }));
+    const auto counts = load.stop();
+    INFO(describe(counts));
+    CHECK(counts.wrong == 0);
+    CHECK(site::stats(place.engine_address(0, number)).at("started").get<std::uint64_t>() == before);
+}
