Weigh load reports by their age when groups are compared

All daemons favour the same groups for a whole report interval, in which twice the usual work reaches them. Change: each sampled group gets a random addition up to twice the age of its report. A wait changes by about its age in either direction, so smaller differences say nothing. Far groups are chosen only for a difference above the age of the report, since the addition would otherwise outweigh the distance. Exponential discounting of the reported wait does not change the order of reports of one age. Test changed: the affinity section compared with a group that had never reported, whose age now counts as 5 s; it reports both groups now.

--- a/src/decision/routing.cpp
+++ b/src/decision/routing.cpp
@@ -17,6 +17,8 @@
 constexpr double latency_gain = 0.1;
 /// A straggler's penalty halves in this time without new requests, so that it is tried again.
 constexpr seconds straggler_half_life{10};
+/// Reports older than this count as this old: nothing is known of the group then.
+constexpr seconds longest_report_age{5};
 /// Bounds the memory for requests sent since the last report.
 constexpr std::size_t max_sent = 1024;
 
@@ -92,15 +94,15 @@
 
 void routing::rebuild_near()
 {
-    auto nearest = microseconds::max();
+    this->nearest = microseconds::max();
     for (const auto& candidate : this->entries) {
-        nearest = std::min(nearest, candidate.group.distance);
+        this->nearest = std::min(this->nearest, candidate.group.distance);
     }
     this->all.clear();
     this->near.clear();
     for (std::size_t i = 0; i < this->entries.size(); ++i) {
         this->all.push_back(i);
-        if (this->entries[i].group.distance <= nearest + this->settings.near_band) {
+        if (this->is_near(this->entries[i])) {
             this->near.push_back(i);
         }
     }
@@ -170,6 +172,37 @@
     return this->score_of(this->entries[known->second], request, cache, now);
 }
 
+microseconds routing::report_age(const entry& candidate, time_point now)
+{
+    const auto age = std::clamp<duration>(now - candidate.reported, duration::zero(), longest_report_age);
+    return std::chrono::duration_cast<microseconds>(age);
+}
+
+routing::scored routing::best_of(const std::vector<std::size_t>& found, bool near_tier,
+                                 const route_request& request, const prefix_cache& cache, time_point now,
+                                 std::uint64_t& state) const
+{
+    scored best;
+    microseconds lowest{0};
+    for (const auto position : found) {
+        const auto& candidate = this->entries[position];
+        if (this->is_near(candidate) != near_tier) {
+            continue;
+        }
+        const auto score = this->score_of(candidate, request, cache, now);
+        // While a report ages, the wait can fall by its age, and rise by as much when many daemons choose the
+        // group. Differences below that say little, and following them makes all daemons swing together.
+        const auto width = 2 * report_age(candidate, now).count();
+        const auto noise = width > 0 ? next_random(state) % static_cast<std::uint64_t>(width) : 0;
+        const auto compared = score + microseconds(noise);
+        if (best.candidate == nullptr || compared < lowest) {
+            best = {&candidate, score};
+            lowest = compared;
+        }
+    }
+    return best;
+}
+
 void routing::sample(const std::vector<std::size_t>& from, const route_request& request, std::uint64_t& state,
                      std::vector<std::size_t>& found) const
 {
@@ -238,30 +271,28 @@
         ++this->counts.none;
         return failure{failure_kind::unavailable, "no usable group in the pool"};
     }
-    const entry* best = nullptr;
-    microseconds best_score{0};
-    for (const auto position : found) {
-        const auto& candidate = this->entries[position];
-        const auto value = this->score_of(candidate, request, cache, now);
-        if (best == nullptr || value < best_score) {
-            best = &candidate;
-            best_score = value;
-        }
+    auto best = this->best_of(found, true, request, cache, now, state);
+    const auto far = this->best_of(found, false, request, cache, now, state);
+    // Work leaves the near groups only for a difference that outlives the report.
+    if (best.candidate == nullptr ||
+        (far.candidate != nullptr && far.score + report_age(*far.candidate, now) < best.score)) {
+        best = far;
     }
     if (!request.prefix.empty()) {
         const auto* affine = this->preferred(request);
-        if (affine != nullptr && affine != best) {
-            const auto value = this->score_of(*affine, request, cache, now);
-            if (value <= best_score + this->settings.affinity_slack) {
-                best = affine;
-                best_score = value;
+        if (affine != nullptr && affine != best.candidate) {
+            const auto score = this->score_of(*affine, request, cache, now);
+            if (score <= best.score + this->settings.affinity_slack) {
+                best = {affine, score};
                 ++this->counts.preferred;
             }
         }
     }
+    const auto& group = best.candidate->group;
     ++this->counts.chosen;
-    this->counts.chosen_cold += best->group.cold ? 1 : 0;
-    return route{best->group.id, best_score, best->group.cold, now};
+    this->counts.chosen_cold += group.cold ? 1 : 0;
+    this->counts.chosen_far += this->is_near(*best.candidate) ? 0 : 1;
+    return route{group.id, best.score, group.cold, now};
 }
 
 void routing::begin(const route& chosen)
--- a/src/decision/routing.hpp
+++ b/src/decision/routing.hpp
@@ -16,7 +16,9 @@
 namespace rml {
 
 /// One byte of load in a digest: the expected wait of a new request at the group, logarithmic in 1/16 octaves
-/// from 1 ms to 55 s (so off by at most 4.5%); 0 is no wait, 255 stands for anything longer.
+/// from 1 ms to 59 s (so off by at most 4.5%); 0 is no wait, 255 stands for anything longer. The wait is
+/// (running + queued) * service_time / full_slots, the measure that `routing` uses for its own requests too.
+/// It tells groups apart before they queue.
 std::uint8_t encode_load(microseconds expected_wait);
 microseconds decode_load(std::uint8_t load);
 
@@ -64,6 +66,7 @@
 {
     std::uint64_t chosen{0};
     std::uint64_t chosen_cold{0};
+    std::uint64_t chosen_far{0};
     std::uint64_t preferred{0}; ///< chosen for prefix affinity over the best sampled group
     std::uint64_t scans{0};     ///< choices in which sampling found too few usable groups
     std::uint64_t none{0};      ///< no usable group
@@ -111,6 +114,20 @@
     bool usable(const entry& candidate, const route_request& request, bool avoid) const;
     microseconds score_of(const entry& candidate, const route_request& request, const prefix_cache& cache,
                           time_point now) const;
+    struct scored
+    {
+        const entry* candidate{nullptr};
+        microseconds score{0};
+    };
+
+    bool is_near(const entry& candidate) const
+    {
+        return candidate.group.distance <= this->nearest + this->settings.near_band;
+    }
+    static microseconds report_age(const entry& candidate, time_point now);
+    /// Best of the found groups of one tier, with a random part as wide as the reports are old.
+    scored best_of(const std::vector<std::size_t>& found, bool near_tier, const route_request& request,
+                   const prefix_cache& cache, time_point now, std::uint64_t& state) const;
     microseconds straggler_penalty(const entry& candidate, time_point now) const;
     void sample(const std::vector<std::size_t>& from, const route_request& request, std::uint64_t& state,
                 std::vector<std::size_t>& found) const;
@@ -122,6 +139,7 @@
     routing_settings settings;
     std::vector<entry> entries;
     std::unordered_map<group_id, std::size_t> positions;
+    microseconds nearest{0};
     std::vector<std::size_t> all;
     std::vector<std::size_t> near; ///< groups within `near_band` of the nearest one
     double pool_latency_us{0};
--- a/tests/decision/routing_test.cpp
+++ b/tests/decision/routing_test.cpp
@@ -144,6 +144,8 @@
         {
             router.update_load(make_id(0), 0, start + seconds(1));
             CHECK(score(0, start) == idle);
+            router.update_load(make_id(0), 200, start);
+            CHECK(score(0, start) == idle);
         }
         SECTION("an ended request no longer counts")
         {
@@ -177,6 +179,8 @@
             request.random = i;
             CHECK(value(router.choose(request, cache, start)).group == favourite);
         }
+        router.update_load(make_id(0), 0, start);
+        router.update_load(make_id(1), 0, start);
         router.update_load(favourite, encode_load(milliseconds(300)), start);
         CHECK(value(router.choose(request, cache, start)).group != favourite);
     }
@@ -190,6 +194,25 @@
         request.tried = {make_id(1)};
         CHECK(value(router.choose(request, cache, start)).group == make_id(0));
     }
+    SECTION("work goes far only for a difference larger than the age of the reports")
+    {
+        auto far = make_group(2);
+        far.distance = milliseconds(30);
+        router.update_group(far);
+        router.update_load(make_id(0), encode_load(milliseconds(2500)), start);
+        router.update_load(make_id(1), encode_load(milliseconds(2500)), start);
+        router.update_load(make_id(2), 0, start);
+        for (std::uint64_t i = 0; i < 20; ++i) {
+            request.random = i * 0x9e3779b97f4a7c15U;
+            CHECK(value(router.choose(request, cache, start + seconds(3))).group != make_id(2));
+        }
+        CHECK(router.stats().chosen_far == 0);
+        for (std::uint64_t i = 0; i < 20; ++i) {
+            request.random = i * 0x9e3779b97f4a7c15U;
+            router.choose(request, cache, start + seconds(1));
+        }
+        CHECK(router.stats().chosen_far > 10);
+    }
     SECTION("the load byte is off by at most 4.5%")
     {
         for (std::int64_t us = 1000; us < 55000000; us += us / 7) {
