Cut daemons off in the slot and quota properties

Cause: losses of single messages do not show what a partition does: grants and releases missing for longer than a lifetime. Change: a daemon's messages are lost both ways for 80 steps at random times. Histories with steps of 1 s are twice as long, since a holder gives no trials in its first 123 s.

--- a/tests/decision/quota_test.cpp
+++ b/tests/decision/quota_test.cpp
@@ -80,6 +80,9 @@
     void send(std::variant<quota_ask, quota_grant> content, std::size_t daemon, std::size_t owner,
               bool faults)
     {
+        if (this->now < this->cut_until[daemon]) {
+            return;
+        }
         const auto copies = faults ? this->random.pick({1, 1, 1, 1, 0, 2}) : 1;
         for (int i = 0; i < copies; ++i) {
             const auto delay = faults ? this->random.pick({0, 0, 0, 1, 2, 10, 25, 60}) : 0;
@@ -125,6 +128,9 @@
         if (faults && this->random.one_in(100)) {
             this->resumes[d] = this->now + step * static_cast<int>(this->random.below(80));
         }
+        if (faults && this->random.one_in(200)) {
+            this->cut_until[d] = this->now + step * 80; // a partition: messages are lost both ways
+        }
         if (faults && this->random.one_in(50)) {
             this->demand[d] = static_cast<double>(this->random.below(80));
         }
@@ -152,6 +158,7 @@
     std::vector<double> demand;
     double credit[daemon_count]{};
     time_point resumes[daemon_count]{};
+    time_point cut_until[daemon_count]{};
     time_point lease_end[regions]{};
     std::size_t owner_of[regions]{};
     bool renews[regions]{};
--- a/tests/decision/ramp_test.cpp
+++ b/tests/decision/ramp_test.cpp
@@ -78,6 +78,9 @@
 
     void send(const message& content, std::size_t daemon, std::size_t holder)
     {
+        if (this->now < this->cut_until[daemon]) {
+            return;
+        }
         const auto copies = this->random.pick({1, 1, 1, 1, 1, 1, 0, 2});
         for (int i = 0; i < copies; ++i) {
             const auto delay = this->random.pick({0, 0, 0, 0, 0, 0, 1, 1, 2, 3, 30, 100});
@@ -118,6 +121,9 @@
             this->daemon_resumes[this->random.below(daemon_count)] =
                 this->now + this->step * static_cast<int>(this->random.below(120));
         }
+        if (this->random.one_in(60)) {
+            this->cut_until[this->random.below(daemon_count)] = this->now + this->step * 80;
+        }
         if (this->random.one_in(150)) {
             ++this->incarnation;
             for (auto& entry : this->requests) {
@@ -229,6 +235,7 @@
     std::map<std::uint64_t, std::pair<std::size_t, int>> granted_by; ///< holder and session, by ask
     int session{0};
     time_point daemon_resumes[daemon_count]{};
+    time_point cut_until[daemon_count]{}; ///< in a partition, messages are lost both ways
     time_point lease_end{};
     std::size_t owner{0};
     bool owner_renews{true};
@@ -249,7 +256,7 @@
         std::size_t trials = 0;
         const bool held = rc::check("sum of requests at the target", [&] {
             fleet system(width);
-            for (int i = 0; i < 1000; ++i) {
+            for (int i = 0; i < (width < seconds(1) ? 1000 : 2000); ++i) {
                 system.advance();
             }
             starts += system.started();
