Follow targets that become cold without a restart

Cause: targets can become cold without a new incarnation; only the figure of what they can bear tells it. A use that its caller cancelled counted as a failure of the target and restarted the ramp step. Change: slot_holder::observe() takes what the target says it can bear. It caps the limit, and a warm target that bears less than its full slots starts cold again, once no daemon can take it for warm any more. A warm answer at slot_client lasts one slot lifetime; then the digest decides. slot_client::cancel() ends a use without a verdict. Ruled out: an explicit message that revokes warm answers; it can be lost.

--- a/src/decision/ramp.cpp
+++ b/src/decision/ramp.cpp
@@ -89,14 +89,42 @@
     return &this->runs.at({target, incarnation});
 }
 
+std::uint32_t slot_holder::run::limit() const
+{
+    return this->bearable == 0 ? this->slots : std::min(this->slots, this->bearable);
+}
+
+void slot_holder::run::restart_ramp(time_point seen)
+{
+    this->is_warm = false;
+    this->slots = std::min(this->ramp.start_slots, this->ramp.full_slots);
+    this->step_start = seen;
+    // Until then daemons may send without slots, by an older digest or answer.
+    this->status_known = false;
+    this->status_after =
+        seen + std::max(limits::slot_lifetime, limits::evidence_lifetime) + limits::slot_dispatch_margin;
+}
+
 void slot_holder::observe(const group_id& target, std::uint64_t incarnation, std::uint32_t requests,
-                          time_point sent)
+                          time_point sent, std::uint32_t bearable)
 {
     auto* state = this->find_current(target, incarnation);
-    if (state == nullptr || state->is_warm || sent < state->status_after ||
+    if (state == nullptr || sent < state->status_after ||
         (state->status_known && sent == state->status_after)) {
         return;
     }
+    state->bearable = bearable;
+    if (state->is_warm) {
+        if (!state->bears_all()) {
+            state->restart_ramp(sent);
+            ++this->counts.restarts;
+        }
+        return;
+    }
+    if (state->slots >= state->ramp.full_slots && state->bears_all()) {
+        state->finish_ramp();
+        return;
+    }
     // A reordered older status may have been taken before requests that are counted as unassigned started.
     state->status_after = sent;
     if (!state->status_known) {
@@ -142,10 +170,10 @@
     if (state.is_warm) {
         return kind == slot_kind::trial ? 1 : 0;
     }
-    if (!state.status_known || used >= state.slots) {
+    if (!state.status_known || used >= state.limit()) {
         return 0;
     }
-    return kind == slot_kind::trial ? 1 : state.slots - used;
+    return kind == slot_kind::trial ? 1 : state.limit() - used;
 }
 
 slot_grant slot_holder::grant(const daemon_id& asker, const slot_ask& ask, time_point now)
@@ -215,7 +243,8 @@
         state.slots = state.slots >= state.ramp.full_slots / 2 ? state.ramp.full_slots : state.slots * 2;
         state.step_start = now;
         ++this->counts.doublings;
-        if (state.slots >= state.ramp.full_slots) {
+        if (state.slots >= state.ramp.full_slots && state.bears_all()) {
+            state.status_after = std::max(state.status_after, now);
             state.finish_ramp();
         }
     }
@@ -224,7 +253,7 @@
 std::uint32_t slot_holder::limit(const group_id& target) const
 {
     const auto known = this->current.find(target);
-    return known == this->current.end() ? 0 : this->runs.at({target, known->second}).slots;
+    return known == this->current.end() ? 0 : this->runs.at({target, known->second}).limit();
 }
 
 bool slot_holder::warm(const group_id& target, std::uint64_t incarnation) const
@@ -270,7 +299,8 @@
     }
     auto& entry = found->second;
     if (answer.warm) {
-        this->warm_runs[entry.request.target] = entry.request.incarnation;
+        this->warm_runs[entry.request.target] = {entry.request.incarnation,
+                                                 entry.sent + limits::slot_lifetime};
     }
     entry.answered = true;
     entry.expires = entry.sent + std::min(answer.ttl, limits::slot_lifetime);
@@ -309,7 +339,7 @@
     return sum;
 }
 
-slot_release slot_client::release(const slot_use& use, bool succeeded)
+slot_release slot_client::end_use(const slot_use& use, std::uint32_t succeeded, std::uint32_t failed)
 {
     const auto found = this->holdings.find(use.ask);
     if (found == this->holdings.end() || found->second.in_use == 0) {
@@ -318,7 +348,8 @@
     auto& entry = found->second;
     --entry.in_use;
     ++entry.totals.released;
-    ++(succeeded ? entry.totals.succeeded : entry.totals.failed);
+    entry.totals.succeeded += succeeded;
+    entry.totals.failed += failed;
     auto report = entry.totals;
     if (entry.in_use == 0 && entry.unused == 0) {
         this->holdings.erase(found);
@@ -326,6 +357,16 @@
     return report;
 }
 
+slot_release slot_client::release(const slot_use& use, bool ended_well)
+{
+    return this->end_use(use, ended_well ? 1 : 0, ended_well ? 0 : 1);
+}
+
+slot_release slot_client::cancel(const slot_use& use)
+{
+    return this->end_use(use, 0, 0);
+}
+
 std::vector<slot_release> slot_client::expire(time_point now)
 {
     std::vector<slot_release> reports;
@@ -340,6 +381,9 @@
         const bool ended = held.in_use == 0 && held.unused == 0 && (held.answered || now >= held.expires);
         entry = ended ? this->holdings.erase(entry) : std::next(entry);
     }
+    for (auto answer = this->warm_runs.begin(); answer != this->warm_runs.end();) {
+        answer = now >= answer->second.until ? this->warm_runs.erase(answer) : std::next(answer);
+    }
     return reports;
 }
 
@@ -353,7 +397,7 @@
         }
     }
     if (const auto known = this->warm_runs.find(target);
-        known != this->warm_runs.end() && known->second != incarnation) {
+        known != this->warm_runs.end() && known->second.incarnation != incarnation) {
         this->warm_runs.erase(known);
     }
 }
@@ -361,7 +405,7 @@
 bool slot_client::warm(const group_id& target, std::uint64_t incarnation) const
 {
     const auto found = this->warm_runs.find(target);
-    return found != this->warm_runs.end() && found->second == incarnation;
+    return found != this->warm_runs.end() && found->second.incarnation == incarnation;
 }
 
 } // namespace rml
--- a/src/decision/ramp.hpp
+++ b/src/decision/ramp.hpp
@@ -80,6 +80,7 @@
     std::uint64_t refused_full{0};       ///< asks at the limit, or before the target's status is known
     std::uint64_t expired_unreleased{0}; ///< slots that ended by the target's status instead of a release
     std::uint64_t doublings{0};
+    std::uint64_t restarts{0}; ///< warm targets that became cold without a new incarnation
 };
 
 /// The duty holder's side.
@@ -103,8 +104,12 @@
     void mark_warm(const group_id& target, std::uint64_t incarnation);
 
     /// Takes the target's own count of requests (running and queued). `sent` is when this process sent the
-    /// status request, which bounds the age of the answer from above.
-    void observe(const group_id& target, std::uint64_t incarnation, std::uint32_t requests, time_point sent);
+    /// status request, which bounds the age of the answer from above. `bearable` is what the target says it
+    /// can bear now, 0 if it does not say or the figure is saturated; it caps the limit. A warm target that
+    /// bears less than its full slots starts cold again, after the time in which daemons may still take it
+    /// for warm.
+    void observe(const group_id& target, std::uint64_t incarnation, std::uint32_t requests, time_point sent,
+                 std::uint32_t bearable = 0);
 
     slot_grant grant(const daemon_id& asker, const slot_ask& ask, time_point now);
     void release(const daemon_id& asker, const slot_release& report, time_point now);
@@ -130,6 +135,7 @@
     {
         ramp_settings ramp;
         std::uint32_t slots{0};
+        std::uint32_t bearable{0}; ///< as the target last said, 0: nothing
         bool is_warm{false};
         time_point step_start{};
         time_point status_after{};   ///< a status asked for before may miss requests
@@ -139,7 +145,10 @@
         std::vector<outstanding> grants;
 
         bool ended(time_point now) const; ///< no request on a slot of this run can exist any more
+        std::uint32_t limit() const;
+        bool bears_all() const { return this->bearable == 0 || this->bearable >= this->ramp.full_slots; }
         void finish_ramp();
+        void restart_ramp(time_point seen);
     };
     using run_key = std::pair<group_id, std::uint64_t>;
 
@@ -200,14 +209,17 @@
 
     /// Ends a use. The returned message goes to the holder.
     slot_release release(const slot_use& use, bool succeeded);
+    /// Ends a use that says nothing about the target, such as one that its caller cancelled.
+    slot_release cancel(const slot_use& use);
 
-    /// Returns slots that expired unused and drops ended asks.
+    /// Returns slots that expired unused and drops ended asks and old answers about warm targets.
     std::vector<slot_release> expire(time_point now);
 
     /// Voids the unused slots of every other incarnation of the target.
     void update_incarnation(const group_id& target, std::uint64_t incarnation);
 
-    /// Whether a holder answered that this incarnation needs no slots.
+    /// Whether a holder answered within the last slot lifetime that this incarnation needs no slots. Later
+    /// the holder's digest tells it, also when the target has become cold again.
     bool warm(const group_id& target, std::uint64_t incarnation) const;
     const slot_client_stats& stats() const { return this->counts; }
 
@@ -223,9 +235,17 @@
         slot_release totals;
     };
 
+    struct warm_answer
+    {
+        std::uint64_t incarnation{0};
+        time_point until{};
+    };
+
+    slot_release end_use(const slot_use& use, std::uint32_t succeeded, std::uint32_t failed);
+
     std::uint64_t next_ask;
     std::map<std::uint64_t, holding> holdings; ///< by ask, so the oldest slots are used first
-    std::unordered_map<group_id, std::uint64_t> warm_runs;
+    std::unordered_map<group_id, warm_answer> warm_runs;
     slot_client_stats counts;
 };
 
--- a/tests/decision/ramp_test.cpp
+++ b/tests/decision/ramp_test.cpp
@@ -320,6 +320,35 @@
             }
             CHECK(ask(1).warm);
             CHECK(client.warm(target, 7));
+            SECTION("a warm target that bears less starts cold again")
+            {
+                now += seconds(1);
+                holder.observe(target, 7, 12, now, 3);
+                CHECK_FALSE(holder.warm(target, 7));
+                CHECK(ask(1).count == 0);
+                now += limits::slot_lifetime + limits::slot_dispatch_margin;
+                client.expire(now);
+                CHECK_FALSE(client.warm(target, 7));
+                holder.observe(target, 7, 1, now, 3);
+                CHECK(ask(5).count == 1);
+            }
+        }
+        SECTION("a target that bears fewer requests than the ramp allows is given fewer")
+        {
+            holder.release(asker, client.cancel(*client.acquire(target, 7, slot_kind::ramp, now)), now);
+            now += milliseconds(1);
+            holder.observe(target, 7, 1, now, 1);
+            CHECK(ask(1).count == 0);
+            CHECK(holder.limit(target) == 1);
+        }
+        SECTION("a cancelled request frees its slot and counts neither way")
+        {
+            now += ramp.ramp_step / 2;
+            holder.release(asker, client.cancel(*client.acquire(target, 7, slot_kind::ramp, now)), now);
+            now += ramp.ramp_step / 2;
+            holder.release(asker, client.release(*client.acquire(target, 7, slot_kind::ramp, now), true),
+                           now);
+            CHECK(holder.limit(target) == 4);
         }
         SECTION("a failure starts the step again")
         {
