Give requests without a prompt block no preferred group

Cause: a first block of 0 stands for a request without a prompt prefix. Its rendezvous weight would send all such requests to the same group. Change: routing takes block 0 as none. Ruled out: an empty prefix as the only way to say so; the hash of an unparsed prompt is 0 already.

--- a/src/decision/prefix_cache.hpp
+++ b/src/decision/prefix_cache.hpp
@@ -12,7 +12,7 @@
 
 namespace rml {
 
-/// Hash of a prompt block and of all blocks before it, so equal hashes mean equal prefixes.
+/// Hash of a prompt block and of all blocks before it, so equal hashes mean equal prefixes. 0 is no block.
 using prefix_block = std::uint64_t;
 
 enum class prefix_event_kind
--- a/src/decision/routing.cpp
+++ b/src/decision/routing.cpp
@@ -278,7 +278,7 @@
         (far.candidate != nullptr && far.score + report_age(*far.candidate, now) < best.score)) {
         best = far;
     }
-    if (!request.prefix.empty()) {
+    if (!request.prefix.empty() && request.prefix.front() != 0) {
         const auto* affine = this->preferred(request);
         if (affine != nullptr && affine != best.candidate) {
             const auto score = this->score_of(*affine, request, cache, now);
--- a/tests/decision/routing_test.cpp
+++ b/tests/decision/routing_test.cpp
@@ -184,6 +184,15 @@
         router.update_load(favourite, encode_load(milliseconds(300)), start);
         CHECK(value(router.choose(request, cache, start)).group != favourite);
     }
+    SECTION("requests without a prompt block have no preferred group")
+    {
+        request.prefix = {0};
+        for (std::uint64_t i = 0; i < 20; ++i) {
+            request.random = i * 0x9e3779b97f4a7c15U;
+            router.choose(request, cache, start);
+        }
+        CHECK(router.stats().preferred == 0);
+    }
     SECTION("a domain to avoid is used only when nothing else is left")
     {
         request.avoid_domains = {failure_domain_id("d0")};
