Keep warm targets warm over a gap of the lease

Cause: slot_holder forgot everything when the lease lapsed, so a gap of the lease in a short store outage made every warm group of the domain cold, with start_slots each and none at all during the wait. Change: that a run became warm is a fact and is kept. Cold runs, slots and trials are forgotten as before, and trials wait out the longest request. Ruled out: keeping the ramp step of cold runs too; another holder may have given slots in the gap.

--- a/src/decision/ramp.cpp
+++ b/src/decision/ramp.cpp
@@ -20,9 +20,21 @@
 void slot_holder::update_lease(time_point valid_until, time_point now)
 {
     if (!this->lease_valid(now)) {
-        this->runs.clear();
-        this->current.clear();
         this->ready = now + this->lifetime;
+        for (auto entry = this->runs.begin(); entry != this->runs.end();) {
+            // That a run became warm is a fact and outlasts the lease; counts of slots do not.
+            if (!entry->second.is_warm) {
+                if (const auto known = this->current.find(entry->first.first);
+                    known != this->current.end() && known->second == entry->first.second) {
+                    this->current.erase(known);
+                }
+                entry = this->runs.erase(entry);
+                continue;
+            }
+            entry->second.grants.clear();
+            entry->second.trial_free = this->ready + limits::request_time;
+            ++entry;
+        }
     }
     this->lease_until = valid_until;
 }
--- a/src/decision/ramp.hpp
+++ b/src/decision/ramp.hpp
@@ -90,8 +90,7 @@
     explicit slot_holder(milliseconds slot_lifetime = limits::slot_lifetime) : lifetime(slot_lifetime) {}
 
     /// States that the duty lease is valid until `valid_until`. After a gap in validity the daemon counts as
-    /// a new holder: everything known is forgotten, targets included, and the longest slot lifetime is waited
-    /// out.
+    /// a new holder: cold targets and all slots are forgotten, and the longest slot lifetime is waited out.
     void update_lease(time_point valid_until, time_point now);
     /// Gives the lease up.
     void destroy_lease() { this->lease_until.reset(); }
--- a/tests/decision/ramp_test.cpp
+++ b/tests/decision/ramp_test.cpp
@@ -320,6 +320,19 @@
             }
             CHECK(ask(1).warm);
             CHECK(client.warm(target, 7));
+            SECTION(
+                "a warm target stays warm when the lease lapses, and is given no trial until old ones ended")
+            {
+                now += seconds(200);
+                holder.update_lease(now + seconds(300), now);
+                CHECK(holder.warm(target, 7));
+                now += limits::slot_lifetime;
+                CHECK(ask(1).warm);
+                const auto trial = client.ask(target, 7, slot_kind::trial, 1, now);
+                CHECK(holder.grant(asker, trial, now).count == 0);
+                now += limits::request_time;
+                CHECK(holder.grant(asker, trial, now).count == 1);
+            }
             SECTION("a warm target that bears less starts cold again")
             {
                 now += seconds(1);
