--- a/tests/decision/ramp_test.cpp
+++ b/tests/decision/ramp_test.cpp
@@ -78,6 +78,9 @@
 
     void send(const message& content, std::size_t daemon, std::size_t holder)
     {
+        if (this->now < this->cut_until[daemon]) {
+            return;
+        }
         const auto copies = this->random.pick({1, 1, 1, 1, 1, 1, 0, 2});
         for (int i = 0; i < copies; ++i) {
             const auto delay = this->random.pick({0, 0, 0, 0, 0, 0, 1, 1, 2, 3, 30, 100});
@@ -118,6 +121,9 @@
             this->daemon_resumes[this->random.below(daemon_count)] =
                 this->now + this->step * static_cast<int>(this->random.below(120));
         }
+        if (this->random.one_in(60)) {
+            this->cut_until[this->random.below(daemon_count)] = this->now + this->step * 80;
+        }
         if (this->random.one_in(150)) {
             ++this->incarnation;
             for (auto& entry : this->requests) {
@@ -229,6 +235,7 @@
     std::map<std::uint64_t, std::pair<std::size_t, int>> granted_by; ///< holder and session, by ask
     int session{0};
     time_point daemon_resumes[daemon_count]{};
+    time_point cut_until[daemon_count]{}; ///< in a partition, messages are lost both ways
     time_point lease_end{};
     std::size_t owner{0};
     bool owner_renews{true};
@@ -249,7 +256,7 @@
         std::size_t trials = 0;
         const bool held = rc::check("sum of requests at the target", [&] {
             fleet system(width);
-            for (int i = 0; i < 1000; ++i) {
+            for (int i = 0; i < (width < seconds(1) ? 1000 : 2000); ++i) {
                 system.advance();
             }
             starts += system.started();
@@ -313,6 +320,48 @@
             }
             CHECK(ask(1).warm);
             CHECK(client.warm(target, 7));
+            SECTION(
+                "a warm target stays warm when the lease lapses, and is given no trial until old ones ended")
+            {
+                now += seconds(200);
+                holder.update_lease(now + seconds(300), now);
+                CHECK(holder.warm(target, 7));
+                now += limits::slot_lifetime;
+                CHECK(ask(1).warm);
+                const auto trial = client.ask(target, 7, slot_kind::trial, 1, now);
+                CHECK(holder.grant(asker, trial, now).count == 0);
+                now += limits::request_time;
+                CHECK(holder.grant(asker, trial, now).count == 1);
+            }
+            SECTION("a warm target that bears less starts cold again")
+            {
+                now += seconds(1);
+                holder.observe(target, 7, 12, now, 3);
+                CHECK_FALSE(holder.warm(target, 7));
+                CHECK(ask(1).count == 0);
+                now += limits::slot_lifetime + limits::slot_dispatch_margin;
+                client.expire(now);
+                CHECK_FALSE(client.warm(target, 7));
+                holder.observe(target, 7, 1, now, 3);
+                CHECK(ask(5).count == 1);
+            }
+        }
+        SECTION("a target that bears fewer requests than the ramp allows is given fewer")
+        {
+            holder.release(asker, client.cancel(*client.acquire(target, 7, slot_kind::ramp, now)), now);
+            now += milliseconds(1);
+            holder.observe(target, 7, 1, now, 1);
+            CHECK(ask(1).count == 0);
+            CHECK(holder.limit(target) == 1);
+        }
+        SECTION("a cancelled request frees its slot and counts neither way")
+        {
+            now += ramp.ramp_step / 2;
+            holder.release(asker, client.cancel(*client.acquire(target, 7, slot_kind::ramp, now)), now);
+            now += ramp.ramp_step / 2;
+            holder.release(asker, client.release(*client.acquire(target, 7, slot_kind::ramp, now), true),
+                           now);
+            CHECK(holder.limit(target) == 4);
         }
         SECTION("a failure starts the step again")
         {
