Use survivors of a hopeless group before spares without weights

When two groups of a fabric domain broke and only one could be repaired, the repair took spares that had to load, while survivors of the other group held the weights and stood idle. Change: the reserve on survivors of another group holds only while that group can still be repaired.

--- a/src/decision/grouping.cpp
+++ b/src/decision/grouping.cpp
@@ -14,8 +14,9 @@
 
 namespace {
 
-constexpr double foreign_survivor_cost = 10; // a spare is taken first, whatever it holds
-constexpr double load_cost = 1;              // weights that have to be loaded
+constexpr double foreign_survivor_cost = 10;     // a spare is taken first, whatever it holds
+constexpr double stranded_survivor_cost = 0.001; // only decides between engines that are equal otherwise
+constexpr double load_cost = 1;                  // weights that have to be loaded
 
 /// An engine during planning.
 struct slot
@@ -101,9 +102,9 @@
     std::size_t free_for(const broken_group& group) const;
     std::optional<std::size_t> best_fabric(std::size_t pool) const;
     std::optional<std::size_t> pick(std::size_t fabric, std::size_t pool,
-                                    const std::vector<std::size_t>& chosen) const;
-    double cost(const slot& candidate, const pool_demand& demand,
-                const std::vector<std::size_t>& chosen) const;
+                                    const std::vector<std::size_t>& chosen, std::size_t left_over) const;
+    double cost(const slot& candidate, const pool_demand& demand, const std::vector<std::size_t>& chosen,
+                std::size_t left_over) const;
     void claim(std::size_t slot_index);
     void add_complete(std::size_t pool, std::size_t fabric, group_record record);
     group_id fresh_id(const pool_demand& demand);
@@ -293,14 +294,17 @@
     }
 }
 
-double planner::cost(const slot& candidate, const pool_demand& demand,
-                     const std::vector<std::size_t>& chosen) const
+double planner::cost(const slot& candidate, const pool_demand& demand, const std::vector<std::size_t>& chosen,
+                     std::size_t left_over) const
 {
     double total = 0;
     if (candidate.broken >= 0) {
         const auto& group = this->broken[static_cast<std::size_t>(candidate.broken)];
-        // Survivors of the group with the most missing members are taken first.
-        total += foreign_survivor_cost + static_cast<double>(group.seats.size() - group.missing());
+        // Survivors of the group with the most missing members are taken first. A group that cannot be
+        // repaired any more needs none of them, so there the weights in memory decide.
+        const bool repairable = left_over >= group.seats.size();
+        total += repairable ? foreign_survivor_cost : stranded_survivor_cost;
+        total += stranded_survivor_cost * static_cast<double>(group.seats.size() - group.missing());
     }
     if (candidate.view->model != demand.model || candidate.view->version != demand.version) {
         total += load_cost;
@@ -317,8 +321,9 @@
     return total - together;
 }
 
+/// `left_over`: free engines of the fabric domain once the group at hand is complete.
 std::optional<std::size_t> planner::pick(std::size_t fabric, std::size_t pool,
-                                         const std::vector<std::size_t>& chosen) const
+                                         const std::vector<std::size_t>& chosen, std::size_t left_over) const
 {
     std::optional<std::size_t> best;
     double best_cost = std::numeric_limits<double>::max();
@@ -327,7 +332,7 @@
         if (candidate.in_group || !candidate.movable) {
             continue;
         }
-        const auto candidate_cost = this->cost(candidate, *this->pools[pool].demand, chosen);
+        const auto candidate_cost = this->cost(candidate, *this->pools[pool].demand, chosen, left_over);
         if (candidate_cost < best_cost) {
             best = index;
             best_cost = candidate_cost;
@@ -375,9 +380,11 @@
     record.epoch = this->next_epoch();
     record.members.clear();
     const auto fabric = best->fabric;
+    const auto left_over = this->fabrics[fabric].free -
+                           static_cast<std::size_t>(std::count(seats.begin(), seats.end(), std::nullopt));
     for (auto& seat : seats) {
         if (!seat) {
-            seat = this->pick(fabric, pool, chosen);
+            seat = this->pick(fabric, pool, chosen, left_over);
             this->claim(*seat);
             chosen.push_back(*seat);
         }
@@ -431,8 +438,9 @@
     record.fabric = this->fabrics[fabric].id;
     record.epoch = this->next_epoch();
     std::vector<std::size_t> chosen;
+    const auto left_over = this->fabrics[fabric].free - demand.group_size;
     while (chosen.size() < demand.group_size) {
-        const auto index = this->pick(fabric, pool, chosen);
+        const auto index = this->pick(fabric, pool, chosen, left_over);
         this->claim(*index);
         chosen.push_back(*index);
         record.members.push_back(this->slots[*index].view->instance);
--- a/tests/decision/grouping_test.cpp
+++ b/tests/decision/grouping_test.cpp
@@ -123,6 +123,27 @@
     }
 }
 
+TEST_CASE("survivors that hold the weights serve again at once when their own group cannot", "[grouping]")
+{
+    auto input = make_input(make_engines({10}), {make_demand("drafts", 4, 2)});
+    const auto first = form(input);
+    input.previous = &first.plan;
+    for (auto& view : input.engines) {
+        const auto* group = first.plan.group_of(view.instance);
+        view.model = model_id(group == nullptr ? "" : "drafts-model");
+        view.version = "1";
+        // Two members of each group are lost; the spares hold no weights.
+        view.usable =
+            group == nullptr || view.instance == group->members[0] || view.instance == group->members[1];
+    }
+    const auto second = form(input);
+    REQUIRE(second.stats.complete == 1);
+    CHECK(second.stats.reassigned == 2);
+    for (const auto& member : second.plan.groups()[0].members) {
+        CHECK(first.plan.group_of(member) != nullptr);
+    }
+}
+
 TEST_CASE("a smaller group moves only after its copy serves", "[grouping]")
 {
     auto input =
