Drop recorded incarnations when a group gets other members

Cause: incarnations are recorded in the plan per member. A group that took another size kept those of its former members, so domain_plan::create refused the plan and no group of the domain was formed any more. Change: a repaired group starts without incarnations; record_incarnations fills them in for the same epoch. The fault property now records incarnations as the control loop does. Ruled out: resizing the list, which would pair incarnations with the wrong members.

--- a/src/decision/grouping.cpp
+++ b/src/decision/grouping.cpp
@@ -379,6 +379,7 @@
     record.version = demand.version;
     record.epoch = this->next_epoch();
     record.members.clear();
+    record.incarnations.clear(); // recorded again for the new members
     const auto fabric = best->fabric;
     const auto left_over = this->fabrics[fabric].free -
                            static_cast<std::size_t>(std::count(seats.begin(), seats.end(), std::nullopt));
--- a/tests/decision/group_invariants_test.cpp
+++ b/tests/decision/group_invariants_test.cpp
@@ -4,6 +4,7 @@
 #include "decision/assignment.hpp"
 #include "decision/evidence.hpp"
 #include "decision/grouping.hpp"
+#include "decision/plan_epochs.hpp"
 #include "store_model.hpp"
 
 #include <algorithm>
@@ -248,8 +249,12 @@
         }
         auto outcome = form_groups(input);
         RC_ASSERT(succeeded(outcome));
-        if (value(outcome).changed) {
-            who.commit.propose(std::move(value(outcome).plan), who.name + std::to_string(++who.attempts));
+        auto epochs = record_incarnations(value(outcome).plan.groups(), who.book, input.previous_revision + 1,
+                                          this->now());
+        if (value(outcome).changed || epochs.changed) {
+            auto plan = domain_plan::create(domain, std::move(epochs.groups), value(outcome).plan.places());
+            RC_ASSERT(succeeded(plan));
+            who.commit.propose(value(std::move(plan)), who.name + std::to_string(++who.attempts));
         }
     }
 
--- a/tests/decision/grouping_test.cpp
+++ b/tests/decision/grouping_test.cpp
@@ -114,6 +114,19 @@
         CHECK(second.stats.updated == 1);
         CHECK(second.stats.complete == 2);
     }
+    SECTION("a group that takes another size does not keep the incarnations of its former members")
+    {
+        auto groups = first.plan.groups();
+        for (auto& group : groups) {
+            group.incarnations.assign(group.members.size(), 7);
+        }
+        const auto recorded = value(domain_plan::create(domain, groups, first.plan.places()));
+        input.previous = &recorded;
+        input.pools[0].group_size = 3;
+        const auto second = form(input);
+        CHECK(second.stats.updated == 1);
+        CHECK(second.stats.complete == 2);
+    }
     SECTION("a removed pool frees its engines")
     {
         input.pools = {make_demand("estimates", 1, 9)};
