Test the fencing of a former holder's plan without chance

Cause: after incarnations entered the fault property, its 100 cases no longer showed that the repeated commit at a takeover is needed (the removed check survived). Change: a scenario with a late write, a lost reply and a lapsed lease, beside the property.

--- a/tests/decision/duty_test.cpp
+++ b/tests/decision/duty_test.cpp
@@ -146,3 +146,63 @@
     // 300 renewal intervals: one renewal and one watch each, and the start.
     CHECK(first.stats().calls + second.stats().calls <= 610);
 }
+
+TEST_CASE("the plan of a former holder cannot land after a takeover", "[duty]")
+{
+    test::store_model store;
+    const duty_lease lease{at(6000), at(0)};
+    const auto plan_of = [](std::uint64_t epoch) {
+        group_record group;
+        group.id = group_id("g");
+        group.fabric = fabric_domain_id("f");
+        group.epoch = epoch;
+        group.members = {instance_id("i")};
+        return value(domain_plan::create(domain, {group}, {{group.members[0], group.fabric}}));
+    };
+    const auto run_calls = [&](plan_commit& commit) {
+        while (const auto call = commit.next_call(lease, at(0))) {
+            REQUIRE(succeeded(commit.on_reply(store.apply(*call, at(0)), at(0))));
+        }
+    };
+    plan_commit former(domain);
+    former.take_over("former-1");
+    run_calls(former);
+    REQUIRE(succeeded(former.propose(plan_of(1), "former-2")));
+    run_calls(former);
+    REQUIRE(former.orderable_revision() == 1);
+    REQUIRE(succeeded(former.propose(plan_of(2), "former-3")));
+    const auto late = former.next_call(lease, at(0));
+    REQUIRE(late);
+    CHECK(former.orderable_revision() == 0);
+
+    SECTION("a write that arrives after the takeover fails")
+    {
+        plan_commit next(domain);
+        next.take_over("next-1");
+        run_calls(next);
+        const auto in_force = next.orderable_revision();
+        CHECK(store.apply(*late, at(0)).outcome == store_outcome::conflict);
+        CHECK(store.revision_of("plan/waco-a") == in_force);
+        CHECK(next.committed()->plan.groups()[0].epoch == 1);
+    }
+    SECTION("a lost reply of a write that took effect is recognised by its attempt id")
+    {
+        store.apply(*late, at(0));
+        former.on_reply({late->number, store_outcome::lost, 0, ""}, at(0));
+        CHECK(former.orderable_revision() == 0);
+        const auto read = former.next_call(lease, at(600));
+        REQUIRE(read);
+        former.on_reply(store.apply(*read, at(600)), at(600));
+        CHECK(former.orderable_revision() == 2);
+        CHECK(former.committed()->plan.groups()[0].epoch == 2);
+    }
+    SECTION("without a valid lease nothing is replaced")
+    {
+        former.on_reply({late->number, store_outcome::lost, 0, ""}, at(0));
+        const auto read = former.next_call(duty_lease{}, at(600));
+        REQUIRE(read);
+        former.on_reply(store.apply(*read, at(600)), at(600));
+        CHECK_FALSE(former.next_call(duty_lease{}, at(600)));
+        CHECK(former.next_call(lease, at(600)));
+    }
+}
