--- a/src/decision/evidence.cpp
+++ b/src/decision/evidence.cpp
@@ -11,8 +11,8 @@
 {
     return rank < group.members.size() && report.instance == group.members[rank] &&
            report.group == group.id && report.group_epoch == group.epoch && report.rank == rank &&
-           report.model == group.model && report.version == group.version && report.loaded && !report.leaving &&
-           (group.incarnations.empty() || report.incarnation == group.incarnations[rank]);
+           report.model == group.model && report.version == group.version && report.loaded &&
+           !report.leaving && (group.incarnations.empty() || report.incarnation == group.incarnations[rank]);
 }
 
 void evidence_table::install_plan(const committed_plan& plan)
--- a/src/decision/observation.cpp
+++ b/src/decision/observation.cpp
@@ -447,7 +447,8 @@
     append(bytes, record.session);
     append(bytes, record.sent_ms);
     for (const auto& entry : record.groups) {
-        append(bytes, static_cast<std::uint8_t>((entry.healthy ? healthy_flag : 0U) | (entry.warm ? warm_flag : 0U)));
+        append(bytes, static_cast<std::uint8_t>((entry.healthy ? healthy_flag : 0U) |
+                                                (entry.warm ? warm_flag : 0U)));
         append(bytes, entry.requests);
     }
     return bytes;
--- a/src/decision/plan_epochs.hpp
+++ b/src/decision/plan_epochs.hpp
@@ -1,5 +1,6 @@
 /// Records the incarnations of members in the plan and raises a group's epoch when one of them has restarted.
-/// An epoch thereby names one run of all members: connections, slots and evidence of an earlier run do not fit it.
+/// An epoch thereby names one run of all members: connections, slots and evidence of an earlier run do not
+/// fit it.
 #pragma once
 
 #include "decision/observation.hpp"
