Use one definition of the exit codes

Cause: base/command_line.hpp and operator/exit_code.hpp both defined rml::exit_code with different enumerators, which breaks the one-definition rule and fails to compile when a file includes both. Ruled out: renaming one of them; the numbers are the same and belong together. Change: the stand-ins use operator/exit_code.hpp. Conclusion: operator/exit_code.hpp could move to base/, as programs outside operator/ need it.

--- a/src/standin/standin.cpp
+++ b/src/standin/standin.cpp
@@ -1,6 +1,7 @@
 #include "standin/standin.hpp"
 
 #include "http/executor.hpp"
+#include "operator/exit_code.hpp"
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -141,7 +142,7 @@
     const auto parsed = line.parse(argc, argv);
     if (failed(parsed)) {
         std::cerr << error(parsed).context << "\n";
-        return static_cast<int>(exit_code::usage_error);
+        return static_cast<int>(exit_code::usage);
     }
     if (!value(parsed)) {
         return static_cast<int>(exit_code::success);
@@ -149,13 +150,13 @@
     const auto address = parse_endpoint(listen);
     if (failed(address)) {
         std::cerr << error(address).context << "\n";
-        return static_cast<int>(exit_code::usage_error);
+        return static_cast<int>(exit_code::usage);
     }
     const auto started = start(value(address));
     if (failed(started)) {
         std::cerr << error(started).context << "\n";
         const bool usage = error(started).kind == failure_kind::malformed;
-        return static_cast<int>(usage ? exit_code::usage_error : exit_code::unavailable);
+        return static_cast<int>(usage ? exit_code::usage : exit_code::unavailable);
     }
     for (const auto& bound : value(started)) {
         std::cout << "listening " << to_string(bound) << "\n";
