--- a/src/platform/platform.hpp
+++ b/src/platform/platform.hpp
@@ -116,7 +116,8 @@
 /// Writes and resolves a lost reply by reading back. Returns the revision of the own write. Fails with
 /// `conflict` when another writer surely won, and with `outcome_unknown` when the own write may have taken
 /// effect (it was replaced since, may still arrive, or the store did not answer until the deadline). The time
-/// of one call is bounded by limits::store_call_timeout.
+/// of one call is bounded by limits::store_call_timeout. A create may take effect twice when someone destroys
+/// the key between the lost reply and the read-back, since an absent key does not tell whether it existed.
 result<std::uint64_t> write_once(key_value_store& store, const write_once_request& request,
                                  time_point deadline, yield_context yield);
 
