--- a/tests/standin/engine_test.cpp
+++ b/tests/standin/engine_test.cpp
@@ -4,6 +4,7 @@
 #include "model/engine_status.hpp"
 #include "model/token_stream.hpp"
 #include "standin/scenario.hpp"
+#include "standin/weights.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 #include <sstream>
@@ -319,3 +320,80 @@
         CHECK(value(fixture.call(0, {"POST", "/faults", {}, R"({"no_such_fault":1})"}, yield)).status == 400);
     });
 }
+
+TEST_CASE("a full batch queues by priority, refuses beyond the queue, and reports load late", "[standin]")
+{
+    auto small = fast_engine("i1");
+    small.batch = 1;
+    small.queue = 2;
+    small.status_lag = milliseconds(3600000);
+    engine_fixture fixture({small});
+    test::run_scenario(fixture.context, [&](http::yield_context yield) {
+        fixture.load(0, yield);
+        std::vector<std::string> order;
+        const auto send = [&](const std::string& id, int priority, std::size_t tokens) {
+            boost::asio::spawn(
+                fixture.context, [&fixture, &order, id, priority, tokens](http::yield_context inner) {
+                    const nlohmann::json body{{"prompt", id}, {"max_tokens", tokens}, {"priority", priority}};
+                    const auto answer =
+                        fixture.call(0, {"POST", "/v1/generate", {{"x-request-id", id}}, body.dump()}, inner);
+                    CHECK(succeeded(answer));
+                    order.push_back(id);
+                });
+        };
+        const auto wait_for_queue = [&](std::size_t queued) {
+            fixture.wait_until([&] { return fixture.stats(0, yield).at("queued") == queued; }, yield);
+        };
+        send("running", 0, 50000);
+        fixture.wait_until([&] { return fixture.stats(0, yield).at("running") == 1; }, yield);
+        send("low", 1, 50);
+        wait_for_queue(1);
+        send("high", 5, 50);
+        wait_for_queue(2);
+        CHECK(refused_before_run(fixture.generate(0, "too many", 1, yield), 429));
+
+        // The figures of the moment before the requests.
+        CHECK(fixture.status(0, yield).running == 0);
+        CHECK(fixture.status(0, yield).queued == 0);
+
+        REQUIRE(value(fixture.call(0, {"DELETE", "/v1/requests/running", {}, {}}, yield)).status == 200);
+        fixture.wait_until([&] { return order.size() == 3; }, yield);
+        CHECK(order == std::vector<std::string>{"running", "high", "low"});
+        CHECK(fixture.stats(0, yield).at("most_running") == 1);
+    });
+}
+
+TEST_CASE("a load takes its weights from the weight store and waits while it is full", "[standin]")
+{
+    boost::asio::io_context context;
+    auto created =
+        standin::weights_server::create(context, {"127.0.0.1", 0}, {1, milliseconds(30), milliseconds(5)});
+    REQUIRE(succeeded(created));
+    const auto weights = value(std::move(created));
+    auto first = fast_engine("i1");
+    first.weights = weights->local();
+    auto second = fast_engine("i2");
+    second.weights = weights->local();
+    auto hosted = standin::engine_host::create(context, {"127.0.0.1", 0}, {first, second});
+    REQUIRE(succeeded(hosted));
+    const auto host = value(std::move(hosted));
+    test::run_scenario(context, [&](http::yield_context yield) {
+        const std::string order =
+            R"({"group":"g","group_epoch":1,"rank":0,"members":[],"model":"m","version":"1","fencing":1})";
+        for (const auto& address : host->locals()) {
+            REQUIRE(succeeded(test::call(context, address, {"POST", "/assign", {}, order}, yield)));
+        }
+        constexpr int polls = 2000;
+        for (int poll = 0; poll < polls; ++poll) {
+            boost::asio::steady_timer timer(http::executor_of(yield), milliseconds(5));
+            timer.async_wait(yield);
+            if (test::read_json(context, weights->local(), "/stats", yield).at("loads") == 2) {
+                break;
+            }
+        }
+        const auto stats = test::read_json(context, weights->local(), "/stats", yield);
+        CHECK(stats.at("loads") == 2);
+        CHECK(stats.at("most_loading") == 1);
+        CHECK(stats.at("refused") > 0);
+    });
+}
