--- a/src/caller/caller_handler.cpp
+++ b/src/caller/caller_handler.cpp
@@ -5,6 +5,7 @@
 #include "caller/request_id.hpp"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -17,6 +18,8 @@
 constexpr std::string_view chat_path = "/v1/chat/completions";
 constexpr std::string_view entries_path = "/v1/entries";
 constexpr std::string_view services_prefix = "/services/";
+// Others, such as HEAD and CONNECT, frame their answers differently.
+constexpr std::array<std::string_view, 5> service_methods{"GET", "POST", "PUT", "PATCH", "DELETE"};
 
 /// Id of the caller if it is well formed, a new one if there is none. Fails with `malformed`.
 result<std::string> read_request_id(const http::request& message)
@@ -113,7 +116,7 @@
 {
     const auto path = http::path_of(message.target);
     http::response answer{200, {{"content-type", "text/plain; version=0.0.4"}}, "ok\n"};
-    if (message.method != "GET" && message.method != "HEAD") {
+    if (message.method != "GET") {
         answer.status = 405;
         answer.body = "GET expected\n";
     } else if (path == "/metrics") {
@@ -156,6 +159,11 @@
 
 void caller_handler::handle_service(const request_context& request)
 {
+    const auto& method = request.message.method;
+    if (std::find(service_methods.begin(), service_methods.end(), method) == service_methods.end()) {
+        return send_error(request, this->metrics,
+                          {{failure_kind::malformed, "method " + method + " is not passed on"}, {}, {}, 0});
+    }
     const auto path = parse_service_path(request.message.target);
     if (failed(path)) {
         return send_error(request, this->metrics, {error(path), {}, {}, 0});
--- a/src/caller/caller_handler.hpp
+++ b/src/caller/caller_handler.hpp
@@ -12,6 +12,7 @@
 #include "target/service_client.hpp"
 
 #include <boost/asio/io_context.hpp>
+#include <cstdint>
 
 namespace rml::caller {
 
@@ -24,6 +25,9 @@
 
     void handle(const http::request& message, http::response_writer& writer, yield_context yield) override;
 
+    /// Claims that are being settled after their callers were answered. A daemon that leaves waits for them.
+    std::int64_t open_settlements() const { return this->metrics.settling.value(); }
+
 private:
     void handle_open(const http::request& message, http::response_writer& writer, yield_context yield);
     void handle_authenticated(const request_context& request);
--- a/src/caller/request_context.cpp
+++ b/src/caller/request_context.cpp
@@ -23,6 +23,7 @@
       claims(registry.create_counter("rml_once_only_sent_total", "Once-only requests that were sent.")),
       replays(registry.create_counter("rml_once_only_replayed_total",
                                       "Once-only requests answered from the stored answer.")),
+      settling(registry.create_gauge("rml_claims_settling", "Claims being settled in the background.")),
       first_token(registry.create_histogram("rml_first_token_seconds", "Arrival to first token.")),
       between_tokens(registry.create_histogram("rml_between_tokens_seconds", "Time between tokens.")),
       service_time(registry.create_histogram("rml_service_seconds", "Time of service calls."))
--- a/src/caller/request_context.hpp
+++ b/src/caller/request_context.hpp
@@ -39,6 +39,7 @@
     counter& retry_denied; ///< retry budget spent
     counter& claims;       ///< once-only requests that were sent
     counter& replays;      ///< once-only requests answered from the stored answer
+    gauge& settling;       ///< claims that are being settled in the background
     latency_histogram& first_token;
     latency_histogram& between_tokens;
     latency_histogram& service_time;
--- a/src/caller/service_calls.cpp
+++ b/src/caller/service_calls.cpp
@@ -224,10 +224,12 @@
 
     void settle_in_background(claim_settlement settlement, claim_settlement::step next)
     {
-        boost::asio::spawn(this->context, [&store = this->state.claims(), name = this->claim_name,
-                                           settlement = std::move(settlement),
+        this->metrics.settling.add(1);
+        boost::asio::spawn(this->context, [&store = this->state.claims(), &settling = this->metrics.settling,
+                                           name = this->claim_name, settlement = std::move(settlement),
                                            next = std::move(next)](yield_context yield) mutable {
             settle(store, name, settlement, std::move(next), yield);
+            settling.add(-1);
         });
     }
 
--- a/src/entryd/daemon.cpp
+++ b/src/entryd/daemon.cpp
@@ -97,7 +97,8 @@
         const auto last = steady_clock::now() + limits::request_time;
         for (int quiet = 0; quiet < quiet_polls && steady_clock::now() < last && !this->hurry;) {
             this->wait_until(steady_clock::now() + leave_poll_interval, yield);
-            quiet = this->server->stats().in_flight == 0 ? quiet + 1 : 0;
+            const bool busy = this->server->stats().in_flight != 0 || this->requests.open_settlements() != 0;
+            quiet = busy ? 0 : quiet + 1;
         }
         boost::system::error_code ignored;
         this->signals.cancel(ignored);
--- a/tests/caller/caller_handler_test.cpp
+++ b/tests/caller/caller_handler_test.cpp
@@ -76,6 +76,7 @@
         const http::header_list token{{"authorization", "Bearer secret"}};
         CHECK(daemon.call({"GET", "/v1/chat/completions", token, ""}).status == 404);
         CHECK(daemon.call({"GET", "/nothing", token, ""}).status == 404);
+        CHECK(daemon.call({"OPTIONS", "/services/office/x", token, ""}).status == 400);
         CHECK(daemon.call({"GET", "/v1/entries", {}, ""}).status == 401);
         CHECK(daemon.call({"POST", "/services/other/x", token, ""}).status == 403);
         CHECK(daemon.call({"POST", "/services/office/x", token, ""}).status == 404);
--- a/tests/caller/service_calls_test.cpp
+++ b/tests/caller/service_calls_test.cpp
@@ -166,6 +166,12 @@
     SECTION("the claim is released, and the key can be used again")
     {
         CHECK(settled_state(daemon) != "claimed");
+        // Guards against a daemon that ends while a claim is being released.
+        for (int i = 0; i < 10000 && daemon.handler.open_settlements() != 0; ++i) {
+            std::this_thread::sleep_for(milliseconds(1));
+        }
+        CHECK(daemon.handler.open_settlements() == 0);
+        CHECK(daemon.state.stored.state() == "released");
         CHECK(daemon.call(order("k1")).status == 201);
         CHECK(service.calls == 1);
     }
--- a/tests/target/engine_client_test.cpp
+++ b/tests/target/engine_client_test.cpp
@@ -313,6 +313,25 @@
     CHECK(engine.connections() == 2);
 }
 
+// Guards against events that are read wrongly when they arrive in pieces.
+TEST_CASE("an answer that arrives byte by byte is whole", "[target]")
+{
+    scripted_engine engine([](const http::request& message, raw_connection& connection) {
+        const auto bytes = stream_head(request_id_of(message)) + correct_tokens(message, 4) + done_chunk();
+        for (const char byte : bytes) {
+            connection.send(std::string(1, byte));
+        }
+        return true;
+    });
+    client_side client;
+    for (int i = 0; i < 2; ++i) {
+        collecting_sink sink;
+        CHECK(client.generate(engine.target(), sink).end == generate_end::completed);
+        CHECK(sink.text == "t0 t1 t2 t3 ");
+    }
+    CHECK(engine.connections() == 1);
+}
+
 // Guards against an answer that looks whole although a part of it was lost, whatever the place of the cut.
 TEST_CASE("an answer cut at any byte is not complete", "[target]")
 {
