Answer 503 when the last group was passed over by a check

Cause: the failure of acquire_permit() may be that of the last group that was checked, such as a drained failure domain with kind refused. The caller got 403, which says that the account lacks the pool. Change: without a group only not_found, rate_limited and timeout keep their status; all others are 503 and not-run. Test: generation_test.cpp, section "no group at all". Conclusion: 403 is only sent for missing rights.

--- a/src/caller/generation.cpp
+++ b/src/caller/generation.cpp
@@ -151,6 +151,20 @@
     }
 }
 
+/// Status for the caller when no group was chosen. The checks of groups that were passed over, such as a
+/// drained failure domain, say nothing about the rights of the caller.
+int status_without_group(failure_kind kind)
+{
+    switch (kind) {
+    case failure_kind::not_found:
+    case failure_kind::rate_limited:
+    case failure_kind::timeout:
+        return status_of(kind);
+    default:
+        return 503;
+    }
+}
+
 /// The attempts of one request.
 class generation
 {
@@ -210,7 +224,7 @@
         if (failed(acquired)) {
             // The failure of the last attempt says more than the lack of a further group.
             if (this->tried.empty()) {
-                this->end = refusal{error(acquired), {}, {}, 0};
+                this->end = refusal{error(acquired), {}, {}, status_without_group(error(acquired).kind)};
             }
             return false;
         }
--- a/tests/caller/fake_state.hpp
+++ b/tests/caller/fake_state.hpp
@@ -139,7 +139,7 @@
                 return permit;
             }
         }
-        return failure{failure_kind::unavailable, "no group"};
+        return failure{this->no_group, "no group"};
     }
 
     void finish_permit(const caller::dispatch_permit&, const caller::permit_report& report) override
@@ -174,6 +174,7 @@
     bool is_ready{true};
     bool refuse_admission{false};
     std::vector<caller::dispatch_permit> permits;
+    failure_kind no_group{failure_kind::unavailable}; ///< when no permit is left
     int retry_tokens{10};
     fake_claims stored;
 
--- a/tests/caller/generation_test.cpp
+++ b/tests/caller/generation_test.cpp
@@ -158,9 +158,16 @@
     }
     SECTION("no group at all")
     {
-        const auto answer = daemon.generate(false);
-        CHECK(answer.status == 503);
-        CHECK(outcome_of(answer) == "not-run");
+        // Guards against a drained failure domain that looks like a lack of rights.
+        const std::vector<std::pair<failure_kind, int>> cases{
+            {failure_kind::unavailable, 503}, {failure_kind::refused, 503}, {failure_kind::stale, 503},
+            {failure_kind::lapsed, 503},      {failure_kind::timeout, 504}, {failure_kind::not_found, 404}};
+        for (const auto& [kind, status] : cases) {
+            daemon.state.no_group = kind;
+            const auto answer = daemon.generate(false);
+            CHECK(answer.status == status);
+            CHECK(outcome_of(answer) == "not-run");
+        }
     }
     SECTION("not admitted")
     {
