Read settings through the shared strict JSON reader

Cause: settings.cpp had its own strict reader; base/json_reader now does the same for settings and objects and names all mistakes instead of the first. The expected texts of five cases in the test follow the reader's wording; each still names the field and what was found, and a new section checks that all mistakes are named at once. Conclusion: one set of rules for all JSON documents.

--- a/tests/objects/settings_test.cpp
+++ b/tests/objects/settings_test.cpp
@@ -41,18 +41,19 @@
         std::string names; ///< must occur in the error
     };
     const std::vector<bad_case> bad{
-        {"", "not JSON"},
-        {"[]", "allowed object"},
-        {replaced("\"workers\"", "\"worker\""), "worker: found unknown key"},
+        {"", "parse error"},
+        {"[]", ": found [], allowed an object"},
+        {replaced("\"workers\"", "\"worker\""),
+         "worker: found worker, allowed daemon, failure_domain, listen, log,"},
         {replaced("\"store\"", "\"stores\""), "platform.store: found nothing"},
         {replaced("\"workers\": 2", "\"workers\": -2"), "workers: found -2"},
         {replaced("\"workers\": 2", "\"workers\": 2.5"), "workers: found 2.5"},
-        {replaced("\"workers\": 2", "\"daemon\": \"x\""), "daemon: found twice"},
+        {replaced("\"workers\": 2", "\"daemon\": \"x\""), "duplicate key \"daemon\""},
         {replaced("127.0.0.1:8081", "localhost:8081"), "listen.peer: found \"localhost:8081\""},
         {replaced("\"warning\"", "\"loud\""), "log.level: found \"loud\""},
         {replaced("\"entry-1\"", "\"\""), "daemon"},
         {replaced("\"long enough\"", "\"short\""), "peer_secret"},
-        {replaced("{\"level\": \"warning\", \"file\": \"\"}", "3"), "log.: found number"},
+        {replaced("{\"level\": \"warning\", \"file\": \"\"}", "3"), "log: found 3, allowed an object"},
     };
     for (const auto& each : bad) {
         INFO(each.text);
@@ -61,4 +62,13 @@
         CHECK(error(refused).kind == failure_kind::invalid_settings);
         CHECK_THAT(error(refused).context, Catch::Contains(each.names));
     }
+
+    SECTION("and all mistakes are named at once")
+    {
+        const auto refused = parse_settings(R"({"daemon": "entry-1", "workers": -2, "extra": 1})");
+        REQUIRE(failed(refused));
+        for (const char* each : {"workers: found -2", "extra: found extra", "listen.caller: found nothing"}) {
+            CHECK_THAT(error(refused).context, Catch::Contains(each));
+        }
+    }
 }
