End the wait for a claim before the deadline

Cause: a request that waits for another one with the same key paused up to 1.6 s between reads, whatever the deadline, so its answer could come after it. Ruled out: a read after the deadline, which makes the answer late; short pauses throughout, which load the store. Change: the pause is cut so that the last read starts 200 ms before the deadline. A wait of 10 s takes at most 10 reads. Tests: claim_test.cpp, "the last read ends before the deadline"; service_calls_test.cpp, a claim that is confirmed after the deadline is released and not sent. Conclusion: unknown is told in time.

--- a/src/decision/claim.cpp
+++ b/src/decision/claim.cpp
@@ -158,10 +158,7 @@
 {
     const bool late = now >= this->deadline;
     if (failed(reply)) {
-        if (late) {
-            return claim_unknown{{failure_kind::outcome_unknown, "claim of this key not readable"}, true};
-        }
-        return this->poll();
+        return this->wait({{failure_kind::outcome_unknown, "claim of this key not readable"}, true}, now);
     }
     if (!value(reply)) {
         return late ? claim_step(
@@ -184,16 +181,19 @@
         this->own_revision = revision;
         return this->before_send(now);
     }
-    if (late) {
-        return claim_unknown{{failure_kind::outcome_unknown, "call with this key still in progress"}, false};
-    }
-    return this->poll();
+    return this->wait({{failure_kind::outcome_unknown, "call with this key still in progress"}, false}, now);
 }
 
-claim_step claim_attempt::poll()
+claim_step claim_attempt::wait(claim_unknown otherwise, time_point now)
 {
+    // The last read must end before the deadline, so that the answer is not late.
+    const auto left = this->deadline - now - limits::claim_poll_interval;
+    if (left <= duration::zero()) {
+        return otherwise;
+    }
     const auto doublings = std::min(this->polls++, limits::claim_poll_doublings);
-    return claim_read{limits::claim_poll_interval * (std::int64_t{1} << doublings)};
+    const duration pause = limits::claim_poll_interval * (std::int64_t{1} << doublings);
+    return claim_read{std::chrono::ceil<milliseconds>(std::min(pause, left))};
 }
 
 claim_step claim_attempt::before_send(time_point now) const
--- a/tests/caller/fake_state.hpp
+++ b/tests/caller/fake_state.hpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <map>
 #include <mutex>
+#include <thread>
 #include <vector>
 
 namespace rml::test {
@@ -24,7 +25,9 @@
     claim_write_reply create(const std::string& key, const claim_document& document, time_point,
                              caller::yield_context) override
     {
-        return this->write(key, document, 0);
+        const auto reply = this->write(key, document, 0);
+        std::this_thread::sleep_for(this->freeze);
+        return reply;
     }
 
     claim_read_reply read(const std::string& key, time_point, caller::yield_context) override
@@ -41,6 +44,8 @@
         return this->write(key, document, expect);
     }
 
+    milliseconds freeze{0}; ///< between a create and its reply
+
     void fail_next(fault next)
     {
         const std::scoped_lock lock(this->mutex);
--- a/tests/caller/service_calls_test.cpp
+++ b/tests/caller/service_calls_test.cpp
@@ -177,6 +177,22 @@
     }
 }
 
+// Guards against a call that runs after its caller has been told, or has concluded, that it failed.
+TEST_CASE("a once-only call whose claim is confirmed after the deadline is not sent", "[caller]")
+{
+    scripted_service service(book);
+    running_daemon daemon;
+    set_service(daemon, {service.address()});
+    daemon.state.stored.freeze = milliseconds(100);
+    auto message = order("k1");
+    message.headers.push_back({"x-rml-deadline-ms", "50"});
+    const auto answer = daemon.call(message);
+    CHECK(answer.status == 504);
+    CHECK(outcome_of(answer) == "not-run");
+    CHECK(settled_state(daemon) == "released");
+    CHECK(service.calls == 0);
+}
+
 // Guards against a second run after a call whose outcome nobody knows.
 TEST_CASE("a once-only call that may have run is unknown and stays unknown", "[caller]")
 {
--- a/tests/decision/claim_test.cpp
+++ b/tests/decision/claim_test.cpp
@@ -375,6 +375,24 @@
             CHECK(std::holds_alternative<claim_read>(claim.on_read(stored_claim{other, 3}, start_time)));
             CHECK(std::holds_alternative<claim_unknown>(claim.on_read(stored_claim{other, 3}, late)));
         }
+        SECTION("claimed: the last read ends before the deadline, with few reads on the way")
+        {
+            // Guards against an answer after the deadline, and against a waiting request that loads the
+            // store.
+            auto now = start_time;
+            int reads = 0;
+            auto step = claim.on_read(stored_claim{other, 3}, now);
+            while (const auto* read = std::get_if<claim_read>(&step)) {
+                now += read->wait;
+                CHECK(read->wait > milliseconds(0));
+                CHECK(now < late);
+                ++reads;
+                step = claim.on_read(stored_claim{other, 3}, now);
+            }
+            CHECK(std::holds_alternative<claim_unknown>(step));
+            CHECK(now + milliseconds(500) > late);
+            CHECK(reads <= 10);
+        }
         SECTION("not readable: waits, then unknown, since an earlier request may have run")
         {
             CHECK(std::holds_alternative<claim_read>(claim.on_read(down, start_time)));
