--- a/src/base/json_reader.cpp
+++ b/src/base/json_reader.cpp
@@ -39,7 +39,10 @@
 
     bool parse_error(std::size_t, const std::string&, const nlohmann::detail::exception& e) override
     {
-        return this->refuse(e.what());
+        // The text starts with the library's own code in brackets, which tells operators nothing.
+        const std::string what = e.what();
+        const auto prefix = what.find("] ");
+        return this->refuse(prefix == std::string::npos ? what : what.substr(prefix + 2));
     }
 
     nlohmann::json document;
--- a/src/objects/object_check.cpp
+++ b/src/objects/object_check.cpp
@@ -210,7 +210,7 @@
             if (this->counts.count(reference.to) == 0) {
                 this->error(object_problem_kind::dangling_reference, reference.from, reference.field,
                             quoted(reference.to.name),
-                            "the name of a " + std::string(to_string(reference.to.kind)) + " of the set");
+                            "an existing " + std::string(to_string(reference.to.kind)));
             }
         }
         if (const auto cycle = find_cycle(references); !cycle.empty()) {
@@ -444,8 +444,8 @@
         }
         const bool timed = objective.kind != objective_kind::answered;
         if (timed && objective.pool.empty() && !objective.service.empty()) {
-            this->error(object_problem_kind::contradiction, key, "measure",
-                        "a time between tokens of a service", "answered for a service");
+            this->error(object_problem_kind::contradiction, key, "measure", "a token time of a service",
+                        "answered for a service");
         }
         if (timed && objective.threshold.count() == 0) {
             this->error(object_problem_kind::missing_field, key, "threshold_ms", "nothing",
--- a/src/objects/object_parser.cpp
+++ b/src/objects/object_parser.cpp
@@ -35,7 +35,9 @@
 {
     const auto hex = [](char c) { return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f'); };
     if (!text.empty() && (text.size() != sha256_digits || !std::all_of(text.begin(), text.end(), hex))) {
-        reader.report(field_problem_kind::out_of_range, "token_sha256", excerpt(text),
+        // The value is not repeated: it may be the token itself.
+        reader.report(field_problem_kind::out_of_range, "token_sha256",
+                      std::to_string(text.size()) + " characters that are no digest",
                       "64 lower-case hexadecimal digits");
     }
 }
@@ -359,6 +361,12 @@
         reported.emplace(problem.object, problem.field);
     }
     const bool unread = !loaded.problems.empty();
+    // Without the objects of an unreadable file every reference to them would be reported as dangling.
+    if (std::any_of(loaded.problems.begin(), loaded.problems.end(), [](const object_problem& problem) {
+            return problem.kind == object_problem_kind::malformed;
+        })) {
+        return loaded;
+    }
     for (auto& problem : check_objects(loaded.set, loaded.origins)) {
         const bool unread_name =
             unread && problem.kind == object_problem_kind::missing_field && problem.field != "threshold_ms";
