--- a/tests/objects/object_codec_test.cpp
+++ b/tests/objects/object_codec_test.cpp
@@ -117,7 +117,7 @@
         auto next = arbitrary_set();
         next.generation = set.generation + 1;
         const auto applied = apply_changes(set, mutate(encode_changes(set, next)));
-        RC_ASSERT(succeeded(applied) || !error(applied).context.empty());
+        RC_ASSERT((succeeded(applied) || !error(applied).context.empty()));
         const auto parsed = load_objects({{"x", mutate(encode_objects_json(set))}});
         RC_ASSERT(all_typed(parsed.problems));
     }));
