--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -4,6 +4,7 @@
 #include "base/time.hpp"
 
 #include <cstddef>
+#include <cstdint>
 
 namespace rml::limits {
 
@@ -17,14 +18,38 @@
 constexpr milliseconds duty_renewal{2000}; // two renewals may be lost before the lease lapses
 constexpr milliseconds order_timeout{2000};
 constexpr milliseconds store_call_timeout{800};
+constexpr std::size_t duty_candidates = 2;       // only these daemons call the store for a duty
+constexpr milliseconds duty_retry{500};          // four tries fit between a missed renewal and the lapse
 constexpr milliseconds head_poll_interval{2000}; // notices a watch that hangs without an error
 
 // Evidence and observation.
-constexpr milliseconds evidence_lifetime{1500};
+// 0.5 s probe, 1 s report, 1 s digest and 0.3 s spread at most.
+constexpr milliseconds evidence_lifetime{3000};
+// An observation older than this at the duty holder is not reported as healthy: 0.5 s probe and 1 s report,
+// and 0.2 s for the transfer.
+constexpr milliseconds observation_lifetime{1700};
+constexpr std::size_t digest_sessions = 4; // senders of one domain's digests that are told apart
+constexpr milliseconds probe_interval{500};
+constexpr milliseconds digest_spread{300}; // longest transfer of a digest that is not delayed by a queue
 constexpr milliseconds observe_interval{1000};
 constexpr milliseconds probe_cache_lifetime{500};
 constexpr milliseconds digest_interval{1000};
 
+// Orders.
+constexpr milliseconds order_backoff_first{500};
+constexpr milliseconds order_backoff_longest{8000};
+constexpr std::size_t orders_in_flight = 64; // per duty; a whole domain of 60 engines fits
+
+// Share of a pool's groups in one domain, as a divisor, that may load another version at the same time.
+constexpr std::uint32_t update_share = 4;
+
+// Learnt shared risk of instances.
+constexpr std::uint32_t risk_coincidences = 2; // one coincidence in two years is expected by chance
+constexpr double risk_step = 0.1;              // weight per coincidence
+constexpr double risk_cap = 0.5;               // below 1, the value of weights already loaded
+constexpr std::chrono::hours risk_half_life{7 * 24};
+constexpr std::size_t risk_pairs = 20000; // a whole domain of 60 engines has 1770
+
 // Membership.
 constexpr milliseconds keepalive_interval{1000};
 constexpr milliseconds link_silence_limit{3000};
@@ -34,6 +59,7 @@
 
 // Slots and grants.
 constexpr milliseconds slot_lifetime{3000};
+constexpr milliseconds slot_dispatch_margin{500}; // time between taking a slot and the target counting the request
 constexpr milliseconds quota_lifetime{3000};
 constexpr double quota_floor_share = 0.5;
 
@@ -45,11 +71,33 @@
 // Crash attribution.
 constexpr milliseconds classification_delay{300};
 constexpr milliseconds correlated_loss_window{2000};
+constexpr milliseconds loss_report_delay{1500}; // one report and one digest interval late
 constexpr std::chrono::hours block_lifetime{1};
+constexpr std::size_t crash_records = 4096; // suspects and blocked requests together
+constexpr std::size_t crash_recent_losses = 256;
 
 // Claims.
 constexpr std::chrono::hours claim_lifetime{48}; // a caller may send a key again a day later
+constexpr std::size_t idempotency_key_bytes = 256;
 constexpr std::size_t claim_answer_bytes = 16 * 1024;
+constexpr milliseconds claim_poll_interval{200};
+constexpr std::uint32_t claim_poll_doublings = 3; // a waiting repeated request costs few store reads
+constexpr std::uint32_t claim_settle_attempts = 12;
+constexpr std::uint32_t claim_settle_doublings =
+    6; // longest pause 12.8 s, so 12 attempts outlast a short outage
+
+// Targets.
+constexpr milliseconds connect_timeout{1000};
+constexpr milliseconds status_timeout{1000};
+constexpr milliseconds cancel_timeout{2000};
+constexpr milliseconds first_token_timeout{20000};  // an engine's own queue may hold a request for seconds
+constexpr milliseconds token_gap_timeout{4000};     // tokens come 27 ms apart; a silent engine is given up
+constexpr milliseconds target_idle_time{20000};     // below http_idle_timeout, so that our side closes first
+constexpr std::size_t target_idle_connections = 32; // per target
+constexpr milliseconds sink_poll_interval{100};     // notices a caller that left while no token arrives
+constexpr std::size_t event_bytes = 64 * 1024;
+constexpr std::uint32_t generation_attempts = 5;
+constexpr std::uint32_t max_tokens = 32768;
 
 // Callers.
 constexpr std::size_t http_header_bytes = 16 * 1024;
@@ -59,15 +107,23 @@
 constexpr milliseconds http_idle_timeout{60000};
 constexpr milliseconds http_write_timeout{20000};
 constexpr std::size_t http_connections = 4096;
+constexpr std::size_t request_id_bytes = 128;
 constexpr milliseconds request_time{120000}; // longest time of one request, end to end
 constexpr seconds address_lifetime{30};
 constexpr seconds leave_margin{5};
 
 // Store and peers.
 constexpr std::size_t store_value_bytes = 1024 * 1024;
+constexpr std::size_t store_idle_connections = 4; // a watch, a renewal and two other calls at once
+constexpr milliseconds store_idle_connection{10000}; // below http_idle_timeout, so that the store closes later
+constexpr int write_once_attempts = 4;
+constexpr milliseconds write_once_pause{50};
 constexpr std::size_t peer_frame_bytes = 1024 * 1024 + 64 * 1024;
 constexpr int peer_protocol_version = 1;
 
+// Metrics.
+constexpr std::size_t metric_series = 4096; // bounds memory when a label takes many values
+
 // Logs.
 constexpr std::size_t log_queue_records = 4096;
 constexpr double log_lines_per_second = 2000;
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -37,6 +37,8 @@
     virtual void abort() = 0;
     /// True once a head was sent.
     virtual bool started() const = 0;
+    /// True when the other side has closed the connection.
+    virtual bool disconnected() const { return false; }
 };
 
 /// Serves requests. Called from many connections at once.
@@ -89,6 +91,8 @@
 
     /// From now on every response closes its connection. The listening socket stays open.
     void drain();
+    /// Breaks every open connection, also those with a request in flight. The listening socket stays open.
+    void close_connections();
     /// Stops accepting. Requests in flight go on; idle connections are closed.
     void stop();
 
