Refuse to deliver a changed set, and use the common exit codes

Cause: deliver took any file with a generation, so an edited output of get could put two contents under one generation in force at different daemons. Two enums named exit_code in one namespace violated the one-definition rule. Ruled out: delivering only from the store; deliver is for daemons and operators that the store does not reach. Result: unit and I/O tests pass; the new section fails with the comparison removed.

--- a/src/burn/main.cpp
+++ b/src/burn/main.cpp
@@ -35,7 +35,7 @@
 int fail_usage(const std::string& what)
 {
     std::cerr << "rml-burn: " << what << "; see rml-burn --help\n";
-    return static_cast<int>(exit_code::usage);
+    return static_cast<int>(exit_code::usage_error);
 }
 
 /// Applies one option. Answers a problem, or an empty text.
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -53,7 +53,7 @@
 int fail_usage(const std::string& what)
 {
     std::cerr << "rml-ctl: " << what << "; see rml-ctl --help\n";
-    return static_cast<int>(exit_code::usage);
+    return static_cast<int>(exit_code::usage_error);
 }
 
 void print_help(poptContext context)
--- a/src/objects/object_codec.cpp
+++ b/src/objects/object_codec.cpp
@@ -175,7 +175,11 @@
 
 std::string encode_objects_json(const object_set& set)
 {
-    return json{{"generation", set.generation}, {"objects", object_list(set)}}.dump(2) + "\n";
+    return json{{"generation", set.generation},
+                {"digest", object_set_digest(set)},
+                {"objects", object_list(set)}}
+               .dump(2) +
+           "\n";
 }
 
 result<std::string> encode_objects(const object_set& set)
--- a/src/objects/object_codec.hpp
+++ b/src/objects/object_codec.hpp
@@ -18,7 +18,7 @@
 /// Each object of the set as the element of an object file. Of two objects with one key the last is kept.
 std::map<object_key, nlohmann::json> to_documents(const object_set& set);
 
-/// `{"generation":N,"objects":[...]}`, indented, in canonical order. parse_objects reads it back.
+/// `{"generation":N,"digest":D,"objects":[...]}`, indented, in canonical order. parse_objects reads it back.
 std::string encode_objects_json(const object_set& set);
 
 /// CBOR `{v, generation, objects}`. Fails with `too_large` above limits::store_value_bytes.
--- a/src/objects/object_parser.cpp
+++ b/src/objects/object_parser.cpp
@@ -341,6 +341,7 @@
         std::uint64_t generation = 0;
         reader.optional("generation", generation);
         all.set.generation = std::max(all.set.generation, generation);
+        reader.optional("digest", all.digest);
         reader.skip("objects");
         reader.finish();
         for (auto& problem : problems) {
--- a/src/objects/object_parser.hpp
+++ b/src/objects/object_parser.hpp
@@ -24,6 +24,8 @@
     object_set set;
     object_origins origins;
     std::vector<object_problem> problems;
+    /// Digest that a saved set names; empty in files that people wrote.
+    std::string digest;
 };
 
 /// Parses several files into one set.
--- a/src/operator/burn_tool.cpp
+++ b/src/operator/burn_tool.cpp
@@ -23,7 +23,7 @@
     {
         if (this->options.files.empty() && this->options.entries.empty()) {
             this->err << "rml-burn: needs --entry or files\n";
-            return exit_code::usage;
+            return exit_code::usage_error;
         }
         for (const auto& file : this->options.files) {
             this->read_file(file);
@@ -48,7 +48,7 @@
     {
         const auto decoded = decode_burn(text);
         if (failed(decoded)) {
-            this->problem(exit_code::invalid, from + ": " + error(decoded).context);
+            this->problem(exit_code::invalid_settings, from + ": " + error(decoded).context);
             return;
         }
         this->ledger.merge(value(decoded));
@@ -58,7 +58,7 @@
     {
         std::ifstream input(file);
         if (!input) {
-            this->problem(exit_code::failed, file + ": cannot be read");
+            this->problem(exit_code::operation_failed, file + ": cannot be read");
             return;
         }
         std::string line;
@@ -95,7 +95,7 @@
         output << text;
         output.flush();
         if (!output) {
-            this->problem(exit_code::failed, file + ": cannot be written");
+            this->problem(exit_code::operation_failed, file + ": cannot be written");
         }
     }
 
--- a/src/operator/burn_tool.hpp
+++ b/src/operator/burn_tool.hpp
@@ -1,9 +1,9 @@
 /// Logic of `rml-burn`, without its command line.
 #pragma once
 
+#include "base/command_line.hpp"
 #include "base/endpoint.hpp"
 #include "base/time.hpp"
-#include "operator/exit_code.hpp"
 
 #include <ostream>
 #include <string>
--- a/src/operator/ctl.cpp
+++ b/src/operator/ctl.cpp
@@ -38,9 +38,9 @@
         return exit_code::unavailable;
     case failure_kind::invalid_settings:
     case failure_kind::too_large:
-        return exit_code::invalid;
+        return exit_code::invalid_settings;
     default:
-        return exit_code::failed;
+        return exit_code::operation_failed;
     }
 }
 
@@ -113,7 +113,9 @@
             return this->usage("unknown command " + this->options.command);
         }
         const auto code = (this->*found->second)();
-        if (this->options.json) {
+        if (this->options.json && this->options.command == "get" && code == exit_code::success) {
+            this->out << this->text.str(); // an object file, so that it can be saved and used again
+        } else if (this->options.json) {
             this->answer["exit_code"] = static_cast<int>(code);
             this->out << this->answer.dump(2, ' ', false, json::error_handler_t::replace) << "\n";
         } else {
@@ -126,7 +128,7 @@
     exit_code usage(const std::string& what)
     {
         this->err << "rml-ctl: " << what << "\n";
-        return exit_code::usage;
+        return exit_code::usage_error;
     }
 
     exit_code report(const failure& reason)
@@ -158,13 +160,14 @@
         }
         this->answer["problems"] = std::move(list);
         if (has_errors(loaded.problems)) {
-            code = exit_code::invalid;
+            code = exit_code::invalid_settings;
             return std::nullopt;
         }
         if (const auto bytes = encode_objects(loaded.set); failed(bytes)) {
             code = this->report(error(bytes));
             return std::nullopt;
         }
+        this->saved_digest = loaded.digest;
         return std::move(loaded.set);
     }
 
@@ -298,7 +301,7 @@
             published.outcome != publish_outcome::unchanged) {
             const auto code = this->report(published.reason);
             // After these two the state of the store is not known to the tool, or is another publication's.
-            return published.outcome == publish_outcome::not_published ? code : exit_code::failed;
+            return published.outcome == publish_outcome::not_published ? code : exit_code::operation_failed;
         }
         for (const auto& problem : check_objects(published.set)) {
             this->err << to_string(problem) << "\n";
@@ -330,7 +333,7 @@
             this->text << "in force at " << this->options.entries.size() << " daemons\n";
         }
         const bool must_confirm = this->options.wait || this->options.command == "deliver";
-        return must_confirm && !unconfirmed.empty() ? exit_code::failed : exit_code::success;
+        return must_confirm && !unconfirmed.empty() ? exit_code::operation_failed : exit_code::success;
     }
 
     /// Daemons that do not show the generation in time, with what they show instead.
@@ -373,6 +376,11 @@
         if (set->generation == 0) {
             return this->report({failure_kind::not_found, "no published generation to deliver"});
         }
+        // Two contents under one generation would be in force at different daemons.
+        if (!this->options.arguments.empty() && this->saved_digest != object_set_digest(*set)) {
+            return this->report({failure_kind::invalid_settings,
+                                 "the file is not an unchanged output of get; publish it instead"});
+        }
         this->answer["generation"] = set->generation;
         this->text << "delivered: generation " << set->generation << "\n";
         return this->hand_over(*set);
@@ -388,9 +396,7 @@
         if (found->set.generation == 0) {
             return this->report({failure_kind::not_found, "nothing is published"});
         }
-        const auto encoded = encode_objects_json(found->set);
-        this->text << encoded;
-        this->answer = json::parse(encoded);
+        this->text << encode_objects_json(found->set);
         return exit_code::success;
     }
 
@@ -489,6 +495,7 @@
     daemon_client daemons;
     json answer = json::object();
     std::ostringstream text;
+    std::string saved_digest; ///< named by the files that were loaded last
 };
 
 result<std::string> read_file(const std::filesystem::path& path)
--- a/src/operator/ctl.hpp
+++ b/src/operator/ctl.hpp
@@ -1,10 +1,10 @@
 /// Commands of `rml-ctl`, without its command line.
 #pragma once
 
+#include "base/command_line.hpp"
 #include "base/endpoint.hpp"
 #include "base/time.hpp"
 #include "objects/object_parser.hpp"
-#include "operator/exit_code.hpp"
 
 #include <cstdint>
 #include <optional>
--- a/tests/operator/burn_tool_test.cpp
+++ b/tests/operator/burn_tool_test.cpp
@@ -48,7 +48,7 @@
     {
         std::ofstream(path, std::ios::app) << snapshot("c@1", 100, 0).substr(0, 50);
         std::ostringstream again;
-        CHECK(run_burn(options, again, err) == exit_code::invalid);
+        CHECK(run_burn(options, again, err) == exit_code::invalid_settings);
         CHECK(again.str() == out.str());
         CHECK(err.str().find(":4: ") != std::string::npos);
     }
--- a/tests/operator/ctl_test.cpp
+++ b/tests/operator/ctl_test.cpp
@@ -163,7 +163,7 @@
         return run(options);
     };
 
-    CHECK(with_platform(command("get")).code == exit_code::failed);
+    CHECK(with_platform(command("get")).code == exit_code::operation_failed);
     auto publish = command("publish", {file.name()});
     publish.wait = true;
     const auto published = with_platform(publish);
@@ -187,7 +187,7 @@
         CHECK(history.document["generations"][0]["generation"] == 2);
         CHECK(with_platform(command("status")).document["daemons"][0]["status"]["generation"] == 2);
         CHECK(with_platform(command("restore", {"domain-1"})).document["generation"] == 3);
-        CHECK(with_platform(command("drain", {"domain-9"})).code == exit_code::failed);
+        CHECK(with_platform(command("drain", {"domain-9"})).code == exit_code::operation_failed);
     }
     SECTION("a daemon that does not confirm is named and the exit code says so")
     {
@@ -195,21 +195,27 @@
         auto drain = command("drain", {"domain-1"});
         drain.wait = true;
         const auto answer = with_platform(drain);
-        CHECK(answer.code == exit_code::failed);
+        CHECK(answer.code == exit_code::operation_failed);
         CHECK(answer.document["outcome"] == "published");
         CHECK(answer.document["unconfirmed"].size() == 1);
     }
-    SECTION("a saved set is delivered without the store")
+    // Guards against two contents under one generation at different daemons.
+    SECTION("a saved set is delivered without the store, a changed one is refused")
     {
-        const temporary_file saved(with_platform(command("get")).document.dump());
+        auto saved = with_platform(command("get")).document;
+        const temporary_file unchanged(saved.dump());
+        for (auto& object : saved["objects"]) {
+            if (object["kind"] == "account") {
+                object["weight"] = 7;
+            }
+        }
+        const temporary_file changed(saved.dump());
         platform.handler.generation = 0;
-        auto deliver = command("deliver", {saved.name()});
+        auto deliver = command("deliver", {changed.name()});
         deliver.entries = {platform.address()};
-        CHECK(run(deliver).code == exit_code::invalid); // exit_code is no field of an object file
-        auto set = small_set();
-        set.generation = 1;
-        const temporary_file text(encode_objects_json(set));
-        deliver.arguments = {text.name()};
+        CHECK(run(deliver).code == exit_code::invalid_settings);
+        CHECK(platform.handler.generation == 0);
+        deliver.arguments = {unchanged.name()};
         CHECK(run(deliver).code == exit_code::success);
         CHECK(platform.handler.generation == 1);
     }
@@ -217,7 +223,7 @@
     {
         auto status = command("status");
         status.token = "wrong";
-        CHECK(with_platform(status).code == exit_code::failed);
+        CHECK(with_platform(status).code == exit_code::operation_failed);
     }
 }
 
@@ -226,13 +232,13 @@
 {
     const temporary_file broken(R"({"objects":[{"kind":"region","name":"r","size":1}]})");
     const auto invalid = run(command("validate", {broken.name()}));
-    CHECK(invalid.code == exit_code::invalid);
+    CHECK(invalid.code == exit_code::invalid_settings);
     REQUIRE(invalid.document["problems"].size() == 2);
     CHECK(invalid.document["problems"][0]["kind"] == "unknown_field");
-    CHECK(run(command("validate", {"/nonexistent.json"})).code == exit_code::failed);
-    CHECK(run(command("validate")).code == exit_code::usage);
-    CHECK(run(command("paint")).code == exit_code::usage);
-    CHECK(run(command("get")).code == exit_code::usage);
+    CHECK(run(command("validate", {"/nonexistent.json"})).code == exit_code::operation_failed);
+    CHECK(run(command("validate")).code == exit_code::usage_error);
+    CHECK(run(command("paint")).code == exit_code::usage_error);
+    CHECK(run(command("get")).code == exit_code::usage_error);
 
     auto drain = command("drain", {"domain-1"});
     drain.store = endpoint{"127.0.0.1", 1}; // nothing listens on this port
