--- a/src/operator/ctl.cpp
+++ b/src/operator/ctl.cpp
@@ -296,7 +296,11 @@
         this->answer["outcome"] = to_string(published.outcome);
         this->answer["generation"] = published.generation;
         this->answer["attempt"] = published.attempt_id;
-        this->text << to_string(published.outcome) << ": generation " << published.generation << "\n";
+        this->text << to_string(published.outcome);
+        if (published.generation != 0) { // 0: the store could not be read
+            this->text << ": generation " << published.generation;
+        }
+        this->text << "\n";
         if (published.outcome != publish_outcome::published &&
             published.outcome != publish_outcome::unchanged) {
             const auto code = this->report(published.reason);
