--- a/src/operator/ctl.cpp
+++ b/src/operator/ctl.cpp
@@ -113,9 +113,9 @@
             return this->usage("unknown command " + this->options.command);
         }
         const auto code = (this->*found->second)();
-        if (this->options.json && this->options.command == "get" && code == exit_code::success) {
-            this->out << this->text.str(); // an object file, so that it can be saved and used again
-        } else if (this->options.json) {
+        // The text of a successful get is an object file already; it can be saved and used again.
+        const bool object_file = this->options.command == "get" && code == exit_code::success;
+        if (this->options.json && !object_file) {
             this->answer["exit_code"] = static_cast<int>(code);
             this->out << this->answer.dump(2, ' ', false, json::error_handler_t::replace) << "\n";
         } else {
