Read the example settings with the daemon's own parser

Cause: the test of the examples only checked that the settings are JSON. Change: it calls parse_settings and compares the region with that of the objects. Ruled out: nothing else was considered.

--- a/tests/objects/object_check_test.cpp
+++ b/tests/objects/object_check_test.cpp
@@ -1,8 +1,8 @@
 #include "objects/object_check.hpp"
 
-#include "base/json_reader.hpp"
 #include "objects/object_generator.hpp"
 #include "objects/object_parser.hpp"
+#include "objects/settings.hpp"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -74,7 +74,9 @@
         const auto settings = json_files(examples / name);
         CHECK(settings.size() == 6);
         for (const auto& file : settings) {
-            CHECK(succeeded(parse_json(read(file))));
+            const auto parsed = parse_settings(read(file));
+            REQUIRE(succeeded(parsed));
+            CHECK(value(parsed).region == loaded.set.regions.front().name);
         }
     }
 }
