Keep unknown keys of CBOR documents printable in messages

Cause: a key that is not UTF-8 went into the failure's text as it was, and the text goes into logs and JSON answers. Ruled out: refusing such documents while parsing; the problem is then reported without its object. Change: keys are shown as bounded ASCII text. A property test replaces, removes and adds fields of a valid document, with wrong types, NaN, extreme numbers and invalid encodings.

--- a/src/base/json_reader.cpp
+++ b/src/base/json_reader.cpp
@@ -151,6 +151,17 @@
     return key.substr(0, split);
 }
 
+/// A key as bounded ASCII text: keys of CBOR documents may be long and are not checked to be UTF-8.
+std::string printable(const std::string& key)
+{
+    auto text = excerpt(key);
+    text.erase(0, 1);
+    if (!text.empty() && text.back() == '"') {
+        text.pop_back();
+    }
+    return text;
+}
+
 const nlohmann::json& empty_object()
 {
     static const nlohmann::json empty = nlohmann::json::object();
@@ -344,10 +355,11 @@
             std::find_if(this->known.begin(), this->known.end(), [&](const std::string& name) {
                 return without_unit(name) != name && without_unit(name) == without_unit(item.key());
             });
+        const auto key = printable(item.key());
         if (same_quantity != this->known.end()) {
-            this->report(field_problem_kind::wrong_unit, item.key(), item.key(), *same_quantity);
+            this->report(field_problem_kind::wrong_unit, key, key, *same_quantity);
         } else {
-            this->report(field_problem_kind::unknown_field, item.key(), item.key(), all);
+            this->report(field_problem_kind::unknown_field, key, key, all);
         }
     }
 }
--- a/tests/objects/object_codec_test.cpp
+++ b/tests/objects/object_codec_test.cpp
@@ -1,5 +1,6 @@
 #include "objects/object_codec.hpp"
 
+#include "base/json_reader.hpp"
 #include "base/limits.hpp"
 #include "objects/object_check.hpp"
 #include "objects/object_diff.hpp"
@@ -10,6 +11,7 @@
 using namespace rml;
 using rml::testing::arbitrary_set;
 using rml::testing::mutate;
+using rml::testing::mutate_fields;
 
 namespace {
 
@@ -21,6 +23,12 @@
     });
 }
 
+/// Messages become log lines and JSON, which need valid encodings.
+bool is_ascii(const std::string& text)
+{
+    return std::all_of(text.begin(), text.end(), [](char c) { return c >= ' ' && c <= '~'; });
+}
+
 } // namespace
 
 // Guards against a field that is written but not read back, and against two encodings of one set.
@@ -121,6 +129,24 @@
         const auto parsed = load_objects({{"x", mutate(encode_objects_json(set))}});
         RC_ASSERT(all_typed(parsed.problems));
     }));
+    CHECK(rc::check("documents with fields of wrong types, names and encodings", [] {
+        const auto set = arbitrary_set();
+        auto document = value(parse_cbor(value(encode_objects(set))));
+        mutate_fields(document["objects"]);
+        const auto decoded = decode_objects(to_cbor_bytes(document));
+        if (succeeded(decoded)) {
+            RC_ASSERT(succeeded(encode_objects(value(decoded))));
+        } else {
+            RC_ASSERT(error(decoded).kind == failure_kind::invalid_settings);
+            RC_ASSERT(is_ascii(error(decoded).context));
+        }
+        parsed_objects parsed;
+        parse_object_list(document["objects"], "file", parsed);
+        const auto problems = check_objects(parsed.set, parsed.origins);
+        parsed.problems.insert(parsed.problems.end(), problems.begin(), problems.end());
+        RC_ASSERT(all_typed(parsed.problems));
+        RC_ASSERT(has_errors(parsed.problems) == failed(decoded));
+    }));
 }
 
 // Guards against input whose size alone would exhaust stack or memory.
--- a/tests/objects/object_generator.hpp
+++ b/tests/objects/object_generator.hpp
@@ -3,8 +3,12 @@
 
 #include "objects/objects.hpp"
 
+#include <cmath>
+#include <limits>
+#include <nlohmann/json.hpp>
 #include <rapidcheck.h>
 #include <string>
+#include <vector>
 
 namespace rml::testing {
 
@@ -122,4 +126,55 @@
     return text;
 }
 
+/// A value that a field may not expect.
+inline nlohmann::json arbitrary_value()
+{
+    using nlohmann::json;
+    const auto values = std::vector<json>{nullptr,
+                                          true,
+                                          -1,
+                                          0,
+                                          1e300,
+                                          std::nan(""),
+                                          std::numeric_limits<std::uint64_t>::max(),
+                                          std::numeric_limits<std::int64_t>::min(),
+                                          "",
+                                          "\xff\xfe",
+                                          std::string(300, 'x'),
+                                          "domain-0",
+                                          json::array(),
+                                          json::array({json::array({1})}),
+                                          json::object({{"a", json::array({nullptr})}})};
+    return values[*rc::gen::inRange<std::size_t>(0, values.size())];
+}
+
+/// Replaces, removes or adds a field of up to three elements of an object list.
+inline void mutate_fields(nlohmann::json& list)
+{
+    const int edits = *rc::gen::inRange(1, 4);
+    for (int i = 0; i < edits && !list.empty(); ++i) {
+        auto& element = list[*rc::gen::inRange<std::size_t>(0, list.size())];
+        if (!element.is_object() || element.empty()) {
+            element = arbitrary_value();
+            continue;
+        }
+        auto field = element.begin();
+        std::advance(field, *rc::gen::inRange<std::size_t>(0, element.size()));
+        switch (*rc::gen::inRange(0, 4)) {
+        case 0:
+            element.erase(field);
+            break;
+        case 1:
+            element["\xc3\x28"] = arbitrary_value();
+            break;
+        case 2:
+            element = arbitrary_value();
+            break;
+        default:
+            *field = arbitrary_value();
+            break;
+        }
+    }
+}
+
 } // namespace rml::testing
