Wire crash attribution, account quotas and burn counts into the daemon

Cause: these decision modules were ready but nothing called them. Requests whose group was lost were retried at once, each account had only its floor rate, and GET /operator/burn was empty. Change: a lost connection is verified by a status read before it counts as a loss; suspects run with a trial slot; notices travel as replicated items; the duty holder picked by rendezvous hash grants account rates; request, group and accelerator counts feed the burn ledger. An order's lease and plan are checked once more after its connection stands. A new holder takes over the warm marks of the last digest. A new account starts with one token, so that the first request after a start is not refused with 429. The stand-in service echoes x-request-id in refusals.

--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -59,7 +59,8 @@
 
 // Slots and grants.
 constexpr milliseconds slot_lifetime{3000};
-constexpr milliseconds slot_dispatch_margin{500}; // time between taking a slot and the target counting the request
+constexpr milliseconds slot_dispatch_margin{
+    500}; // time between taking a slot and the target counting the request
 constexpr milliseconds quota_lifetime{3000};
 constexpr double quota_floor_share = 0.5;
 
@@ -115,7 +116,8 @@
 // Store and peers.
 constexpr std::size_t store_value_bytes = 1024 * 1024;
 constexpr std::size_t store_idle_connections = 4; // a watch, a renewal and two other calls at once
-constexpr milliseconds store_idle_connection{10000}; // below http_idle_timeout, so that the store closes later
+constexpr milliseconds store_idle_connection{
+    10000}; // below http_idle_timeout, so that the store closes later
 constexpr int write_once_attempts = 4;
 constexpr milliseconds write_once_pause{50};
 constexpr std::size_t peer_frame_bytes = 1024 * 1024 + 64 * 1024;
--- a/src/control/duty_loop.cpp
+++ b/src/control/duty_loop.cpp
@@ -18,6 +18,7 @@
 
 constexpr milliseconds step_interval{100};
 constexpr milliseconds forming_interval{500};
+constexpr std::uint32_t saturated_slots = 255; // a compact report cannot say more
 // A watch may take its full wait; the deadline lies after it, so that one that hangs is noticed.
 constexpr milliseconds watch_margin{1000};
 
@@ -123,14 +124,17 @@
             {{"domain", this->domain.str()}});
         if (this->was_holding) {
             this->commit.take_over(this->next_attempt());
+            this->warm_marks_taken = false;
         } else {
             this->slots.destroy_lease();
+            this->quota.destroy_lease();
         }
     }
     if (!this->was_holding) {
         return;
     }
     this->slots.update_lease(lease.valid_until, steady_clock::now());
+    this->quota.update_lease(lease.valid_until, steady_clock::now());
     this->commit_plan(yield);
     const auto now = steady_clock::now();
     if (this->commit.committed() == nullptr && !this->commit.ready()) {
@@ -419,10 +423,19 @@
         return;
     }
     boost::asio::spawn(this->shared.strand, [this, order, address = engine.address](yield_context yield) {
+        // Connecting takes time, so the lease and the plan are checked once more directly before sending.
+        const auto permit = [&]() -> status {
+            const auto now = steady_clock::now();
+            if (!this->lease_duty.lease().permits_orders(now) ||
+                this->commit.orderable_revision() != order.fencing) {
+                return failure{failure_kind::lapsed, "order to " + order.instance.str()};
+            }
+            return success();
+        };
         target::assign_order sent{order.group, order.epoch,   order.rank,   order.members,
                                   order.model, order.version, order.fencing};
-        const auto answer =
-            this->shared.engines.assign(address, sent, steady_clock::now() + limits::order_timeout, yield);
+        const auto answer = this->shared.engines.assign(address, sent, permit,
+                                                        steady_clock::now() + limits::order_timeout, yield);
         this->orders.finish_order(order.instance);
         if (failed(answer)) {
             log(log_level::warning, "order failed",
@@ -446,12 +459,20 @@
         }
         this->slots.update_target(group.id, group.epoch,
                                   {pool->start_slots, pool->full_slots, pool->ramp_step}, now);
+        if (!this->warm_marks_taken) {
+            const std::lock_guard guard(this->shared.tables.groups.mutex);
+            if (this->shared.tables.groups.evidence.warm(group.id)) {
+                this->slots.mark_warm(group.id, group.epoch);
+            }
+        }
         const auto* leader = this->observations.fresh(group.members.front(), now);
         if (leader != nullptr && serves_as_planned(leader->report, group, 0)) {
+            const auto borne = leader->report.warm_slots < saturated_slots ? leader->report.warm_slots : 0;
             this->slots.observe(group.id, group.epoch, leader->report.running + leader->report.queued,
-                                leader->observed_at);
+                                leader->observed_at, borne);
         }
     }
+    this->warm_marks_taken = true;
 }
 
 void duty_loop::publish_digest(time_point now)
@@ -476,6 +497,10 @@
     if (health == this->last_health && now - this->last_digest < limits::digest_interval) {
         return;
     }
+    if (now - this->last_service_record >= limits::digest_interval) {
+        this->last_service_record = now;
+        this->record_service(*this->shared.tables.config.get(), record);
+    }
     this->last_health = health;
     this->last_digest = now;
     const auto key = digest_item_key(this->domain);
@@ -508,4 +533,66 @@
     this->slots.release(asker, release, now);
 }
 
+quota_grant duty_loop::on_quota_ask(const daemon_id& asker, const quota_ask& ask, time_point now)
+{
+    return this->quota.grant(asker, ask, now);
+}
+
+void duty_loop::update_accounts(const config_snapshot& config, time_point now)
+{
+    const auto regions = static_cast<std::uint32_t>(std::max<std::size_t>(1, config.set().regions.size()));
+    for (const auto& account : config.set().accounts) {
+        if (quota_domain(config, this->shared.region, account.name) == this->domain) {
+            this->quota.update_account(
+                account.name, {account.requests_per_second, config.set().entry_policy.max_daemons, regions},
+                now);
+        } else {
+            this->quota.destroy_account(account.name);
+        }
+    }
+}
+
+void duty_loop::record_service(const config_snapshot& config, const digest& record)
+{
+    const auto* committed = this->commit.committed();
+    std::map<model_pool_id, group_sample> samples;
+    for (const auto& demand : this->demands(config, steady_clock::now())) {
+        samples[demand.pool] = {demand.pool, this->domain, demand.groups, 0};
+    }
+    for (std::size_t i = 0; i < record.groups.size(); ++i) {
+        samples[committed->plan.groups()[i].pool].serving += record.groups[i].healthy ? 1 : 0;
+    }
+    accelerator_sample accelerators{this->domain, 0, 0};
+    for (const auto& instance : this->answering) {
+        const auto* engine = config.find_engine(instance);
+        accelerators.healthy += engine == nullptr ? 0 : engine->accelerators;
+    }
+    const auto engines = std::max<std::size_t>(1, this->answering.size());
+    accelerators.stranded =
+        std::min<std::uint32_t>(accelerators.healthy, this->last_grouping.stranded * accelerators.healthy /
+                                                          static_cast<std::uint32_t>(engines));
+    const auto at = wall_seconds();
+    const std::lock_guard guard(this->shared.tables.burn.mutex);
+    auto& recorder = this->shared.tables.burn.recorder;
+    for (const auto& [pool, sample] : samples) {
+        recorder.record_groups(sample, limits::digest_interval, at);
+    }
+    recorder.record_accelerators(accelerators, limits::digest_interval, at);
+}
+
+failure_domain_id quota_domain(const config_snapshot& config, const region_id& region,
+                               const account_id& account)
+{
+    failure_domain_id best;
+    std::uint64_t best_weight = 0;
+    for (const auto& domain : config.domains_of(region)) {
+        const auto weight = rendezvous_weight(account.str(), domain.str());
+        if (best.empty() || weight > best_weight) {
+            best = domain;
+            best_weight = weight;
+        }
+    }
+    return best;
+}
+
 } // namespace rml::control
--- a/src/control/duty_loop.hpp
+++ b/src/control/duty_loop.hpp
@@ -19,6 +19,10 @@
 
 namespace rml::control {
 
+/// Failure domain of the region whose duty holder owns the account's limit.
+failure_domain_id quota_domain(const config_snapshot& config, const region_id& region,
+                               const account_id& account);
+
 /// Key of the replicated plan and digest of a failure domain.
 std::string plan_item_key(const failure_domain_id& domain);
 std::string digest_item_key(const failure_domain_id& domain);
@@ -69,6 +73,11 @@
     /// Answers an ask for slots; refuses when this daemon does not hold the duty.
     slot_grant on_slot_ask(const daemon_id& asker, const slot_ask& ask, time_point now);
     void on_slot_release(const daemon_id& asker, const slot_release& release, time_point now);
+    /// Answers an ask for a part of an account's rate; grants nothing when this daemon does not hold the
+    /// duty.
+    quota_grant on_quota_ask(const daemon_id& asker, const quota_ask& ask, time_point now);
+    /// Takes over the accounts whose limit owner is the holder of this duty.
+    void update_accounts(const config_snapshot& config, time_point now);
 
 private:
     void run(yield_context yield);
@@ -88,6 +97,7 @@
     void send_order(const assign_order& order, const engine_object& engine);
     void publish_digest(time_point now);
     void update_slots(const config_snapshot& config, time_point now);
+    void record_service(const config_snapshot& config, const digest& record);
 
     duty_environment& shared;
     failure_domain_id domain;
@@ -97,15 +107,19 @@
     observation_book observations;
     shared_risk risk;
     slot_holder slots;
+    quota_owner quota;
     grouping_stats last_grouping;
     std::set<instance_id> answering; ///< engines that answered at the last look, for loss records
     std::string last_health;         ///< health bits of the last digest, to publish changes at once
     time_point last_digest{};
     time_point last_forming{};
+    time_point last_service_record{};
     std::uint64_t installed_revision{0};
     std::uint64_t attempts{0};
     bool call_pending{false};
     bool was_holding{false};
+    /// The last digest of an earlier holder says which groups are warm; it is read once per takeover.
+    bool warm_marks_taken{false};
     std::atomic<bool> stopped{false};
 };
 
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -54,7 +54,8 @@
 
 node::node(boost::asio::io_context& context, node_options options)
     : context(context), options(std::move(options)), strand(context.get_executor()),
-      tables(this->options.incarnation), store(platform::create_http_store(context, this->options.store)),
+      tables(this->options.daemon, this->options.incarnation),
+      store(platform::create_http_store(context, this->options.store)),
       instances(platform::create_http_instance_list(context, this->options.instances)),
       weights(platform::create_http_weight_limit(context, this->options.weights)), claims(*this->store),
       target_connections(context), engines(context, this->target_connections),
@@ -139,6 +140,7 @@
         const auto now = steady_clock::now();
         this->request_state.refresh(now);
         this->request_state.expire(now);
+        this->request_state.poll_crashes(now);
         std::vector<quota_ask> asks;
         {
             const std::lock_guard guard(this->tables.admissions.mutex);
@@ -301,6 +303,11 @@
             loop = std::make_unique<duty_loop>(this->environment, domain);
             loop->start();
         }
+        loop->update_accounts(*snapshot, steady_clock::now());
+    }
+    {
+        const std::lock_guard guard(this->tables.burn.mutex);
+        this->tables.burn.recorder.install_objects(set, wall_seconds());
     }
     this->update_members(steady_clock::now());
     log(log_level::info, "configuration in force",
@@ -341,6 +348,8 @@
         this->on_plan_item(accepted);
     } else if (accepted.key.compare(0, 7, "digest/") == 0) {
         this->on_digest_item(accepted);
+    } else if (accepted.key.compare(0, 8, "suspect/") == 0) {
+        this->on_notice_item(accepted);
     }
 }
 
@@ -370,6 +379,43 @@
     this->tables.groups.evidence.apply_digest(domain, value(published).record, steady_clock::now());
 }
 
+void node::publish_notice(const crash_notice& notice)
+{
+    nlohmann::json losses = nlohmann::json::array();
+    for (const auto& loss : notice.losses) {
+        losses.push_back({loss.loss, loss.explained});
+    }
+    const auto bytes = nlohmann::json::to_cbor(nlohmann::json::array(
+        {notice.fingerprint.value, notice.version, notice.blocked, std::move(losses), notice.ttl.count()}));
+    const auto now = std::chrono::duration_cast<milliseconds>(steady_clock::now().time_since_epoch());
+    const item written{"suspect/" + std::to_string(notice.fingerprint.value) + "/" +
+                           this->options.daemon.str(),
+                       {this->options.incarnation, static_cast<std::uint64_t>(now.count())},
+                       item_class::transient,
+                       {bytes.begin(), bytes.end()}};
+    boost::asio::post(this->strand, [this, written] { this->others.publish(written); });
+}
+
+void node::on_notice_item(const item& accepted)
+{
+    // The item is only a carrier: the attribution keeps its own bounded record.
+    this->others.destroy(accepted.key);
+    const auto document = nlohmann::json::from_cbor(accepted.payload, true, false);
+    try {
+        crash_notice notice;
+        notice.fingerprint.value = document.at(0).get<std::uint64_t>();
+        notice.version = document.at(1).get<std::uint64_t>();
+        notice.blocked = document.at(2).get<bool>();
+        for (const auto& loss : document.at(3)) {
+            notice.losses.push_back({loss.at(0).get<std::uint64_t>(), loss.at(1).get<bool>()});
+        }
+        notice.ttl = milliseconds(document.at(4).get<std::int64_t>());
+        this->request_state.apply_notice(notice, steady_clock::now());
+    } catch (const nlohmann::json::exception& e) {
+        log(log_level::warning, "crash notice is not usable", {{"context", std::string(e.what())}});
+    }
+}
+
 void node::peer_generation(const daemon_id& from, std::uint64_t generation)
 {
     this->generations.update_peer_answer(from, generation);
@@ -439,6 +485,14 @@
         }
     } else if (const auto* release = std::get_if<slot_release>(&m)) {
         found->second->on_slot_release(from, *release, now);
+    } else if (const auto* rate = std::get_if<quota_ask>(&m)) {
+        const auto grant = found->second->on_quota_ask(from, *rate, now);
+        if (from == this->options.daemon) {
+            const std::lock_guard guard(this->tables.admissions.mutex);
+            this->tables.admissions.quota.accept(grant, now);
+        } else {
+            this->others.send(from, grant);
+        }
     }
 }
 
@@ -458,6 +512,12 @@
         this->handle_at_duty(this->domain_of_group(ask->target), from, received);
     } else if (const auto* release = std::get_if<slot_release>(&received)) {
         this->handle_at_duty(this->domain_of_group(release->target), from, received);
+    } else if (const auto* rate = std::get_if<quota_ask>(&received)) {
+        this->handle_at_duty(quota_domain(*this->tables.config.get(), this->options.region, rate->account),
+                             from, received);
+    } else if (const auto* rate_grant = std::get_if<quota_grant>(&received)) {
+        const std::lock_guard guard(this->tables.admissions.mutex);
+        this->tables.admissions.quota.accept(*rate_grant, now);
     }
 }
 
@@ -580,7 +640,8 @@
 std::string node::burn_document(yield_context yield)
 {
     boost::asio::dispatch(this->strand, yield);
-    return nlohmann::json{{"daemon", this->options.daemon.str()}}.dump();
+    const std::lock_guard guard(this->tables.burn.mutex);
+    return encode_burn(this->tables.burn.recorder.ledger());
 }
 
 std::string node::make_status() const
--- a/src/control/node.hpp
+++ b/src/control/node.hpp
@@ -63,6 +63,8 @@
     void message_received(const daemon_id& from, const peer::message& received) override;
     void peer_generation(const daemon_id& from, std::uint64_t generation) override;
     void send_to_holder(const failure_domain_id& domain, const peer::message& m) override;
+    void publish_notice(const crash_notice& notice) override;
+    void on_notice_item(const item& accepted);
 
     void run_fleet(yield_context yield);
     void run_config(yield_context yield);
--- a/src/control/serving.cpp
+++ b/src/control/serving.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
+#include <boost/asio/spawn.hpp>
 #include <cmath>
 #include <set>
 
@@ -15,6 +16,7 @@
 namespace {
 
 constexpr milliseconds permit_poll{10};
+constexpr milliseconds loss_probe_timeout{400};
 // One slot per ask: a slot that a daemon holds without using it keeps another daemon's request waiting.
 constexpr std::uint32_t slots_per_ask = 1;
 constexpr milliseconds slot_ask_interval{50};
@@ -297,7 +299,7 @@
 }
 
 result<caller::dispatch_permit> serving::begin(const caller::dispatch_request& request, const route& chosen,
-                                               const group_record& record, time_point now)
+                                               const group_record& record, bool trial, time_point now)
 {
     const auto config = this->tables.config.get();
     const auto* engine = config->find_engine(record.members.front());
@@ -307,12 +309,12 @@
     dispatched entry;
     entry.pool = request.pool;
     entry.chosen = chosen;
-    entry.epoch = record.epoch;
-    entry.fingerprint = request.fingerprint;
-    entry.leader = record.members.front();
-    entry.domain = config->domain_of(record.members.front());
-    if (config->drained(entry.domain)) {
-        return failure{failure_kind::refused, "failure domain " + entry.domain.str() + " is drained"};
+    entry.fingerprint = request_fingerprint{request.fingerprint};
+    entry.run.leader = record.members.front();
+    entry.run.target = {record.id, record.epoch, record.fabric, config->domain_of(record.members.front())};
+    if (config->drained(entry.run.target.domain)) {
+        return failure{failure_kind::refused,
+                       "failure domain " + entry.run.target.domain.str() + " is drained"};
     }
     bool warm = false;
     {
@@ -322,21 +324,30 @@
     caller::dispatch_permit permit;
     {
         const std::lock_guard guard(this->tables.loads.mutex);
-        if (!warm) {
+        {
             const std::lock_guard slot_guard(this->tables.slots.mutex);
             auto& client = this->tables.slots.client;
-            if (!client.warm(record.id, record.epoch)) {
-                entry.slot = client.acquire(record.id, record.epoch, slot_kind::ramp, now);
+            const bool cold = !warm && !client.warm(record.id, record.epoch);
+            if (trial && cold) {
+                return failure{failure_kind::refused, "no trial on cold group " + record.id.str()};
+            }
+            if (trial || cold) {
+                entry.slot =
+                    client.acquire(record.id, record.epoch, trial ? slot_kind::trial : slot_kind::ramp, now);
                 if (!entry.slot) {
                     return failure{failure_kind::lapsed, "no slot of " + record.id.str()};
                 }
-                ++this->cold_count;
+                this->cold_count += cold ? 1 : 0;
             }
         }
         auto& loads = this->tables.loads;
         loads.pools.at(request.pool)->begin(chosen);
         permit.id = ++loads.next_permit;
-        loads.in_flight.emplace(permit.id, std::move(entry));
+        loads.in_flight.emplace(permit.id, entry);
+    }
+    {
+        const std::lock_guard guard(this->tables.crashes.mutex);
+        this->tables.crashes.attribution.begin(permit.id, entry.fingerprint, entry.run.target, trial);
     }
     if (permit.id % warm_up_every == 0) {
         this->ask_slots(*config->find_pool(request.pool), now);
@@ -357,7 +368,7 @@
     if (pool == nullptr) {
         return failure{failure_kind::not_found, "pool " + request.pool.str()};
     }
-    if (!request.is_retry) {
+    if (request.tried.empty()) {
         const std::lock_guard guard(this->tables.crashes.mutex);
         this->tables.crashes.retries.record_first_try(steady_clock::now());
     }
@@ -367,6 +378,18 @@
         if (!this->ready()) {
             return failure{failure_kind::unavailable, "this daemon is isolated"};
         }
+        const auto verdict =
+            this->check_crashes(request_fingerprint{request.fingerprint}, steady_clock::now());
+        if (verdict == crash_verdict::blocked) {
+            return failure{failure_kind::refused, "this request has crashed the groups that ran it"};
+        }
+        if (verdict == crash_verdict::hold || verdict == crash_verdict::refuse) {
+            last = failure{failure_kind::unavailable,
+                           "the loss of a group that ran this request is being examined"};
+            this->pause(permit_poll, yield);
+            continue;
+        }
+        const bool trial = verdict == crash_verdict::trial;
         auto avoided = request.tried;
         // Each round tries the groups that routing offers until none is left.
         while (true) {
@@ -382,11 +405,14 @@
                 last = error(record);
                 continue;
             }
-            auto permit = this->begin(request, value(chosen), value(record), steady_clock::now());
+            auto permit = this->begin(request, value(chosen), value(record), trial, steady_clock::now());
             if (succeeded(permit)) {
                 return permit;
             }
             last = error(permit);
+            if (trial) {
+                this->ask_trial(value(record), steady_clock::now());
+            }
         }
         this->ask_slots(*pool, steady_clock::now());
         this->pause(permit_poll, yield);
@@ -414,16 +440,131 @@
     }
     if (report.end == caller::permit_end::target_lost || report.end == caller::permit_end::not_sent) {
         const std::lock_guard guard(this->tables.groups.mutex);
-        this->tables.groups.evidence.invalidate(entry.leader, now);
+        this->tables.groups.evidence.invalidate(entry.run.leader, now);
     }
     if (entry.slot) {
         slot_release release;
         {
             const std::lock_guard guard(this->tables.slots.mutex);
-            release =
-                this->tables.slots.client.release(*entry.slot, report.end == caller::permit_end::completed);
+            auto& client = this->tables.slots.client;
+            release = report.end == caller::permit_end::caller_gone
+                          ? client.cancel(*entry.slot)
+                          : client.release(*entry.slot, report.end == caller::permit_end::completed);
+        }
+        this->mailbox.send_to_holder(entry.run.target.domain, release);
+    }
+    if (report.end == caller::permit_end::target_lost) {
+        this->verify_loss(permit, entry.run, entry.fingerprint);
+        return;
+    }
+    std::vector<crash_notice> notices;
+    {
+        const std::lock_guard guard(this->tables.crashes.mutex);
+        notices =
+            this->tables.crashes.attribution.end(permit.id, report.end == caller::permit_end::completed, now)
+                .notices;
+    }
+    this->publish(notices);
+}
+
+void serving::verify_loss(const caller::dispatch_permit& permit, const dispatched_run& run,
+                          request_fingerprint fingerprint)
+{
+    {
+        const std::lock_guard guard(this->tables.crashes.mutex);
+        ++this->tables.crashes.verifying[fingerprint.value];
+    }
+    // A wrong answer ends an attempt as a broken connection does, but only a lost group can have been
+    // crashed.
+    boost::asio::spawn(this->context, [this, permit, run, fingerprint](yield_context yield) {
+        const auto asked = steady_clock::now();
+        const auto seen = this->engines.read_status(permit.engine, asked + loss_probe_timeout, yield);
+        const bool alive = succeeded(seen) && value(seen).incarnation == permit.incarnation;
+        const auto now = steady_clock::now();
+        std::vector<crash_notice> notices;
+        {
+            const std::lock_guard guard(this->tables.crashes.mutex);
+            auto& crashes = this->tables.crashes;
+            notices = alive ? crashes.attribution.end(permit.id, false, now).notices
+                            : crashes.attribution.group_lost(run.target, asked, now).notices;
+            if (--crashes.verifying[fingerprint.value] == 0) {
+                crashes.verifying.erase(fingerprint.value);
+            }
+        }
+        this->publish(notices);
+    });
+}
+
+void serving::publish(const std::vector<crash_notice>& notices)
+{
+    for (const auto& notice : notices) {
+        this->mailbox.publish_notice(notice);
+    }
+}
+
+crash_verdict serving::check_crashes(request_fingerprint fingerprint, time_point now) const
+{
+    const std::lock_guard guard(this->tables.crashes.mutex);
+    const auto& crashes = this->tables.crashes;
+    return crashes.verifying.count(fingerprint.value) != 0 ? crash_verdict::hold
+                                                           : crashes.attribution.check(fingerprint, now);
+}
+
+void serving::poll_crashes(time_point now)
+{
+    std::vector<group_run> lost;
+    {
+        const std::lock_guard guard(this->tables.groups.mutex);
+        const auto& evidence = this->tables.groups.evidence;
+        std::unordered_map<group_id, std::uint64_t> serving_now;
+        for (const auto& [domain, plan] : this->tables.groups.plans) {
+            for (const auto& group : plan.plan.groups()) {
+                if (evidence.servable(group.id, now)) {
+                    serving_now[group.id] = group.epoch;
+                    continue;
+                }
+                const auto before = this->serving_before.find(group.id);
+                // A fresh digest says that the group does not serve; stale evidence alone is no loss.
+                if (before != this->serving_before.end() && evidence.probes_due(group.id, now).empty()) {
+                    lost.push_back({group.id, before->second, group.fabric, domain});
+                }
+            }
         }
-        this->mailbox.send_to_holder(entry.domain, release);
+        this->serving_before = std::move(serving_now);
+    }
+    std::vector<crash_notice> notices;
+    {
+        const std::lock_guard guard(this->tables.crashes.mutex);
+        auto& attribution = this->tables.crashes.attribution;
+        const auto take = [&](crash_changes changes) {
+            notices.insert(notices.end(), changes.notices.begin(), changes.notices.end());
+        };
+        for (const auto& run : lost) {
+            take(attribution.group_lost(run, now, now));
+        }
+        take(attribution.poll(now));
+    }
+    this->publish(notices);
+}
+
+void serving::apply_notice(const crash_notice& notice, time_point now)
+{
+    const std::lock_guard guard(this->tables.crashes.mutex);
+    this->tables.crashes.attribution.apply(notice, now);
+}
+
+void serving::ask_trial(const group_record& group, time_point now)
+{
+    std::optional<slot_ask> ask;
+    {
+        const std::lock_guard guard(this->tables.slots.mutex);
+        auto& client = this->tables.slots.client;
+        if (client.pending(group.id, slot_kind::trial, now) == 0) {
+            ask = client.ask(group.id, group.epoch, slot_kind::trial, 1, now);
+        }
+    }
+    if (ask) {
+        this->mailbox.send_to_holder(this->tables.config.get()->domain_of(group.members.front()), *ask);
     }
 }
 
@@ -574,11 +715,21 @@
 
 void serving::record(const caller::request_record& ended)
 {
-    log(log_level::debug, "request ended",
-        {{"account", ended.account.str()},
-         {"pool", ended.pool.str()},
-         {"service", ended.service.str()},
-         {"total_ms", static_cast<std::int64_t>(ended.total.count())}});
+    request_sample sample;
+    sample.pool = ended.pool;
+    sample.service = ended.service;
+    sample.answered = ended.result == outcome::completed;
+    if (ended.first_token.count() > 0) {
+        sample.first_token = ended.first_token;
+    }
+    if (ended.between_tokens.count() > 0) {
+        sample.between_tokens = ended.between_tokens;
+    }
+    if (ended.caller_gone) {
+        return; // says nothing about the service
+    }
+    const std::lock_guard guard(this->tables.burn.mutex);
+    this->tables.burn.recorder.record_request(sample, wall_seconds());
 }
 
 serving_stats serving::stats() const
--- a/src/control/serving.hpp
+++ b/src/control/serving.hpp
@@ -24,6 +24,8 @@
     virtual ~duty_mailbox() = default;
 
     virtual void send_to_holder(const failure_domain_id& domain, const peer::message& m) = 0;
+    /// Shares what this daemon knows about a crashing request.
+    virtual void publish_notice(const crash_notice& notice) = 0;
 };
 
 /// A queued request. State is guarded by the admission table's mutex; the timer belongs to the waiting
@@ -75,6 +77,9 @@
     void refresh(time_point now);
     /// Refuses queued requests whose time is over. Called by the control loop.
     void expire(time_point now);
+    /// Reports lost groups to the crash attribution and decides what is due. Called by the control loop.
+    void poll_crashes(time_point now);
+    void apply_notice(const crash_notice& notice, time_point now);
     serving_stats stats() const;
 
 private:
@@ -91,7 +96,13 @@
     /// does.
     result<group_record> check_evidence(const group_id& group, yield_context yield);
     result<caller::dispatch_permit> begin(const caller::dispatch_request& request, const route& chosen,
-                                          const group_record& record, time_point now);
+                                          const group_record& record, bool trial, time_point now);
+    void ask_trial(const group_record& group, time_point now);
+    crash_verdict check_crashes(request_fingerprint fingerprint, time_point now) const;
+    /// Finds out whether the group was lost or only answered wrongly.
+    void verify_loss(const caller::dispatch_permit& permit, const dispatched_run& run,
+                     request_fingerprint fingerprint);
+    void publish(const std::vector<crash_notice>& notices);
     void ask_slots(const model_pool_object& pool, time_point now);
     void pause(milliseconds time, yield_context yield) const;
 
@@ -101,6 +112,8 @@
     duty_mailbox& mailbox;
     caller::claim_store& claim_documents;
     failure_domain_id own_domain;
+    std::unordered_map<group_id, std::uint64_t>
+        serving_before; ///< epochs at the last poll; control strand only
     std::atomic<std::uint64_t> dispatched_count{0};
     std::atomic<std::uint64_t> cold_count{0};
     std::atomic<std::uint64_t> no_group_count{0};
--- a/src/control/tables.hpp
+++ b/src/control/tables.hpp
@@ -8,6 +8,8 @@
 #include "caller/serving_state.hpp"
 #include "control/config_snapshot.hpp"
 #include "decision/admission.hpp"
+#include "decision/burn_recorder.hpp"
+#include "decision/crash_attribution.hpp"
 #include "decision/evidence.hpp"
 #include "decision/prefix_cache.hpp"
 #include "decision/quota.hpp"
@@ -85,16 +87,21 @@
     std::map<failure_domain_id, committed_plan> plans;
 };
 
+/// The group to which a request was sent, as it was then.
+struct dispatched_run
+{
+    group_run target;   ///< its incarnation is the epoch
+    instance_id leader; ///< rank 0
+};
+
 /// A request that was sent to a group and has not ended.
 struct dispatched
 {
     model_pool_id pool;
     route chosen;
     std::optional<slot_use> slot;
-    std::uint64_t epoch{0};
-    std::uint64_t fingerprint{0};
-    instance_id leader; ///< rank 0
-    failure_domain_id domain;
+    request_fingerprint fingerprint;
+    dispatched_run run;
 };
 
 /// Routing state per pool and the requests in flight. Rank load_table.
@@ -130,18 +137,35 @@
     admission_ticket next_ticket{0};
 };
 
-/// Retry budget. Rank crash_table.
+/// Retry budget and requests that crash groups. Rank crash_table.
 struct crash_table
 {
     mutable ranked_mutex mutex{lock_rank::crash_table};
     retry_budget retries;
+    crash_attribution attribution;
+    std::unordered_map<std::uint64_t, std::uint32_t> verifying; ///< fingerprints whose group is being probed
 };
 
+/// Counts for the service-level objectives. Rank metrics.
+struct burn_table
+{
+    explicit burn_table(std::string source) : recorder(std::move(source)) {}
+    mutable ranked_mutex mutex{lock_rank::metrics};
+    burn_recorder recorder;
+};
+
+/// Wall clock for the burn report, seconds since 1970.
+inline seconds wall_seconds()
+{
+    return std::chrono::duration_cast<seconds>(std::chrono::system_clock::now().time_since_epoch());
+}
+
 struct shared_tables
 {
     /// `incarnation` makes ask numbers unique across restarts of the daemon.
-    explicit shared_tables(std::uint64_t incarnation)
-        : slots(incarnation << ask_bits), admissions(incarnation << ask_bits)
+    shared_tables(const daemon_id& self, std::uint64_t incarnation)
+        : slots(incarnation << ask_bits), admissions(incarnation << ask_bits),
+          burn(self.str() + "@" + std::to_string(incarnation))
     {
     }
 
@@ -154,6 +178,7 @@
     slot_table slots;
     admission_table admissions;
     crash_table crashes;
+    burn_table burn;
 };
 
 } // namespace rml::control
--- a/src/decision/quota.cpp
+++ b/src/decision/quota.cpp
@@ -167,6 +167,7 @@
     if (created) {
         state.filled = now;
         state.last_poll = now;
+        state.tokens = 1; // a first request need not wait for the floor to build up
     } else {
         state.fill(now);
     }
--- a/src/model/plan.hpp
+++ b/src/model/plan.hpp
@@ -21,8 +21,8 @@
     fabric_domain_id fabric;
     std::uint64_t epoch{0}; ///< raised whenever members, their incarnations, model or version change
     std::vector<instance_id> members;
-    /// Incarnations of the members under this epoch, in rank order; empty before they are recorded. A member that
-    /// restarts thereby leaves the group until the epoch is raised.
+    /// Incarnations of the members under this epoch, in rank order; empty before they are recorded. A member
+    /// that restarts thereby leaves the group until the epoch is raised.
     std::vector<std::uint64_t> incarnations;
 
     friend bool operator==(const group_record& a, const group_record& b);
--- a/src/standin/service.cpp
+++ b/src/standin/service.cpp
@@ -56,6 +56,9 @@
         ++this->refused;
         auto answer = http::json_response(503, R"({"error":"refused"})");
         answer.headers.push_back({"x-not-run", "true"});
+        if (const auto id = http::find_header(message.headers, "x-request-id")) {
+            answer.headers.push_back({"x-request-id", *id});
+        }
         writer.send(answer);
         return;
     }
--- a/src/target/engine_client.cpp
+++ b/src/target/engine_client.cpp
@@ -362,13 +362,17 @@
 }
 
 result<engine_status> engine_client::assign(const endpoint& engine, const assign_order& order,
-                                            time_point deadline, yield_context yield)
+                                            const std::function<status()>& permit, time_point deadline,
+                                            yield_context yield)
 {
     auto opened = this->connections.open(engine, deadline, yield);
     if (failed(opened)) {
         return error(opened);
     }
     value(opened)->update_body_limit(order_body_bytes);
+    if (const auto permitted = permit(); failed(permitted)) {
+        return error(permitted);
+    }
     auto answer = value(opened)->exchange(make_assign(order), deadline, yield);
     if (failed(answer)) {
         return failure{failure_kind::outcome_unknown, "assign: " + error(answer).context};
--- a/src/target/engine_client.hpp
+++ b/src/target/engine_client.hpp
@@ -10,6 +10,7 @@
 #include "target/connection_pool.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -94,7 +95,10 @@
 
     /// Sends an order. Fails with `stale` when the engine refuses an old fencing number and with
     /// `outcome_unknown` when the order may or may not have taken effect.
-    result<engine_status> assign(const endpoint& engine, const assign_order& order, time_point deadline,
+    /// `permit` is asked after the connection stands, directly before the first byte; its failure is returned
+    /// and nothing is sent then.
+    result<engine_status> assign(const endpoint& engine, const assign_order& order,
+                                 const std::function<status()>& permit, time_point deadline,
                                  yield_context yield);
 
     /// Generates tokens into the sink. Unless the report says completed, refused or not_sent, the request is
--- a/tests/target/engine_client_test.cpp
+++ b/tests/target/engine_client_test.cpp
@@ -389,16 +389,19 @@
             order.group = group_id("g1");
             order.members = {instance_id("a"), instance_id("b")};
             order.fencing = 17;
-            CHECK(succeeded(client.engines.assign(server.address(), order, deadline, yield)));
+            CHECK(succeeded(client.engines.assign(
+                server.address(), order, [] { return success(); }, deadline, yield)));
             CHECK(nlohmann::json::parse(body)["fencing"] == 17);
             CHECK(nlohmann::json::parse(body)["members"].size() == 2);
             status = "409 Conflict";
-            const auto stale = client.engines.assign(server.address(), order, deadline, yield);
+            const auto stale = client.engines.assign(
+                server.address(), order, [] { return success(); }, deadline, yield);
             REQUIRE(failed(stale));
             CHECK(error(stale).kind == failure_kind::stale);
             // Guards against an order that is taken for refused although it may have taken effect.
             status = "500 Error";
-            const auto broken = client.engines.assign(server.address(), order, deadline, yield);
+            const auto broken = client.engines.assign(
+                server.address(), order, [] { return success(); }, deadline, yield);
             REQUIRE(failed(broken));
             CHECK(error(broken).kind == failure_kind::outcome_unknown);
         }
