Restore the exit codes next to the command line

Ruled out: bringing operator/exit_code.hpp back; stand-ins and rml-load are not part of operator/. Change: base/command_line.hpp defines exit_code again; the stand-ins and rml-load use its names. Conclusion: exit_code lives in base/command_line.hpp.

--- a/src/base/command_line.hpp
+++ b/src/base/command_line.hpp
@@ -9,6 +9,16 @@
 
 namespace rml {
 
+/// Exit codes of all programs.
+enum class exit_code
+{
+    success = 0,
+    operation_failed = 1,
+    usage_error = 2,
+    invalid_settings = 3,
+    unavailable = 4,
+};
+
 /// Options of one program. The variables given to add() must outlive parse().
 class command_line
 {
--- a/src/load/main.cpp
+++ b/src/load/main.cpp
@@ -1,7 +1,6 @@
 /// rml-load: open-loop load against a set of entries.
 #include "base/command_line.hpp"
 #include "load/load_run.hpp"
-#include "operator/exit_code.hpp"
 
 #include <chrono>
 #include <iostream>
@@ -171,18 +170,18 @@
     add_flags(line, flags);
     const auto parsed = line.parse(argc, const_cast<const char**>(argv));
     if (failed(parsed)) {
-        return fail(error(parsed), exit_code::usage);
+        return fail(error(parsed), exit_code::usage_error);
     }
     if (!value(parsed)) {
         return static_cast<int>(exit_code::success);
     }
     const auto format = read_format(flags.format);
     if (failed(format)) {
-        return fail(error(format), exit_code::usage);
+        return fail(error(format), exit_code::usage_error);
     }
     const auto options = convert(flags);
     if (failed(options)) {
-        return fail(error(options), exit_code::usage);
+        return fail(error(options), exit_code::usage_error);
     }
     boost::asio::io_context context(1);
     load::recorder results;
@@ -191,5 +190,5 @@
         return fail(error(ended), exit_code::unavailable);
     }
     results.write(std::cout, value(format));
-    return static_cast<int>(results.violated() ? exit_code::failed : exit_code::success);
+    return static_cast<int>(results.violated() ? exit_code::operation_failed : exit_code::success);
 }
--- a/src/standin/standin.cpp
+++ b/src/standin/standin.cpp
@@ -1,7 +1,6 @@
 #include "standin/standin.hpp"
 
 #include "http/executor.hpp"
-#include "operator/exit_code.hpp"
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -142,7 +141,7 @@
     const auto parsed = line.parse(argc, argv);
     if (failed(parsed)) {
         std::cerr << error(parsed).context << "\n";
-        return static_cast<int>(exit_code::usage);
+        return static_cast<int>(exit_code::usage_error);
     }
     if (!value(parsed)) {
         return static_cast<int>(exit_code::success);
@@ -150,13 +149,13 @@
     const auto address = parse_endpoint(listen);
     if (failed(address)) {
         std::cerr << error(address).context << "\n";
-        return static_cast<int>(exit_code::usage);
+        return static_cast<int>(exit_code::usage_error);
     }
     const auto started = start(value(address));
     if (failed(started)) {
         std::cerr << error(started).context << "\n";
         const bool usage = error(started).kind == failure_kind::malformed;
-        return static_cast<int>(usage ? exit_code::usage : exit_code::unavailable);
+        return static_cast<int>(usage ? exit_code::usage_error : exit_code::unavailable);
     }
     for (const auto& bound : value(started)) {
         std::cout << "listening " << to_string(bound) << "\n";
