Send account rate asks to the limit owner; refuse admission while not ready

Ruled out: the owner's wait after a new account (9 s) and late grants (0 counted); the owner had counted no ask at all.

--- a/src/control/duty_loop.cpp
+++ b/src/control/duty_loop.cpp
@@ -76,7 +76,7 @@
     }
 }
 
-duty_loop::duty_loop(duty_environment& shared, failure_domain_id domain)
+duty_loop::duty_loop(duty_environment& shared, const failure_domain_id& domain)
     : shared(shared), domain(domain), lease_duty(domain, shared.self, shared.incarnation), commit(domain)
 {
 }
--- a/src/control/duty_loop.hpp
+++ b/src/control/duty_loop.hpp
@@ -58,7 +58,7 @@
 class duty_loop
 {
 public:
-    duty_loop(duty_environment& shared, failure_domain_id domain);
+    duty_loop(duty_environment& shared, const failure_domain_id& domain);
 
     /// Spawns the loop's coroutine. It ends after stop().
     void start();
@@ -67,7 +67,7 @@
     bool holds() const { return this->lease_duty.holds(); }
     const observation_book& book() const { return this->observations; }
     const grouping_stats& groups() const { return this->last_grouping; }
-    const plan_commit& plan() const { return this->commit; }
+    const quota_owner_stats& quota_stats() const { return this->quota.stats(); }
 
     void on_observations(const daemon_id& observer, const observer_report& report, time_point received_at);
     /// Answers an ask for slots; refuses when this daemon does not hold the duty.
--- a/src/control/fleet.cpp
+++ b/src/control/fleet.cpp
@@ -26,10 +26,10 @@
 fleet::fleet(boost::asio::io_context& context, control_strand& strand, fleet_options options,
              fleet_listener& listener)
     : context(context), strand(strand), options(std::move(options)), listener(listener),
-      view(this->options.self), random(static_cast<std::minstd_rand::result_type>(
-                                    hash64(this->options.self.id.str(), this->options.self.incarnation)))
+      view(this->options.self), own_incarnation(this->options.self.incarnation),
+      random(static_cast<std::minstd_rand::result_type>(
+          hash64(this->options.self.id.str(), this->options.self.incarnation)))
 {
-    this->own_incarnation = this->options.self.incarnation;
 }
 
 status fleet::start(const endpoint& caller_address)
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -53,7 +53,7 @@
 } // namespace
 
 node::node(boost::asio::io_context& context, node_options options)
-    : context(context), options(std::move(options)), strand(context.get_executor()),
+    : options(std::move(options)), strand(context.get_executor()),
       tables(this->options.daemon, this->options.incarnation),
       store(platform::create_http_store(context, this->options.store)),
       instances(platform::create_http_instance_list(context, this->options.instances)),
@@ -146,9 +146,10 @@
             const std::lock_guard guard(this->tables.admissions.mutex);
             asks = this->tables.admissions.quota.poll(now);
         }
-        // Grants above the floor are asked for once the limit owner is in place; see docs/design.md,
-        // section 5.
-        (void)asks;
+        const auto config = this->tables.config.get();
+        for (const auto& ask : asks) {
+            this->send_to_holder(quota_domain(*config, this->options.region, ask.account), ask);
+        }
         pause(refresh_interval, yield);
     }
 }
@@ -690,9 +691,20 @@
             document["duties"].push_back({{"domain", domain.str()},
                                           {"complete", loop->groups().complete},
                                           {"wanting", loop->groups().wanting},
-                                          {"stranded_engines", loop->groups().stranded}});
+                                          {"stranded_engines", loop->groups().stranded},
+                                          {"quota_asks", loop->quota_stats().asks},
+                                          {"quota_refused_lease", loop->quota_stats().refused_lease},
+                                          {"quota_refused_limit", loop->quota_stats().refused_limit}});
         }
     }
+    {
+        const std::lock_guard guard(this->tables.admissions.mutex);
+        const auto& quota = this->tables.admissions.quota.stats();
+        document["quota"] = {{"admitted", quota.admitted},
+                             {"refused", quota.refused},
+                             {"asks", quota.asks},
+                             {"late_grants", quota.late_grants}};
+    }
     const auto links = this->others.link_stats();
     const auto items = this->others.item_stats();
     const auto calls = this->store->stats();
--- a/src/control/node.hpp
+++ b/src/control/node.hpp
@@ -95,7 +95,6 @@
     failure_domain_id domain_of_group(const group_id& group) const;
     std::string make_status() const;
 
-    boost::asio::io_context& context;
     node_options options;
     control_strand strand;
     shared_tables tables;
--- a/src/control/serving.cpp
+++ b/src/control/serving.cpp
@@ -125,6 +125,11 @@
 caller::admission_result serving::acquire_admission(const caller::admission_request& request,
                                                     yield_context yield)
 {
+    if (!this->ready()) {
+        // An isolated daemon could not learn that a failure domain was taken out.
+        return caller::admission_refusal{{failure_kind::unavailable, "this daemon is not ready"},
+                                         permit_poll};
+    }
     const auto now = steady_clock::now();
     const auto config = this->tables.config.get();
     const auto account = config->find_account(request.account);
@@ -376,7 +381,7 @@
     failure last{failure_kind::unavailable, "no serving group"};
     do {
         if (!this->ready()) {
-            return failure{failure_kind::unavailable, "this daemon is isolated"};
+            return failure{failure_kind::unavailable, "this daemon is not ready"};
         }
         const auto verdict =
             this->check_crashes(request_fingerprint{request.fingerprint}, steady_clock::now());
