Print the sizes of grafts and of reports on one engine

Cause: the cost of a new link and the cost per observer need these two sizes. Ruled out: taking them from the report on two engines alone, which does not separate the envelope from the entry. Change: bench/control_sizes.cpp prints both.

--- a/bench/control_sizes.cpp
+++ b/bench/control_sizes.cpp
@@ -191,6 +191,13 @@
     };
     print_size("observe, 2 engines in full", observe_size());
     print_size("observe, 2 engines unchanged", observe_size());
+    engine_observer single(17);
+    single.record(status_of(0), now);
+    single.take_full_report(now);
+    print_size("observe, 1 engine unchanged",
+               peer::encode(peer::observe_message{failure_domain_id(domain_name(0)),
+                                                  encode_observer_report(single.take_full_report(now))})
+                   .size());
     print_size("engine status, JSON body", encode_engine_status(status_of(0)).size());
 
     member_record member;
@@ -209,6 +216,15 @@
     const auto set = full_set();
     const auto set_bytes = value(encode_objects(set));
     print_size("configuration, push frame", push_size("config", version, set_bytes));
+    graft_message graft;
+    graft.durable = true;
+    for (std::uint64_t i = 0; i < 390; ++i) {
+        graft.known.emplace_back(0xfedcba9876543210ULL - i, item_version{1796366645123456789ULL, 0});
+    }
+    for (std::uint64_t i = 0; i < 11; ++i) {
+        graft.known.emplace_back(0xedcba9876543210fULL - i, version);
+    }
+    print_size("graft of a new link, 390 members, 10 plans, configuration", peer::encode(graft).size());
     slot_ask ask;
     ask.target = group_id("assistant-budapest-0-12");
     ask.incarnation = 123456;
