Time a configuration change over many daemons

Cause: docs/CAPACITY.md could not say how long a configuration takes to be in force. Change: with MEASURE_CHANGE set, scripts/measure-control.sh drains a domain through the store alone and reads the times from the daemons' logs.

--- a/scripts/measure-control.sh
+++ b/scripts/measure-control.sh
@@ -4,6 +4,7 @@
 # an object set, waits until the daemons know each other and the groups serve, samples counters twice and prints one table
 # row. Further settings come from the environment:
 #   MEASURE_WINDOW   seconds between the samples (default 20)
+#   MEASURE_CHANGE   when set, also times a drain until it is in force at each daemon
 #   MEASURE_ENGINES  engines, a multiple of 16 (default 16); groups of 4 in 4 fabric domains
 # The operators' status calls of the two samples are not counted among peer bytes or store calls. Every wait is bounded.
 set -euo pipefail
@@ -107,6 +108,22 @@
     done
 }
 
+# Drains a domain through the store alone and takes from the daemons' logs when the new generation came into force.
+# Handing the set to daemons directly is left out, since it would hide the time of distribution.
+measure_change() {
+    local count=$1 begin
+    begin=$(date +%s%3N)
+    timeout 10 "$build/rml-ctl" drain a --store "$(address_of kv)" --token "$operator_token" >"$work/change.txt" 2>&1 ||
+        { echo "change: drain failed: $(tail -n 1 "$work/change.txt")" && return; }
+    sleep 5 # longer than the 4 s that the design allows
+    grep -h '"configuration in force"' "$work"/entry-*.log | grep '"generation":2[,}]' |
+        grep -o '"time_ms":[0-9]*' | cut -d: -f2 | sort -n |
+        awk -v begin="$begin" -v count="$count" '
+            NR == 1 { first = $1 }
+            { last = $1 }
+            END { printf "change: in force at %d of %d daemons, first after %d ms, last after %d ms\n", NR, count, first - begin, last - begin }'
+}
+
 measure() {
     local count=$1 i end
     rm -f "$work"/*.out "$work"/*.log "$work"/*.pid
@@ -170,6 +187,7 @@
                 count, all_bytes / NR, max_bytes, all_frames / NR, max_frames, all_cpu / NR, max_cpu, all_rss / NR,
                 max_rss, links / NR, max_links, items / NR, calls[1] / s, calls[2] / s, calls[3] / s
         }'
+    if [ -n "${MEASURE_CHANGE:-}" ]; then measure_change "$count"; fi
     stop_all
 }
 
