Pack the marks of periodic items in summaries; split the large files of control/

Ruled out: one hash over periodic versions: it differs whenever a digest is on its way, so each second. Change: 6 bytes per periodic item in place of a CBOR triple. Also: serving.cpp (752 lines) and node.cpp (719) are divided by job; a pool's queue is created with the pool's max_wait.

--- a/bench/control_sizes.cpp
+++ b/bench/control_sizes.cpp
@@ -169,7 +169,7 @@
     summary.durable_hash = 0xfedcba9876543210ULL;
     print_size("summary over an eager link", peer::encode(summary).size());
     for (std::uint32_t d = 0; d < domains; ++d) {
-        summary.periodic.emplace_back(0xfedcba98U - d, version);
+        summary.periodic.push_back({0xfedcba98U - d, static_cast<std::uint16_t>(version.minor)});
     }
     print_size("summary over a lazy link, 10 domains", peer::encode(summary).size());
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -84,6 +84,9 @@
   {"kind":"office_service","name":"workshop","addresses":["$(address_of service)"],"once_only_paths":["/bookings"]},
   {"kind":"account","name":"branch","token_sha256":"$digest","requests_per_second":100,
    "pools":["assistant"],"services":["workshop"]},
+  {"kind":"objective","name":"assistant-answered","pool":"assistant","measure":"answered","target_share":0.99,"window_s":3600},
+  {"kind":"objective","name":"assistant-first-token","pool":"assistant","measure":"first_token","threshold_ms":560,
+   "target_share":0.95,"window_s":3600},
   {"kind":"entry_policy","max_daemons":8,"address_lifetime_ms":2000}
 ]}
 JSON
@@ -132,10 +135,14 @@
 send_some() {
     local answered=0
     for n in $(seq "$1"); do
-        curl -s -m 20 -o /dev/null -w '%{http_code}\n' -H "Authorization: Bearer $token" -H 'content-type: application/json' \
+        curl -s -m 20 -o "$work/body" -w '%{http_code}\n' -H "Authorization: Bearer $token" -H 'content-type: application/json' \
             -d "{\"model\":\"assistant\",\"max_tokens\":4,\"messages\":[{\"role\":\"user\",\"content\":\"question $n\"}]}" \
             "http://$(field_of "entry-$((n % 3 + 1))" caller)/v1/chat/completions" >"$work/code"
-        [ "$(cat "$work/code")" = 200 ] && answered=$((answered + 1))
+        if [ "$(cat "$work/code")" = 200 ]; then
+            answered=$((answered + 1))
+        else
+            cat "$work/code" "$work/body" && echo
+        fi
     done
     echo "$answered of $1 answered"
 }
@@ -164,4 +171,7 @@
 echo "requests that reached budapest-a since: $(($(domain_a_requests) - after))"
 "$build/rml-ctl" status --token "$operator_token" --entry "$(field_of entry-1 operator)" --entry "$(field_of entry-2 operator)" \
     --entry "$(field_of entry-3 operator)" || true
+echo "== service-level burn"
+"$build/rml-burn" --token "$operator_token" --entry "$(field_of entry-1 operator)" --entry "$(field_of entry-2 operator)" \
+    --entry "$(field_of entry-3 operator)"
 echo "== done"
--- a/src/control/node.hpp
+++ b/src/control/node.hpp
@@ -22,6 +22,9 @@
 
 namespace rml::control {
 
+/// Key of the replicated object set.
+constexpr const char* config_item_key = "config";
+
 struct node_options
 {
     daemon_id daemon;
--- /dev/null
+++ b/src/control/pause.hpp
@@ -0,0 +1,20 @@
+/// Waiting inside a coroutine.
+#pragma once
+
+#include "base/time.hpp"
+#include "http/executor.hpp"
+
+#include <boost/asio/spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace rml::control {
+
+/// Waits on the coroutine's own executor.
+inline void pause(milliseconds time, boost::asio::yield_context yield)
+{
+    boost::asio::steady_timer timer(http::executor_of(yield), time);
+    boost::system::error_code ignored;
+    timer.async_wait(yield[ignored]);
+}
+
+} // namespace rml::control
--- a/src/control/serving.cpp
+++ b/src/control/serving.cpp
@@ -2,43 +2,21 @@
 
 #include "base/hash.hpp"
 #include "base/limits.hpp"
-#include "base/log.hpp"
 #include "http/executor.hpp"
 
 #include <algorithm>
-#include <boost/asio/post.hpp>
-#include <boost/asio/spawn.hpp>
-#include <cmath>
-#include <set>
 
 namespace rml::control {
 
 namespace {
 
 constexpr milliseconds permit_poll{10};
-constexpr milliseconds loss_probe_timeout{400};
 // One slot per ask: a slot that a daemon holds without using it keeps another daemon's request waiting.
 constexpr std::uint32_t slots_per_ask = 1;
 constexpr milliseconds slot_ask_interval{50};
 // While warm groups serve, every n-th request asks for a slot of the cold ones, so that their cold start goes
 // on.
 constexpr std::uint64_t warm_up_every = 4;
-// Daemons may admit more than their equal share, since callers spread unevenly; the engines' queues bound the
-// rest.
-constexpr double capacity_share = 2.0;
-constexpr std::size_t service_slots = 256;
-constexpr std::int32_t highest_priority = 100;
-constexpr microseconds same_domain_distance{0};
-constexpr microseconds same_region_distance{1500};
-constexpr microseconds other_region_distance{30000};
-constexpr milliseconds typical_service_time{500};
-
-/// Expected wait at a group with this many requests, for the load byte.
-microseconds wait_at(std::uint8_t requests, std::uint32_t full_slots)
-{
-    const auto share = static_cast<double>(requests) / std::max<std::uint32_t>(1, full_slots);
-    return std::chrono::duration_cast<microseconds>(typical_service_time * share);
-}
 
 std::uint64_t next_random(std::uint64_t& state)
 {
@@ -46,39 +24,8 @@
     return hash64({reinterpret_cast<const char*>(&state), sizeof state});
 }
 
-failure refusal_failure(refusal_reason reason)
-{
-    switch (reason) {
-    case refusal_reason::no_capacity:
-        return {failure_kind::unavailable, "no serving group"};
-    case refusal_reason::deadline:
-        return {failure_kind::timeout, "the deadline would pass in the queue"};
-    case refusal_reason::wait:
-    case refusal_reason::queue_full:
-    case refusal_reason::none:
-        break;
-    }
-    return {failure_kind::unavailable, "the queue is too long"};
-}
-
 } // namespace
 
-/// Gives the place in the queue back when the request ends.
-class serving::ticket final : public caller::admission_ticket
-{
-public:
-    ticket(serving& owner, std::string queue)
-        : owner(owner), queue(std::move(queue)), start(steady_clock::now())
-    {
-    }
-    ~ticket() override { this->owner.finish_admission(this->queue, steady_clock::now() - this->start); }
-
-private:
-    serving& owner;
-    std::string queue;
-    time_point start;
-};
-
 serving::serving(boost::asio::io_context& context, shared_tables& tables,
                  target::connection_pool& connections, duty_mailbox& mailbox, caller::claim_store& claims,
                  failure_domain_id own_domain)
@@ -109,110 +56,6 @@
     return view.config_ready && !view.isolated;
 }
 
-admission& serving::queue_for(const caller::admission_request& request, const std::string& key)
-{
-    auto& queue = this->tables.admissions.queues[key];
-    if (!queue) {
-        admission_settings settings;
-        queue = std::make_unique<admission>(settings);
-        if (!request.service.empty()) {
-            queue->update_capacity(service_slots, steady_clock::now());
-        }
-    }
-    return *queue;
-}
-
-caller::admission_result serving::acquire_admission(const caller::admission_request& request,
-                                                    yield_context yield)
-{
-    if (!this->ready()) {
-        // An isolated daemon could not learn that a failure domain was taken out.
-        return caller::admission_refusal{{failure_kind::unavailable, "this daemon is not ready"},
-                                         permit_poll};
-    }
-    const auto now = steady_clock::now();
-    const auto config = this->tables.config.get();
-    const auto account = config->find_account(request.account);
-    const auto key = request.pool.empty() ? "service/" + request.service.str() : "pool/" + request.pool.str();
-    std::shared_ptr<admission_waiter> waiter;
-    rml::admission_ticket number = 0;
-    {
-        const std::lock_guard guard(this->tables.admissions.mutex);
-        auto& table = this->tables.admissions;
-        if (!table.quota.try_acquire(request.account, now)) {
-            return caller::admission_refusal{
-                {failure_kind::rate_limited, "account rate"},
-                std::chrono::duration_cast<milliseconds>(quota_client::ask_interval)};
-        }
-        rml::admission_request offered;
-        number = ++table.next_ticket;
-        offered.ticket = number;
-        offered.account = request.account;
-        offered.weight = account ? account->weight : 1.0;
-        offered.priority = static_cast<std::uint32_t>(
-            highest_priority - std::clamp(request.priority, std::int32_t{0}, highest_priority));
-        offered.deadline = request.deadline;
-        const auto answer = this->queue_for(request, key).offer(offered, now);
-        if (answer.verdict == admission_verdict::refused) {
-            return caller::admission_refusal{refusal_failure(answer.reason), answer.expected_wait};
-        }
-        if (answer.verdict == admission_verdict::queued) {
-            waiter = std::make_shared<admission_waiter>(http::executor_of(yield));
-            table.waiters.emplace(number, waiter);
-        }
-    }
-    while (waiter) {
-        {
-            const std::lock_guard guard(this->tables.admissions.mutex);
-            auto& table = this->tables.admissions;
-            if (waiter->current == admission_waiter::state::started) {
-                break;
-            }
-            if (waiter->current == admission_waiter::state::refused) {
-                return caller::admission_refusal{refusal_failure(waiter->reason), milliseconds(0)};
-            }
-            if (steady_clock::now() >= request.deadline) {
-                table.queues.at(key)->cancel(number);
-                table.waiters.erase(number);
-                return caller::admission_refusal{refusal_failure(refusal_reason::deadline), milliseconds(0)};
-            }
-        }
-        boost::system::error_code ignored;
-        waiter->timer.expires_at(request.deadline);
-        waiter->timer.async_wait(yield[ignored]);
-    }
-    return std::unique_ptr<caller::admission_ticket>(std::make_unique<ticket>(*this, key));
-}
-
-void serving::wake(const admission_changes& changes)
-{
-    const auto end_wait = [&](rml::admission_ticket number, admission_waiter::state state,
-                              refusal_reason reason) {
-        auto& waiters = this->tables.admissions.waiters;
-        const auto found = waiters.find(number);
-        if (found == waiters.end()) {
-            return;
-        }
-        const auto waiter = found->second;
-        waiters.erase(found);
-        waiter->current = state;
-        waiter->reason = reason;
-        boost::asio::post(waiter->timer.get_executor(), [waiter] { waiter->timer.cancel(); });
-    };
-    for (const auto number : changes.started) {
-        end_wait(number, admission_waiter::state::started, refusal_reason::none);
-    }
-    for (const auto& refused : changes.refused) {
-        end_wait(refused.ticket, admission_waiter::state::refused, refused.reason);
-    }
-}
-
-void serving::finish_admission(const std::string& queue, duration took)
-{
-    const std::lock_guard guard(this->tables.admissions.mutex);
-    this->wake(this->tables.admissions.queues.at(queue)->finish(took, 1.0, steady_clock::now()));
-}
-
 void serving::expire(time_point now)
 {
     {
@@ -472,92 +315,6 @@
     this->publish(notices);
 }
 
-void serving::verify_loss(const caller::dispatch_permit& permit, const dispatched_run& run,
-                          request_fingerprint fingerprint)
-{
-    {
-        const std::lock_guard guard(this->tables.crashes.mutex);
-        ++this->tables.crashes.verifying[fingerprint.value];
-    }
-    // A wrong answer ends an attempt as a broken connection does, but only a lost group can have been
-    // crashed.
-    boost::asio::spawn(this->context, [this, permit, run, fingerprint](yield_context yield) {
-        const auto asked = steady_clock::now();
-        const auto seen = this->engines.read_status(permit.engine, asked + loss_probe_timeout, yield);
-        const bool alive = succeeded(seen) && value(seen).incarnation == permit.incarnation;
-        const auto now = steady_clock::now();
-        std::vector<crash_notice> notices;
-        {
-            const std::lock_guard guard(this->tables.crashes.mutex);
-            auto& crashes = this->tables.crashes;
-            notices = alive ? crashes.attribution.end(permit.id, false, now).notices
-                            : crashes.attribution.group_lost(run.target, asked, now).notices;
-            if (--crashes.verifying[fingerprint.value] == 0) {
-                crashes.verifying.erase(fingerprint.value);
-            }
-        }
-        this->publish(notices);
-    });
-}
-
-void serving::publish(const std::vector<crash_notice>& notices)
-{
-    for (const auto& notice : notices) {
-        this->mailbox.publish_notice(notice);
-    }
-}
-
-crash_verdict serving::check_crashes(request_fingerprint fingerprint, time_point now) const
-{
-    const std::lock_guard guard(this->tables.crashes.mutex);
-    const auto& crashes = this->tables.crashes;
-    return crashes.verifying.count(fingerprint.value) != 0 ? crash_verdict::hold
-                                                           : crashes.attribution.check(fingerprint, now);
-}
-
-void serving::poll_crashes(time_point now)
-{
-    std::vector<group_run> lost;
-    {
-        const std::lock_guard guard(this->tables.groups.mutex);
-        const auto& evidence = this->tables.groups.evidence;
-        std::unordered_map<group_id, std::uint64_t> serving_now;
-        for (const auto& [domain, plan] : this->tables.groups.plans) {
-            for (const auto& group : plan.plan.groups()) {
-                if (evidence.servable(group.id, now)) {
-                    serving_now[group.id] = group.epoch;
-                    continue;
-                }
-                const auto before = this->serving_before.find(group.id);
-                // A fresh digest says that the group does not serve; stale evidence alone is no loss.
-                if (before != this->serving_before.end() && evidence.probes_due(group.id, now).empty()) {
-                    lost.push_back({group.id, before->second, group.fabric, domain});
-                }
-            }
-        }
-        this->serving_before = std::move(serving_now);
-    }
-    std::vector<crash_notice> notices;
-    {
-        const std::lock_guard guard(this->tables.crashes.mutex);
-        auto& attribution = this->tables.crashes.attribution;
-        const auto take = [&](crash_changes changes) {
-            notices.insert(notices.end(), changes.notices.begin(), changes.notices.end());
-        };
-        for (const auto& run : lost) {
-            take(attribution.group_lost(run, now, now));
-        }
-        take(attribution.poll(now));
-    }
-    this->publish(notices);
-}
-
-void serving::apply_notice(const crash_notice& notice, time_point now)
-{
-    const std::lock_guard guard(this->tables.crashes.mutex);
-    this->tables.crashes.attribution.apply(notice, now);
-}
-
 void serving::ask_trial(const group_record& group, time_point now)
 {
     std::optional<slot_ask> ask;
@@ -614,110 +371,6 @@
     }
 }
 
-std::size_t serving::capacity_of(const model_pool_object& pool, time_point now) const
-{
-    const auto daemons = std::max<std::size_t>(1, this->tables.members.get().daemons_in_region);
-    const auto config = this->tables.config.get();
-    std::size_t slots = 0;
-    const std::lock_guard guard(this->tables.groups.mutex);
-    for (const auto& [domain, plan] : this->tables.groups.plans) {
-        if (config->drained(domain)) {
-            continue;
-        }
-        for (const auto& group : plan.plan.groups()) {
-            if (group.pool == pool.name && this->tables.groups.evidence.servable(group.id, now)) {
-                slots += this->tables.groups.evidence.warm(group.id) ? pool.full_slots : pool.start_slots;
-            }
-        }
-    }
-    return static_cast<std::size_t>(
-        std::ceil(capacity_share * static_cast<double>(slots) / static_cast<double>(daemons)));
-}
-
-void serving::refresh_pool(const config_snapshot& config, const model_pool_object& pool, time_point now)
-{
-    struct known_group
-    {
-        routing_group routing;
-        std::uint64_t epoch{0};
-        std::optional<group_load> load;
-    };
-    std::vector<known_group> known;
-    {
-        const std::lock_guard guard(this->tables.groups.mutex);
-        const auto& evidence = this->tables.groups.evidence;
-        for (const auto& [domain, plan] : this->tables.groups.plans) {
-            const bool same_region = config.region_of(domain) == config.region_of(this->own_domain);
-            const auto distance = domain == this->own_domain ? same_domain_distance
-                                  : same_region              ? same_region_distance
-                                                             : other_region_distance;
-            for (const auto& group : plan.plan.groups()) {
-                if (group.pool != pool.name) {
-                    continue;
-                }
-                known_group entry;
-                entry.routing.id = group.id;
-                entry.routing.domain = domain;
-                entry.routing.distance = distance;
-                // A group without fresh evidence is offered too when this daemon has to probe it itself.
-                entry.routing.servable =
-                    evidence.servable(group.id, now) || !evidence.probes_due(group.id, now).empty();
-                entry.routing.drained = config.drained(domain);
-                entry.routing.cold = !evidence.warm(group.id);
-                entry.epoch = group.epoch;
-                entry.load = evidence.load(group.id);
-                known.push_back(std::move(entry));
-            }
-        }
-    }
-    const std::lock_guard guard(this->tables.loads.mutex);
-    auto& table = this->tables.loads.pools[pool.name];
-    if (!table) {
-        routing_settings settings;
-        settings.full_slots = pool.full_slots;
-        table = std::make_unique<routing>(settings);
-    }
-    for (auto& group : known) {
-        {
-            const std::lock_guard slot_guard(this->tables.slots.mutex);
-            const auto& client = this->tables.slots.client;
-            group.routing.cold = group.routing.cold && !client.warm(group.routing.id, group.epoch);
-            group.routing.slots = client.available(group.routing.id, group.epoch, slot_kind::ramp, now);
-        }
-        table->update_group(group.routing);
-        if (group.load) {
-            table->update_load(group.routing.id, encode_load(wait_at(group.load->requests, pool.full_slots)),
-                               group.load->observed_at);
-        }
-    }
-    std::set<group_id> planned;
-    for (const auto& group : known) {
-        planned.insert(group.routing.id);
-    }
-    for (const auto& id : table->groups()) {
-        if (planned.count(id) == 0) {
-            table->destroy_group(id);
-        }
-    }
-}
-
-void serving::refresh(time_point now)
-{
-    const auto config = this->tables.config.get();
-    for (const auto& pool : config->set().pools) {
-        this->refresh_pool(*config, pool, now);
-        const auto capacity = this->capacity_of(pool, now);
-        const std::lock_guard guard(this->tables.admissions.mutex);
-        auto& queue = this->tables.admissions.queues["pool/" + pool.name.str()];
-        if (!queue) {
-            admission_settings settings;
-            settings.max_wait = pool.max_wait;
-            queue = std::make_unique<admission>(settings);
-        }
-        this->wake(queue->update_capacity(capacity, now));
-    }
-}
-
 void serving::record(const caller::request_record& ended)
 {
     request_sample sample;
--- a/src/control/serving.hpp
+++ b/src/control/serving.hpp
@@ -87,7 +87,8 @@
 
     void finish_admission(const std::string& queue, duration took);
     void wake(const admission_changes& changes);
-    admission& queue_for(const caller::admission_request& request, const std::string& key);
+    admission& queue_for(const caller::admission_request& request, const std::string& key,
+                         const config_snapshot& config);
     std::size_t capacity_of(const model_pool_object& pool, time_point now) const;
     void refresh_pool(const config_snapshot& config, const model_pool_object& pool, time_point now);
     result<route> choose(const caller::dispatch_request& request, const std::vector<group_id>& avoided,
--- a/src/decision/replication.cpp
+++ b/src/decision/replication.cpp
@@ -21,7 +21,7 @@
 }
 
 // A periodic item may lag by one interval while the newer one travels over the eager links.
-constexpr std::uint64_t tolerated_periodic_lag = 1;
+constexpr std::int16_t tolerated_periodic_lag = 1;
 // The hash differs for a moment whenever a durable item is on its way, so one mismatch is not a loss.
 constexpr int tolerated_mismatches = 1;
 
@@ -164,15 +164,14 @@
     link.mismatches = message.durable_hash == this->durable_hash() ? 0 : link.mismatches + 1;
     const bool durable = link.mismatches > tolerated_mismatches;
     std::vector<std::uint32_t> missing;
-    for (const auto& [key_hash, version] : message.periodic) {
+    for (const auto& [key_hash, sequence] : message.periodic) {
         const auto known = this->periodic_keys.find(key_hash);
         if (known == this->periodic_keys.end()) {
             missing.push_back(key_hash);
             continue;
         }
-        auto tolerated = this->items.at(known->second).version;
-        tolerated.minor += tolerated_periodic_lag;
-        if (tolerated < version) {
+        const auto own = static_cast<std::uint16_t>(this->items.at(known->second).version.minor);
+        if (static_cast<std::int16_t>(sequence - own) > tolerated_periodic_lag) {
             missing.push_back(key_hash);
         }
     }
@@ -218,7 +217,7 @@
     summary_message summary;
     summary.durable_hash = this->durable_hash();
     for (const auto& [key_hash, key] : this->periodic_keys) {
-        summary.periodic.emplace_back(key_hash, this->items.at(key).version);
+        summary.periodic.push_back({key_hash, static_cast<std::uint16_t>(this->items.at(key).version.minor)});
     }
     for (const auto& [link, state] : this->links) {
         // Eager links carry the hash too: both ends may hold items that the other lost before the link came
--- a/src/decision/replication.hpp
+++ b/src/decision/replication.hpp
@@ -67,11 +67,19 @@
 {
 };
 
-/// Hash of all durable versions and the versions of all periodic items, by key hash.
+/// A periodic item in a summary: 6 bytes packed. Writers of a periodic item continue its `minor` over changes
+/// of `major`, so that the low bits of `minor` tell how far a copy is behind.
+struct periodic_mark
+{
+    std::uint32_t key_hash{0};
+    std::uint16_t sequence{0}; ///< low bits of the version's minor part; wraps
+};
+
+/// Hash of all durable versions and the marks of all periodic items.
 struct summary_message
 {
     std::uint64_t durable_hash{0};
-    std::vector<std::pair<std::uint32_t, item_version>> periodic;
+    std::vector<periodic_mark> periodic;
 };
 
 /// Asks for the items that are newer than the versions named here and turns the link eager.
--- a/src/peer/messages.cpp
+++ b/src/peer/messages.cpp
@@ -16,6 +16,7 @@
 
 // Field names are short because summaries and digests are sent every second.
 constexpr const char* type_field = "t";
+constexpr std::size_t packed_mark_bytes = 6; // key hash and sequence, little endian
 
 json bytes_of(const std::string& text)
 {
@@ -69,11 +70,15 @@
 
 json to_document(const summary_message& m)
 {
-    json periodic = json::array();
-    for (const auto& [key, version] : m.periodic) {
-        periodic.push_back(json::array({key, version.major, version.minor}));
+    std::string packed;
+    for (const auto& mark : m.periodic) {
+        for (const unsigned shift : {0U, 8U, 16U, 24U}) {
+            packed += static_cast<char>(mark.key_hash >> shift);
+        }
+        packed += static_cast<char>(mark.sequence);
+        packed += static_cast<char>(mark.sequence >> 8U);
     }
-    return {{type_field, "s"}, {"h", m.durable_hash}, {"p", std::move(periodic)}};
+    return {{type_field, "s"}, {"h", m.durable_hash}, {"p", bytes_of(packed)}};
 }
 
 json to_document(const graft_message& m)
@@ -176,10 +181,14 @@
 {
     summary_message m;
     m.durable_hash = d.at("h").get<std::uint64_t>();
-    for (const auto& entry : d.at("p")) {
-        m.periodic.emplace_back(
-            entry.at(0).get<std::uint32_t>(),
-            item_version{entry.at(1).get<std::uint64_t>(), entry.at(2).get<std::uint64_t>()});
+    const auto& packed = d.at("p").get_binary();
+    if (packed.size() % packed_mark_bytes != 0) {
+        throw json::other_error::create(500, "summary length", &d);
+    }
+    for (std::size_t at = 0; at < packed.size(); at += packed_mark_bytes) {
+        const auto byte = [&](std::size_t offset) { return static_cast<std::uint32_t>(packed[at + offset]); };
+        m.periodic.push_back({byte(0) | byte(1) << 8U | byte(2) << 16U | byte(3) << 24U,
+                              static_cast<std::uint16_t>(byte(4) | byte(5) << 8U)});
     }
     return m;
 }
--- a/tests/peer/peer_test.cpp
+++ b/tests/peer/peer_test.cpp
@@ -22,7 +22,7 @@
             config_ask_message{},
             push_message{{item{"config", {3, 0}, item_class::durable, std::string("\x00\xff", 2)}}},
             prune_message{},
-            summary_message{99, {{5, {1, 2}}}},
+            summary_message{99, {{5, 2}, {70000, 65535}}},
             graft_message{true, {{6, {7, 8}}}, {9}},
             observe_message{failure_domain_id("d"), "reports"},
             slot_ask{1, group_id("g"), 2, slot_kind::trial, 3},
