Count the settlement of a claim before the caller hears of the refusal

Cause: the daemon sent a refusal and only then started to release the claim, so for a moment open_settlements() was 0 while a release was still to come. A daemon that ended in that moment would have left the claim. Ruled out: a fault of the test: it waits for open settlements as a shutdown would. Change: the settlement starts first in all three places.

--- a/src/caller/service_calls.cpp
+++ b/src/caller/service_calls.cpp
@@ -159,15 +159,15 @@
             return true;
         }
         if (const auto* refused = std::get_if<claim_refuse>(&step)) {
-            this->refuse({refused->reason, outcome::not_run, {}, 0});
             if (refused->release_claim) {
                 this->settle_in_background(claim.release());
             }
+            this->refuse({refused->reason, outcome::not_run, {}, 0});
         } else if (const auto* unknown = std::get_if<claim_unknown>(&step)) {
-            this->refuse({unknown->reason, outcome::unknown, {}, 0});
             if (unknown->release_claim) {
                 this->settle_in_background(claim.release());
             }
+            this->refuse({unknown->reason, outcome::unknown, {}, 0});
         } else if (const auto* replay = std::get_if<claim_replay>(&step)) {
             this->replay(replay->answer);
         }
@@ -194,10 +194,12 @@
             this->answer(report.answer);
             return;
         }
-        this->refuse_after(report);
+        // The settlement starts before the caller hears of the refusal: a daemon that is told to end in between
+        // must still count it as open.
         if (this->total.current() == outcome::not_run) {
             this->settle_in_background(claim.release());
         }
+        this->refuse_after(report);
     }
 
     /// Stores the answer before the caller gets it, so that a repeated request finds it. The answer does not
