--- a/src/caller/service_calls.cpp
+++ b/src/caller/service_calls.cpp
@@ -194,8 +194,8 @@
             this->answer(report.answer);
             return;
         }
-        // The settlement starts before the caller hears of the refusal: a daemon that is told to end in between
-        // must still count it as open.
+        // The settlement starts before the caller hears of the refusal: a daemon that is told to end in
+        // between must still count it as open.
         if (this->total.current() == outcome::not_run) {
             this->settle_in_background(claim.release());
         }
--- a/src/control/node_observer.cpp
+++ b/src/control/node_observer.cpp
@@ -21,7 +21,7 @@
 
 void node::run_observer(yield_context yield)
 {
-    bool full = false;
+    time_point last_full{};
     while (!this->stopped) {
         const auto config = this->tables.config.get();
         std::vector<daemon_id> live;
@@ -43,8 +43,10 @@
             }
         }
         pause(limits::probe_interval, yield);
-        full = !full;
-        this->send_reports(full, steady_clock::now());
+        const auto now = steady_clock::now();
+        const bool full = now - last_full >= limits::observe_interval;
+        last_full = full ? now : last_full;
+        this->send_reports(full, now);
     }
 }
 
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -93,7 +93,7 @@
     void drain();
     /// Breaks every open connection, also those with a request in flight. The listening socket stays open.
     void close_connections();
-    /// Stops accepting. Requests in flight go on; idle connections are closed.
+    /// Stops accepting. Requests in flight go on; a connection ends with its next answer or idle timeout.
     void stop();
 
 private:
