Read the options of rml-burn through the common command line

Cause: rml-burn and rml-ctl had the same 60 lines of option handling. The common command line now takes repeated options; rml-ctl keeps its own help with commands. rml-burn: 145 to 78 lines.

--- a/src/base/command_line.cpp
+++ b/src/base/command_line.cpp
@@ -57,6 +57,11 @@
     this->options.push_back({name, help + " (default " + std::to_string(value) + ")", nullptr, &value});
 }
 
+void command_line::add(const std::string& name, std::vector<std::string>& values, const std::string& help)
+{
+    this->options.push_back({name, help + "; may be repeated", nullptr, nullptr, nullptr, &values});
+}
+
 void command_line::add(const std::string& name, bool& value, const std::string& help)
 {
     this->options.push_back({name, help, nullptr, nullptr, &value});
@@ -93,6 +98,8 @@
             *entry.flag = true;
         } else if (entry.text != nullptr) {
             *entry.text = argument ? argument.get() : "";
+        } else if (entry.list != nullptr) {
+            entry.list->emplace_back(argument ? argument.get() : "");
         } else if (auto read = read_number(entry.name, argument ? argument.get() : "", *entry.number);
                    failed(read)) {
             return error(read);
--- a/src/base/command_line.hpp
+++ b/src/base/command_line.hpp
@@ -29,6 +29,8 @@
     /// An option with a value; the default is the variable's value.
     void add(const std::string& name, std::string& value, const std::string& help);
     void add(const std::string& name, std::int64_t& value, const std::string& help);
+    /// An option that may be repeated.
+    void add(const std::string& name, std::vector<std::string>& values, const std::string& help);
     /// An option without a value.
     void add(const std::string& name, bool& value, const std::string& help);
 
@@ -44,6 +46,7 @@
         std::string* text{nullptr};
         std::int64_t* number{nullptr};
         bool* flag{nullptr};
+        std::vector<std::string>* list{nullptr};
     };
 
     std::string program;
--- a/src/burn/main.cpp
+++ b/src/burn/main.cpp
@@ -1,11 +1,10 @@
 /// rml-burn: service-level burn report over any number of daemons and saved files.
+#include "base/command_line.hpp"
 #include "operator/burn_tool.hpp"
 
 #include <chrono>
 #include <cstdlib>
 #include <iostream>
-#include <memory>
-#include <popt.h>
 
 namespace {
 
@@ -13,133 +12,67 @@
 
 constexpr const char* token_variable = "RML_OPERATOR_TOKEN";
 
-enum class option_code
+/// Options as the command line gives them.
+struct raw_options
 {
-    entry = 1,
-    token,
-    save,
-    html,
-    json,
-    now,
-    period,
-    call_timeout,
-    version,
-    help,
+    std::vector<std::string> entries;
+    std::int64_t now{0};
+    std::int64_t period{24 * 3600};
+    std::int64_t call_timeout{2000};
 };
 
-struct context_deleter
+result<bool> read_options(int argc, const char** argv, burn_tool_options& options)
 {
-    void operator()(poptContext context) const { poptFreeContext(context); }
-};
-
-int fail_usage(const std::string& what)
-{
-    std::cerr << "rml-burn: " << what << "; see rml-burn --help\n";
-    return static_cast<int>(exit_code::usage_error);
-}
-
-/// Applies one option. Answers a problem, or an empty text.
-std::string apply(option_code code, const std::string& text, long long number, burn_tool_options& options)
-{
-    if (number < 0) {
-        return "negative number " + std::to_string(number);
+    raw_options raw;
+    raw.now =
+        std::chrono::duration_cast<seconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+    command_line line("rml-burn",
+                      "\nArguments: files with saved answers of daemons, JSON lines.\n"
+                      "Exit codes: 0 success, 1 operation failed, 2 usage error, 3 invalid files, "
+                      "4 unavailable\n");
+    line.add("entry", raw.entries, "Operator address of a daemon, IP:PORT");
+    line.add("token", options.token, "Operator token; $RML_OPERATOR_TOKEN when not given");
+    line.add("save", options.save, "Append the daemons' answers to this file as JSON lines");
+    line.add("html", options.html, "Write a self-contained page to this file");
+    line.add("json", options.json, "Print one JSON document");
+    line.add("now-s", raw.now, "Report up to this time, seconds since 1970");
+    line.add("period-s", raw.period, "Period of lost times and changes");
+    line.add("timeout-ms", raw.call_timeout, "Longest call of a daemon");
+    auto go_on = line.parse(argc, argv, &options.files);
+    if (failed(go_on) || !value(go_on)) {
+        return go_on;
     }
-    switch (code) {
-    case option_code::entry: {
+    if (raw.now < 0 || raw.period < 0 || raw.call_timeout < 0) {
+        return failure{failure_kind::malformed, "times must not be negative"};
+    }
+    for (const auto& text : raw.entries) {
         auto parsed = parse_endpoint(text);
         if (failed(parsed)) {
-            return "not an IP number and port: " + text;
+            return error(parsed);
         }
         options.entries.push_back(value(std::move(parsed)));
-        break;
     }
-    case option_code::token:
-        options.token = text;
-        break;
-    case option_code::save:
-        options.save = text;
-        break;
-    case option_code::html:
-        options.html = text;
-        break;
-    case option_code::json:
-        options.json = true;
-        break;
-    case option_code::now:
-        options.now = seconds(number);
-        break;
-    case option_code::period:
-        options.period = seconds(number);
-        break;
-    case option_code::call_timeout:
-        options.call_timeout = milliseconds(number);
-        break;
-    case option_code::version:
-    case option_code::help:
-        break;
+    options.now = seconds(raw.now);
+    options.period = seconds(raw.period);
+    options.call_timeout = milliseconds(raw.call_timeout);
+    if (const char* token = std::getenv(token_variable); token != nullptr && options.token.empty()) {
+        options.token = token;
     }
-    return {};
+    return true;
 }
 
 } // namespace
 
 int main(int argc, const char** argv)
 {
-    char* text_value = nullptr;
-    long long number_value = 0;
-    const auto text = [&](const char* name, option_code code, const char* help, const char* what) {
-        return poptOption{name, '\0', POPT_ARG_STRING, &text_value, static_cast<int>(code), help, what};
-    };
-    const auto number = [&](const char* name, option_code code, const char* help) {
-        return poptOption{name, '\0', POPT_ARG_LONGLONG, &number_value, static_cast<int>(code), help, "N"};
-    };
-    const auto flag = [](const char* name, option_code code, const char* help) {
-        return poptOption{name, '\0', POPT_ARG_NONE, nullptr, static_cast<int>(code), help, nullptr};
-    };
-    const poptOption table[] = {
-        text("entry", option_code::entry, "operator address of a daemon; may be repeated", "IP:PORT"),
-        text("token", option_code::token, "operator token; default: $RML_OPERATOR_TOKEN", "TOKEN"),
-        text("save", option_code::save, "append the daemons' answers as JSON lines", "FILE"),
-        text("html", option_code::html, "write a self-contained page", "FILE"),
-        flag("json", option_code::json, "print one JSON document"),
-        number("now-s", option_code::now, "report up to this time, seconds since 1970; default: now"),
-        number("period-s", option_code::period, "period of lost times and changes (86400)"),
-        number("timeout-ms", option_code::call_timeout, "longest call of a daemon (2000)"),
-        flag("version", option_code::version, "print the version"),
-        flag("help", option_code::help, "print this help"),
-        POPT_TABLEEND};
-
     burn_tool_options options;
-    if (const char* token = std::getenv(token_variable); token != nullptr) {
-        options.token = token;
-    }
-    options.now = std::chrono::duration_cast<seconds>(std::chrono::system_clock::now().time_since_epoch());
-    const std::unique_ptr<std::remove_pointer_t<poptContext>, context_deleter> context(
-        poptGetContext("rml-burn", argc, argv, table, 0));
-    poptSetOtherOptionHelp(context.get(), "[OPTION...] [FILE...]");
-    int code = 0;
-    while ((code = poptGetNextOpt(context.get())) > 0) {
-        const auto option = static_cast<option_code>(code);
-        if (option == option_code::help) {
-            poptPrintHelp(context.get(), stdout, 0);
-            return static_cast<int>(exit_code::success);
-        }
-        if (option == option_code::version) {
-            std::cout << "rml-burn " << RML_VERSION << "\n";
-            return static_cast<int>(exit_code::success);
-        }
-        const std::string given = text_value == nullptr ? "" : text_value;
-        std::free(text_value); // NOLINT(cppcoreguidelines-no-malloc): popt allocates with malloc
-        text_value = nullptr;
-        if (const auto problem = apply(option, given, number_value, options); !problem.empty()) {
-            return fail_usage(problem);
-        }
-    }
-    if (code < -1) {
-        return fail_usage(std::string(poptBadOption(context.get(), 0)) + ": " + poptStrerror(code));
+    const auto go_on = read_options(argc, argv, options);
+    if (failed(go_on)) {
+        std::cerr << "rml-burn: " << error(go_on).context << "; see rml-burn --help\n";
+        return static_cast<int>(exit_code::usage_error);
     }
-    while (const char* argument = poptGetArg(context.get())) {
-        options.files.emplace_back(argument);
+    if (!value(go_on)) {
+        return static_cast<int>(exit_code::success);
     }
     return static_cast<int>(run_burn(options, std::cout, std::cerr));
 }
