Prove the daemons' own check for missing members

Cause: the stand-in engines refuse work while a member is missing, so the process tests could not tell whether the daemons check as well. The new case runs engines without that check and counts requests sent after the evidence lifetime.

--- a/tests/process/groups_test.cpp
+++ b/tests/process/groups_test.cpp
@@ -1,3 +1,4 @@
+#include "base/limits.hpp"
 #include "process/site.hpp"
 #include "process/traffic.hpp"
 
@@ -111,6 +112,33 @@
     }
 }
 
+TEST_CASE("no request is sent to a group that lacks a member, even if its engines would run it",
+          "[process][groups]")
+{
+    // Guards invariant 1 on the daemons' side alone: these engines do not check for their members themselves.
+    // A group of two without a spare stays in the plan while its member is down.
+    site_options options;
+    options.engine_arguments = {"--no-member-check"};
+    site place(options);
+    REQUIRE(place.publish() == 0);
+    for (const std::size_t daemon : {0, 1, 2}) {
+        REQUIRE(place.wait_servable(daemon, 4));
+    }
+    traffic load(place, {0, 1, 2}, 6, 8);
+    REQUIRE(site::wait_until([&] { return load.current().whole > 40; }));
+    site::set_faults(place.engine_address(0, 1), {{"down", true}});
+    site::set_faults(place.engine_address(1, 1), {{"down", true}});
+    // Every daemon must know after the evidence lifetime at the latest.
+    std::this_thread::sleep_for(limits::evidence_lifetime);
+    const auto before = sum_of(place, "started_with_missing_member", 4);
+    const auto whole = load.current().whole;
+    REQUIRE(site::wait_until([&] { return load.current().whole > whole + 100; }));
+    const auto counts = load.stop();
+    INFO(describe(counts));
+    CHECK(counts.wrong == 0);
+    CHECK(sum_of(place, "started_with_missing_member", 4) == before);
+}
+
 TEST_CASE("a target in cold start is never overloaded", "[process][cold]")
 {
     // Guards invariant 3. A stand-in engine falls over and restarts when it runs more than two requests while
