Bound the nesting of CBOR from peers and from the store

Cause: nlohmann-json decodes recursively, so a frame of a megabyte of nested arrays exhausted the stack. Peer frames are decoded before the sender has authenticated. Ruled out: a smaller frame limit, which configuration sets do not fit; the strict reader of base/json_reader, which refuses the byte strings that these documents use.

--- a/src/control/duty_loop.cpp
+++ b/src/control/duty_loop.cpp
@@ -1,5 +1,6 @@
 #include "control/duty_loop.hpp"
 
+#include "base/bounded_cbor.hpp"
 #include "base/hash.hpp"
 #include "base/limits.hpp"
 #include "base/log.hpp"
@@ -64,7 +65,7 @@
 result<published_digest> decode_published_digest(const std::string& payload)
 {
     try {
-        const auto document = nlohmann::json::from_cbor(payload);
+        const auto document = decode_bounded_cbor(payload);
         const auto& packed = document.at(1).get_binary();
         auto record = decode_digest({packed.begin(), packed.end()});
         if (failed(record)) {
--- a/src/control/node_peers.cpp
+++ b/src/control/node_peers.cpp
@@ -1,5 +1,6 @@
 #include "control/node.hpp"
 
+#include "base/bounded_cbor.hpp"
 #include "base/limits.hpp"
 #include "base/log.hpp"
 
@@ -69,7 +70,7 @@
 {
     // The item is only a carrier: the attribution keeps its own bounded record.
     this->others.destroy(accepted.key);
-    const auto document = nlohmann::json::from_cbor(accepted.payload, true, false);
+    const auto document = decode_bounded_cbor(accepted.payload);
     try {
         crash_notice notice;
         notice.fingerprint.value = document.at(0).get<std::uint64_t>();
--- a/src/decision/claim.cpp
+++ b/src/decision/claim.cpp
@@ -1,5 +1,6 @@
 #include "decision/claim.hpp"
 
+#include "base/bounded_cbor.hpp"
 #include "base/hash.hpp"
 #include "base/limits.hpp"
 
@@ -82,7 +83,7 @@
 result<claim_document> decode_claim(const std::string& bytes)
 {
     try {
-        const auto in = nlohmann::json::from_cbor(bytes);
+        const auto in = decode_bounded_cbor(bytes);
         claim_document document;
         const auto state = state_of(in.at("state").get<std::string>());
         if (!state) {
--- a/src/decision/membership.cpp
+++ b/src/decision/membership.cpp
@@ -1,5 +1,6 @@
 #include "decision/membership.hpp"
 
+#include "base/bounded_cbor.hpp"
 #include "base/hash.hpp"
 #include "base/limits.hpp"
 
@@ -68,7 +69,7 @@
 result<member_record> decode_member(const item& entry)
 {
     try {
-        const auto document = nlohmann::json::from_cbor(entry.payload);
+        const auto document = decode_bounded_cbor(entry.payload);
         member_record record;
         record.id = daemon_id(document.at(0).get<std::string>());
         record.incarnation = entry.version.major;
@@ -139,7 +140,7 @@
         return this->apply_member(accepted, now);
     }
     if (accepted.key.compare(0, suspicion_prefix.size(), suspicion_prefix) == 0) {
-        const auto document = nlohmann::json::from_cbor(accepted.payload, true, false);
+        const auto document = decode_bounded_cbor(accepted.payload);
         if (!document.is_array() || document.size() != 2 || !document[0].is_string() ||
             !document[1].is_string()) {
             return {};
--- a/src/decision/observation.cpp
+++ b/src/decision/observation.cpp
@@ -1,5 +1,6 @@
 #include "decision/observation.hpp"
 
+#include "base/bounded_cbor.hpp"
 #include "base/hash.hpp"
 #include "base/limits.hpp"
 #include "decision/evidence.hpp"
@@ -207,7 +208,7 @@
 result<observer_report> decode_observer_report(const std::string& bytes)
 {
     try {
-        const auto document = nlohmann::json::from_cbor(bytes);
+        const auto document = decode_bounded_cbor(bytes);
         const auto& packed = document.at("unchanged").get_ref<const nlohmann::json::binary_t&>();
         const auto& changes = document.at("changes");
         const auto& silent = document.at("silent");
--- a/src/model/plan.cpp
+++ b/src/model/plan.cpp
@@ -1,5 +1,7 @@
 #include "model/plan.hpp"
 
+#include "base/bounded_cbor.hpp"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <unordered_map>
@@ -97,7 +99,7 @@
 result<committed_plan> decode_plan(const std::string& bytes, std::uint64_t revision)
 {
     try {
-        const auto document = nlohmann::json::from_cbor(bytes);
+        const auto document = decode_bounded_cbor(bytes);
         std::vector<group_record> groups;
         for (const auto& entry : document.at("groups")) {
             group_record group;
--- a/src/peer/messages.cpp
+++ b/src/peer/messages.cpp
@@ -1,5 +1,6 @@
 #include "peer/messages.hpp"
 
+#include "base/bounded_cbor.hpp"
 #include "base/limits.hpp"
 
 #include <array>
@@ -311,7 +312,7 @@
         return failure{failure_kind::too_large, "peer frame"};
     }
     try {
-        return from_document(json::from_cbor(bytes));
+        return from_document(decode_bounded_cbor(bytes));
     } catch (const json::exception& e) {
         return failure{failure_kind::malformed, std::string("peer frame: ") + e.what()};
     }
--- a/tests/peer/peer_test.cpp
+++ b/tests/peer/peer_test.cpp
@@ -127,6 +127,12 @@
             RC_ASSERT(typed);
         });
     }
+    SECTION("a frame of nested arrays is malformed")
+    {
+        const auto decoded = decode(std::string(limits::peer_frame_bytes, static_cast<char>(0x81)));
+        REQUIRE(failed(decoded));
+        CHECK(error(decoded).kind == failure_kind::malformed);
+    }
     SECTION("an oversized frame is refused before it is parsed")
     {
         const auto decoded = decode(std::string(limits::peer_frame_bytes + 1, 'x'));
