--- a/src/control/duty_loop.cpp
+++ b/src/control/duty_loop.cpp
@@ -304,7 +304,7 @@
     return views;
 }
 
-std::vector<pool_demand> duty_loop::demands(const config_snapshot& config, time_point) const
+std::vector<pool_demand> duty_loop::demands(const config_snapshot& config) const
 {
     std::vector<pool_request> requests;
     std::vector<pool_demand> wanted;
@@ -344,7 +344,7 @@
     input.domain = this->domain;
     input.drained = config.drained(this->domain);
     input.engines = this->engine_views(config, now);
-    input.pools = this->demands(config, now);
+    input.pools = this->demands(config);
     const auto* committed = this->commit.committed();
     input.previous = committed == nullptr ? nullptr : &committed->plan;
     input.previous_revision = this->commit.revision();
@@ -557,7 +557,7 @@
 {
     const auto* committed = this->commit.committed();
     std::map<model_pool_id, group_sample> samples;
-    for (const auto& demand : this->demands(config, steady_clock::now())) {
+    for (const auto& demand : this->demands(config)) {
         samples[demand.pool] = {demand.pool, this->domain, demand.groups, 0};
     }
     for (std::size_t i = 0; i < record.groups.size(); ++i) {
--- a/src/control/duty_loop.hpp
+++ b/src/control/duty_loop.hpp
@@ -65,7 +65,6 @@
     void stop() { this->stopped = true; }
 
     bool holds() const { return this->lease_duty.holds(); }
-    const observation_book& book() const { return this->observations; }
     const grouping_stats& groups() const { return this->last_grouping; }
     const quota_owner_stats& quota_stats() const { return this->quota.stats(); }
 
@@ -89,7 +88,7 @@
     void form(const config_snapshot& config, time_point now);
     void record_losses(const config_snapshot& config, time_point now);
     std::vector<engine_view> engine_views(const config_snapshot& config, time_point now) const;
-    std::vector<pool_demand> demands(const config_snapshot& config, time_point now) const;
+    std::vector<pool_demand> demands(const config_snapshot& config) const;
     /// Id of a write, unique over all daemons and their runs.
     std::string next_attempt();
     void install_plan();
