--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -15,7 +15,7 @@
         exclude=(-E "^($pattern)\$")
     fi
 fi
-ctest --test-dir "$build" -R '^rml-(unit|io)-tests/' -j "$(nproc)" --output-on-failure --no-tests=error \
+ctest --test-dir "$build" -R '^rml-(unit|io|gateway)-tests/' -j "$(nproc)" --output-on-failure --no-tests=error \
     ${exclude[@]+"${exclude[@]}"}
 # Process tests start daemons and stand-ins on loopback; one at a time keeps the machine's load bounded.
 ctest --test-dir "$build" -R '^rml-process-tests/' -j 1 --output-on-failure --no-tests=error \
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -108,7 +108,8 @@
     current.level = static_cast<int>(options.level);
     auto backend = boost::make_shared<sinks::text_ostream_backend>();
     if (options.file.empty()) {
-        backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
+        backend->add_stream(boost::shared_ptr<std::ostream>(options.standard_output ? &std::cout : &std::clog,
+                                                            boost::null_deleter()));
     } else {
         backend->add_stream(boost::make_shared<std::ofstream>(options.file, std::ios::app));
     }
--- a/src/base/log.hpp
+++ b/src/base/log.hpp
@@ -1,4 +1,4 @@
-/// Structured logs: one JSON object per line on standard error, through Boost.Log.
+/// Structured logs: one JSON object per line on a standard stream or in a file, through Boost.Log.
 /// Records pass through a bounded queue; when it is full or the rate limit is reached they are dropped and
 /// counted, so that neither a slow reader nor a storm of failures slows the request path.
 #pragma once
@@ -33,7 +33,8 @@
 {
     std::string program;
     log_level level{log_level::info};
-    std::string file; ///< empty: standard error
+    std::string file;            ///< empty: a standard stream
+    bool standard_output{false}; ///< the standard stream is output instead of error
 };
 
 struct log_stats
--- a/src/control/duty_loop.cpp
+++ b/src/control/duty_loop.cpp
@@ -515,10 +515,10 @@
     this->shared.tables.groups.evidence.apply_digest(this->domain, record, now);
 }
 
-void duty_loop::on_observations(const daemon_id& observer, const observer_report& report,
+bool duty_loop::on_observations(const daemon_id& observer, const observer_report& report,
                                 time_point received_at)
 {
-    this->observations.apply(observer, report, received_at);
+    return this->observations.apply(observer, report, received_at);
 }
 
 slot_grant duty_loop::on_slot_ask(const daemon_id& asker, const slot_ask& ask, time_point now)
@@ -539,8 +539,13 @@
     return this->quota.grant(asker, ask, now);
 }
 
-void duty_loop::update_accounts(const config_snapshot& config, time_point now)
+void duty_loop::update_config(const config_snapshot& config, time_point now)
 {
+    std::vector<instance_id> engines;
+    for (const auto* engine : config.engines_of(this->domain)) {
+        engines.push_back(engine->instance);
+    }
+    this->observations.retain(engines);
     const auto regions = static_cast<std::uint32_t>(std::max<std::size_t>(1, config.set().regions.size()));
     for (const auto& account : config.set().accounts) {
         if (quota_domain(config, this->shared.region, account.name) == this->domain) {
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -1,7 +1,7 @@
 #include "control/node.hpp"
 
 #include "base/limits.hpp"
-#include "control/pause.hpp"
+#include "http/pause.hpp"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -103,7 +103,7 @@
         const auto now = steady_clock::now();
         this->others.tick(now);
         this->update_members(now);
-        pause(limits::keepalive_interval, yield);
+        http::pause(limits::keepalive_interval, yield);
     }
 }
 
@@ -123,7 +123,7 @@
         for (const auto& ask : asks) {
             this->send_to_holder(quota_domain(*config, this->options.region, ask.account), ask);
         }
-        pause(refresh_interval, yield);
+        http::pause(refresh_interval, yield);
     }
 }
 
@@ -155,7 +155,7 @@
                 this->concurrent_loads = value(loads);
             }
         }
-        pause(list_interval, yield);
+        http::pause(list_interval, yield);
     }
 }
 
--- a/src/control/node_config.cpp
+++ b/src/control/node_config.cpp
@@ -2,7 +2,7 @@
 
 #include "base/limits.hpp"
 #include "base/log.hpp"
-#include "control/pause.hpp"
+#include "http/pause.hpp"
 #include "objects/config_head.hpp"
 #include "objects/object_codec.hpp"
 
@@ -42,10 +42,10 @@
             asked_once = true;
             // A refused connection returns at once and must not become a busy loop.
             if (steady_clock::now() - before < limits::head_poll_interval / 4) {
-                pause(limits::head_poll_interval / 4, yield);
+                http::pause(limits::head_poll_interval / 4, yield);
             }
         } else {
-            pause(limits::head_poll_interval, yield);
+            http::pause(limits::head_poll_interval, yield);
         }
         if (!this->generations.ready() && !this->reads_config()) {
             asked_once = false;
@@ -137,7 +137,7 @@
             loop = std::make_unique<duty_loop>(this->environment, domain);
             loop->start();
         }
-        loop->update_accounts(*snapshot, steady_clock::now());
+        loop->update_config(*snapshot, steady_clock::now());
     }
     {
         const std::lock_guard guard(this->tables.burn.mutex);
--- a/src/control/node_observer.cpp
+++ b/src/control/node_observer.cpp
@@ -1,7 +1,7 @@
 #include "control/node.hpp"
 
 #include "base/limits.hpp"
-#include "control/pause.hpp"
+#include "http/pause.hpp"
 
 #include <boost/asio/spawn.hpp>
 
@@ -42,7 +42,7 @@
                 this->probe(instance, config->find_engine(instance)->address);
             }
         }
-        pause(limits::probe_interval, yield);
+        http::pause(limits::probe_interval, yield);
         const auto now = steady_clock::now();
         const bool full = now - last_full >= limits::observe_interval;
         last_full = full ? now : last_full;
@@ -88,7 +88,9 @@
             continue;
         }
         if (holder == this->options.daemon) {
-            this->duties.at(domain)->on_observations(holder, report, now);
+            if (!this->duties.at(domain)->on_observations(holder, report, now)) {
+                observer.restart_reports();
+            }
         } else {
             this->others.send(holder, peer::observe_message{domain, encode_observer_report(report)});
         }
--- a/src/control/node_peers.cpp
+++ b/src/control/node_peers.cpp
@@ -172,8 +172,17 @@
     if (const auto* observed = std::get_if<peer::observe_message>(&received)) {
         const auto found = this->duties.find(observed->failure_domain);
         const auto report = decode_observer_report(observed->reports);
-        if (found != this->duties.end() && succeeded(report)) {
-            found->second->on_observations(from, value(report), now);
+        if (failed(report)) {
+            log(log_level::warning, "observations are not usable",
+                {{"observer", from.str()}, context_field(error(report))});
+        } else if (found != this->duties.end() && !found->second->on_observations(from, value(report), now)) {
+            log(log_level::info, "observations incomplete, full report asked for",
+                {{"observer", from.str()}, {"domain", observed->failure_domain.str()}});
+            this->others.send(from, peer::observe_ask_message{observed->failure_domain});
+        }
+    } else if (const auto* resend = std::get_if<peer::observe_ask_message>(&received)) {
+        if (const auto found = this->observers.find(resend->failure_domain); found != this->observers.end()) {
+            found->second.restart_reports();
         }
     } else if (const auto* grant = std::get_if<slot_grant>(&received)) {
         const std::lock_guard guard(this->tables.slots.mutex);
--- a/src/control/node_status.cpp
+++ b/src/control/node_status.cpp
@@ -77,6 +77,17 @@
                                           {"quota_refused_limit", loop->quota_stats().refused_limit}});
         }
     }
+    document["observed"] = nlohmann::json::array();
+    for (const auto& [domain, observer] : this->observers) {
+        for (const auto& engine : observer.observed_engines()) {
+            const auto age = std::chrono::duration_cast<milliseconds>(now - engine.asked_at).count();
+            document["observed"].push_back({{"instance", engine.instance.str()},
+                                            {"reported_to", this->holder_of(domain).str()},
+                                            {"answers", engine.answered && !engine.silent},
+                                            {"age_ms", engine.answered ? age : -1},
+                                            {"probing", this->probing.count(engine.instance) != 0}});
+        }
+    }
     {
         const std::lock_guard guard(this->tables.admissions.mutex);
         const auto& quota = this->tables.admissions.quota.stats();
--- a/src/decision/admission.hpp
+++ b/src/decision/admission.hpp
@@ -110,6 +110,9 @@
     /// Expected wait of a request that arrives now.
     milliseconds expected_wait(const admission_request& request) const;
 
+    /// Requests of average cost that end per second when all places are taken.
+    double rate() const;
+
     const admission_stats& stats() const { return this->counts; }
 
 private:
@@ -146,7 +149,6 @@
         bool fresh{true}; ///< the front flow has not yet received its quantum in this turn
     };
 
-    double rate() const; ///< cost units per second
     duration wait_for(const round& queue, const account_id& account, double weight, double ahead) const;
     refusal_reason check(const admission_request& request, duration wait, time_point now) const;
     void count_refusal(refusal_reason reason);
--- a/src/decision/observation.cpp
+++ b/src/decision/observation.cpp
@@ -310,28 +310,44 @@
     return this->take(now, true);
 }
 
-void observation_book::apply_compact(const compact_entry& entry, time_point observed_at)
+std::vector<observed_engine> engine_observer::observed_engines() const
+{
+    std::vector<observed_engine> list;
+    list.reserve(this->engines.size());
+    for (const auto& [instance, entry] : this->engines) {
+        list.push_back({instance, entry.answered, entry.silent, entry.asked_at});
+    }
+    return list;
+}
+
+bool observation_book::apply_compact(const compact_entry& entry, time_point observed_at)
 {
     const auto name = this->by_hash.find(entry.instance);
     if (name == this->by_hash.end()) {
-        return;
+        return false;
     }
     auto& held = this->engines[name->second];
-    if (!held.known || held.fingerprint != entry.fingerprint) {
-        held.unresolved = true;
-        return;
+    // Two daemons observe an engine for a while when members change, so the older of their entries may come
+    // last.
+    const bool older =
+        held.missed_at ? observed_at <= *held.missed_at : held.known && observed_at <= held.seen.observed_at;
+    if (older) {
+        return true;
     }
-    if (observed_at <= held.seen.observed_at) {
-        return;
+    if (!held.known || held.fingerprint != entry.fingerprint) {
+        held.missed_at = observed_at;
+        return false;
     }
+    held.missed_at.reset();
     held.seen.observed_at = observed_at;
     held.seen.silent = false;
     held.seen.report.running = entry.requests;
     held.seen.report.queued = 0;
     held.seen.report.warm_slots = entry.warm_slots;
+    return true;
 }
 
-void observation_book::apply(const daemon_id& observer, const observer_report& report, time_point received_at)
+bool observation_book::apply(const daemon_id& observer, const observer_report& report, time_point received_at)
 {
     if (this->delays.size() > 2 * limits::max_daemons) {
         this->delays.clear(); // daemons that were replaced since
@@ -340,10 +356,11 @@
     const bool first = !estimator.knows(report.session);
     const auto delay = estimator.delay_of(report.session, report.sent_ms, received_at);
     // Reports come over a direct link and are built when they are sent, so the first one of a run is not an
-    // old one. Any other of unknown age is dropped; the fingerprints of the next one show what was missed.
+    // old one. Any other of unknown age is dropped.
     if (!first && !delay) {
-        return;
+        return report.changes.empty();
     }
+    bool complete = true;
     const auto sent_at = received_at - delay.value_or(milliseconds(0));
     for (const auto& change : report.changes) {
         const auto& instance = change.report.instance;
@@ -355,11 +372,11 @@
         }
         held.seen = {change.report, observed_at, false};
         held.known = true;
-        held.unresolved = false;
+        held.missed_at.reset();
         held.fingerprint = status_fingerprint(change.report);
     }
     for (const auto& entry : report.unchanged) {
-        this->apply_compact(entry, sent_at - milliseconds(entry.age_ms));
+        complete = this->apply_compact(entry, sent_at - milliseconds(entry.age_ms)) && complete;
     }
     for (const auto& instance : report.silent) {
         const auto found = this->engines.find(instance);
@@ -367,6 +384,7 @@
             found->second.seen.silent = true;
         }
     }
+    return complete;
 }
 
 void observation_book::retain(const std::vector<instance_id>& list)
@@ -389,24 +407,12 @@
 {
     const auto found = this->engines.find(instance);
     if (found == this->engines.end() || !found->second.known || found->second.seen.silent ||
-        found->second.unresolved || now - found->second.seen.observed_at > limits::observation_lifetime) {
+        found->second.missed_at || now - found->second.seen.observed_at > limits::observation_lifetime) {
         return nullptr;
     }
     return &found->second.seen;
 }
 
-std::vector<instance_id> observation_book::unresolved() const
-{
-    std::vector<instance_id> list;
-    for (const auto& [instance, held] : this->engines) {
-        if (held.unresolved) {
-            list.push_back(instance);
-        }
-    }
-    std::sort(list.begin(), list.end());
-    return list;
-}
-
 digest build_digest(const committed_plan& plan, const observation_book& book, const digest_context& context)
 {
     digest record;
--- a/src/decision/observation.hpp
+++ b/src/decision/observation.hpp
@@ -87,6 +87,15 @@
 /// Hash of the parts of a status that say what the engine serves.
 std::uint64_t status_fingerprint(const engine_status& report);
 
+/// What an observer knows of one engine, for status pages.
+struct observed_engine
+{
+    instance_id instance;
+    bool answered{false};
+    bool silent{false};    ///< the last probe got no answer
+    time_point asked_at{}; ///< of the last probe with an answer
+};
+
 /// The engines that one daemon observes for one duty holder.
 class engine_observer
 {
@@ -107,6 +116,8 @@
     /// Changes in full and every other engine in its compact form.
     observer_report take_full_report(time_point now);
 
+    std::vector<observed_engine> observed_engines() const;
+
 private:
     struct observed
     {
@@ -135,25 +146,27 @@
 class observation_book
 {
 public:
-    void apply(const daemon_id& observer, const observer_report& report, time_point received_at);
+    /// False when the book lacks a status that the report only refers to, because an earlier report was lost
+    /// or this one is of unknown age: the observer has to send every status in full.
+    bool apply(const daemon_id& observer, const observer_report& report, time_point received_at);
     /// Forgets engines that are not in the list.
     void retain(const std::vector<instance_id>& engines);
 
     /// Observation no older than `limits::observation_lifetime` of an engine that answered, or null.
     const observation* fresh(const instance_id& instance, time_point now) const;
-    /// Engines whose compact report does not fit the status held; the holder probes them itself.
-    std::vector<instance_id> unresolved() const;
 
 private:
     struct book_entry
     {
         observation seen;
         bool known{false};
-        bool unresolved{false};
         std::uint64_t fingerprint{0};
+        /// Time of a newer observation whose status the book lacks.
+        std::optional<time_point> missed_at;
     };
 
-    void apply_compact(const compact_entry& entry, time_point observed_at);
+    /// False when the entry refers to a status that the book does not hold.
+    bool apply_compact(const compact_entry& entry, time_point observed_at);
 
     std::unordered_map<instance_id, book_entry> engines;
     std::unordered_map<std::uint64_t, instance_id> by_hash;
--- /dev/null
+++ b/src/decision/progress_monitor.cpp
@@ -0,0 +1,76 @@
+#include "decision/progress_monitor.hpp"
+
+namespace rml {
+
+namespace {
+
+/// A tick that comes later than this after the one before says that this process was paused or starved. Ticks
+/// come every 50 ms.
+constexpr milliseconds longest_tick_gap{200};
+
+} // namespace
+
+void progress_monitor::begin(const instance_id& target, time_point now)
+{
+    auto& found = this->targets[target];
+    if (found.requests == 0) {
+        found.last = now;
+    }
+    ++found.requests;
+}
+
+void progress_monitor::progress(const instance_id& target, time_point now)
+{
+    if (const auto found = this->targets.find(target); found != this->targets.end()) {
+        found->second.last = now;
+        found->second.progress = now;
+    }
+}
+
+void progress_monitor::end(const instance_id& target)
+{
+    const auto found = this->targets.find(target);
+    if (found != this->targets.end() && --found->second.requests == 0) {
+        this->targets.erase(found);
+    }
+}
+
+std::uint32_t progress_monitor::in_flight(const instance_id& target) const
+{
+    const auto found = this->targets.find(target);
+    return found == this->targets.end() ? 0 : found->second.requests;
+}
+
+duration progress_monitor::silence(const instance_id& target, time_point now) const
+{
+    const auto found = this->targets.find(target);
+    return found == this->targets.end() ? duration::zero() : now - found->second.last;
+}
+
+bool progress_monitor::progressed(const instance_id& target, duration within, time_point now) const
+{
+    const auto found = this->targets.find(target);
+    return found != this->targets.end() && found->second.progress != time_point{} &&
+           now - found->second.progress <= within;
+}
+
+std::vector<instance_id> progress_monitor::busy() const
+{
+    std::vector<instance_id> out;
+    for (const auto& [target, content] : this->targets) {
+        out.push_back(target);
+    }
+    return out;
+}
+
+void progress_monitor::tick(time_point now)
+{
+    if (this->last_tick != time_point{} && now - this->last_tick > longest_tick_gap) {
+        for (auto& [target, content] : this->targets) {
+            content.last = now;
+        }
+    }
+    this->last_tick = now;
+}
+
+} // namespace rml
--- /dev/null
+++ b/src/decision/replica_planner.cpp
@@ -0,0 +1,396 @@
+#include "decision/replica_planner.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <map>
+#include <optional>
+#include <set>
+
+namespace rml {
+
+namespace {
+
+/// A join that needs no load takes this long on every platform seen so far.
+constexpr milliseconds rejoin_time{200};
+/// A group that is ready after this time is worth half of one that is ready now. Engines are lost every few
+/// seconds, so what is not ready within that time often never serves.
+constexpr std::chrono::duration<double> half_worth{4.0};
+/// A serving group is given up only for a gain this much above its own worth; below it, noise in the shares
+/// would move engines to and fro.
+constexpr double retire_hysteresis = 1.5;
+
+bool contains(const std::vector<model_id>& list, const model_id& model)
+{
+    return std::find(list.begin(), list.end(), model) != list.end();
+}
+
+/// In memory or on the host.
+bool at_hand(const planner_engine& engine, const model_id& model)
+{
+    return engine.loaded == model || contains(engine.staged, model);
+}
+
+milliseconds join_time(const planner_engine& engine, const planner_model& model)
+{
+    if (engine.loaded == model.model) {
+        return rejoin_time;
+    }
+    return contains(engine.staged, model.model) ? model.warm : model.load + model.warm;
+}
+
+double discount(milliseconds wait)
+{
+    return std::exp2(-std::chrono::duration<double>(wait) / half_worth);
+}
+
+/// Worth of one group more where there are `count`.
+double worth_of_next(const planner_model& model, std::size_t count)
+{
+    const auto n = static_cast<double>(count);
+    // The first group of a model is what makes it served at all.
+    const double step = count == 0 ? 3.0 : std::log((n + 1) / n);
+    return std::max(model.share, 0.01) * step;
+}
+
+class planning
+{
+public:
+    explicit planning(const planner_input& given) : input(given), loads_left(given.loads_allowed)
+    {
+        for (const auto& group : given.groups) {
+            ++this->counts[group.model];
+        }
+        for (const auto& [fabric, model] : given.reserved) {
+            ++this->counts[model];
+        }
+        for (const auto& engine : given.engines) {
+            auto& free = this->free_by_fabric[engine.fabric];
+            if (engine.free) {
+                free.push_back(&engine);
+            }
+        }
+        this->targets = this->target_counts();
+    }
+
+    replica_plan run()
+    {
+        const auto most_loads = this->input.join_with_loads ? this->loads_left : 0;
+        // What is below its target goes first, so that leftovers of a domain do not decide the mix of models.
+        // Retirements come before the rest for the same reason: survivors of a large group make small ones at
+        // once, and each loss would move the mix further towards the small model.
+        this->form_all(most_loads, true);
+        this->retire_for_another_model();
+        this->form_all(most_loads, false);
+        this->prepare_next_groups();
+        this->stage_other_models();
+        return std::move(this->plan);
+    }
+
+private:
+    using engine_list = std::vector<const planner_engine*>;
+
+    struct formation
+    {
+        planned_group group;
+        double score{0};
+    };
+
+    void form_all(std::uint32_t most_loads, bool to_target)
+    {
+        while (const auto best = this->best_formation(most_loads, to_target)) {
+            this->form(*best);
+        }
+    }
+
+    /// The quickest members among these engines, or nothing when there are too few or too many loads needed.
+    std::optional<planned_group> pick(const engine_list& from, const planner_model& model) const
+    {
+        if (from.size() < model.group_size) {
+            return std::nullopt;
+        }
+        auto sorted = from;
+        std::stable_sort(sorted.begin(), sorted.end(), [&](const auto* a, const auto* b) {
+            return join_time(*a, model) < join_time(*b, model);
+        });
+        planned_group out;
+        out.model = model.model;
+        for (std::uint32_t i = 0; i < model.group_size; ++i) {
+            out.members.push_back(sorted[i]->instance);
+            out.fabric = sorted[i]->fabric;
+            out.expected = std::max(out.expected, join_time(*sorted[i], model));
+            out.loads += at_hand(*sorted[i], model.model) ? 0 : 1;
+        }
+        return out;
+    }
+
+    std::size_t count_in_fabric(const model_id& model, const fabric_domain_id& fabric) const
+    {
+        std::size_t sum = 0;
+        for (const auto& group : this->input.groups) {
+            sum += group.model == model && group.fabric == fabric ? 1U : 0U;
+        }
+        for (const auto& group : this->plan.create) {
+            sum += group.model == model && group.fabric == fabric ? 1U : 0U;
+        }
+        return sum;
+    }
+
+    std::size_t count_of(const model_id& model) const
+    {
+        const auto known = this->counts.find(model);
+        return known == this->counts.end() ? 0 : known->second;
+    }
+
+    /// Groups of each model that the engines make when the fabric domains are left aside.
+    std::map<model_id, std::size_t> target_counts() const
+    {
+        std::map<model_id, std::size_t> out;
+        auto engines = this->input.engines.size();
+        while (true) {
+            const planner_model* best = nullptr;
+            double best_worth = 0;
+            for (const auto& model : this->input.models) {
+                const auto worth = worth_of_next(model, out[model.model]) / model.group_size;
+                if (model.group_size <= engines && (best == nullptr || worth > best_worth)) {
+                    best = &model;
+                    best_worth = worth;
+                }
+            }
+            if (best == nullptr) {
+                return out;
+            }
+            ++out[best->model];
+            engines -= best->group_size;
+        }
+    }
+
+    /// Towards the targets large groups go first, whatever their time until they are ready: they find no room
+    /// in what small ones leave. A model that is not served at all goes before any other.
+    double score_of(const planner_model& model, const planned_group& group, bool to_target) const
+    {
+        // Copies in one fabric domain are lost together, so a domain with fewer of them goes first.
+        const auto copies = static_cast<double>(this->count_in_fabric(model.model, group.fabric));
+        const auto by_time = discount(group.expected) / (1.0 + 0.05 * copies); // at most 1
+        const auto count = this->count_of(model.model);
+        if (!to_target) {
+            return worth_of_next(model, count) / model.group_size * by_time;
+        }
+        return (count == 0 ? std::numeric_limits<std::uint32_t>::max() : model.group_size) + by_time;
+    }
+
+    std::optional<formation> best_formation(std::uint32_t most_loads, bool to_target) const
+    {
+        std::optional<formation> best;
+        for (const auto& model : this->input.models) {
+            const auto target = this->targets.find(model.model);
+            if (to_target &&
+                (target == this->targets.end() || this->count_of(model.model) >= target->second)) {
+                continue;
+            }
+            for (const auto& [fabric, engines] : this->free_by_fabric) {
+                const auto kept = this->input.reserved.find(fabric);
+                if (kept != this->input.reserved.end() && kept->second != model.model) {
+                    continue;
+                }
+                auto group = this->pick(engines, model);
+                if (!group || group->loads > most_loads) {
+                    continue;
+                }
+                const auto score = this->score_of(model, *group, to_target);
+                if (!best || score > best->score) {
+                    best = formation{std::move(*group), score};
+                }
+            }
+        }
+        return best;
+    }
+
+    void form(const formation& chosen)
+    {
+        this->remove_free(chosen.group);
+        ++this->counts[chosen.group.model];
+        this->loads_left -= chosen.group.loads;
+        this->plan.create.push_back(chosen.group);
+    }
+
+    void remove_free(const planned_group& group)
+    {
+        auto& engines = this->free_by_fabric[group.fabric];
+        engines.erase(std::remove_if(engines.begin(), engines.end(),
+                                     [&](const auto* engine) {
+                                         const auto& members = group.members;
+                                         return std::find(members.begin(), members.end(), engine->instance) !=
+                                                members.end();
+                                     }),
+                      engines.end());
+        this->taken.insert(group.members.begin(), group.members.end());
+    }
+
+    const planner_model* find_model(const model_id& model) const
+    {
+        const auto found = std::find_if(this->input.models.begin(), this->input.models.end(),
+                                        [&](const planner_model& entry) { return entry.model == model; });
+        return found == this->input.models.end() ? nullptr : &*found;
+    }
+
+    /// Gives up serving groups of a domain when their engines, with the free ones there, are worth clearly
+    /// more as a group of another model. Only where no load is needed: a load takes longer than the imbalance
+    /// lasts.
+    void retire_for_another_model()
+    {
+        double best_gain = 0;
+        for (const auto& model : this->input.models) {
+            const auto worth = worth_of_next(model, this->count_of(model.model));
+            for (const auto& [fabric, free] : this->free_by_fabric) {
+                if (this->input.reserved.count(fabric) != 0) {
+                    continue;
+                }
+                auto [found, gain] = this->retirement_in(fabric, free, model, worth);
+                if (found && gain > best_gain) {
+                    best_gain = gain;
+                    this->plan.retire = std::move(found);
+                }
+            }
+        }
+        if (this->plan.retire) {
+            ++this->counts[this->plan.retire->model];
+            auto& kept = this->free_by_fabric[this->plan.retire->fabric];
+            for (const auto* engine : kept) {
+                this->taken.insert(engine->instance);
+            }
+            kept.clear();
+        }
+    }
+
+    /// What the best group of another model that these engines can form without a load is worth.
+    double worth_of_others(const engine_list& free, const planner_model& than) const
+    {
+        double best = 0;
+        for (const auto& model : this->input.models) {
+            if (model.model == than.model) {
+                continue;
+            }
+            if (const auto formed = this->pick(free, model); formed && formed->loads == 0) {
+                const auto worth = worth_of_next(model, this->count_of(model.model));
+                best = std::max(best, worth * discount(formed->expected));
+            }
+        }
+        return best;
+    }
+
+    /// The groups to give up for one group of the model in the domain, and what is gained.
+    std::pair<std::optional<planned_retirement>, double> retirement_in(const fabric_domain_id& fabric,
+                                                                       const engine_list& free,
+                                                                       const planner_model& model,
+                                                                       double worth) const
+    {
+        auto remaining = this->counts;
+        auto available = free;
+        double loss = 0;
+        const auto forgone = this->worth_of_others(free, model);
+        planned_retirement out{{}, fabric, model.model};
+        std::set<group_id> used;
+        while (true) {
+            if (const auto formed = this->pick(available, model); formed && formed->loads == 0) {
+                const auto gain = worth * discount(formed->expected);
+                const bool better = !out.groups.empty() && gain > retire_hysteresis * loss + forgone;
+                return {better ? std::optional(out) : std::nullopt, gain - loss - forgone};
+            }
+            const planner_group* cheapest = nullptr;
+            double cheapest_loss = 0;
+            for (const auto& group : this->input.groups) {
+                const auto* own = this->find_model(group.model);
+                if (group.fabric != fabric || !group.serving || own == nullptr ||
+                    group.model == model.model || used.count(group.group) != 0) {
+                    continue;
+                }
+                const auto own_loss = worth_of_next(*own, remaining[group.model] - 1);
+                if (cheapest == nullptr || own_loss < cheapest_loss) {
+                    cheapest = &group;
+                    cheapest_loss = own_loss;
+                }
+            }
+            if (cheapest == nullptr) {
+                return {std::nullopt, 0};
+            }
+            used.insert(cheapest->group);
+            --remaining[cheapest->model];
+            loss += cheapest_loss;
+            out.groups.push_back(cheapest->group);
+            for (const auto& engine : this->input.engines) {
+                const auto& members = cheapest->members;
+                if (std::find(members.begin(), members.end(), engine.instance) != members.end()) {
+                    available.push_back(&engine);
+                }
+            }
+        }
+    }
+
+    void stage(const planner_engine& engine, const model_id& model)
+    {
+        if (this->loads_left > 0 && engine.staging.empty()) {
+            this->plan.stage.push_back({engine.instance, model});
+            --this->loads_left;
+        }
+    }
+
+    /// Stages what the best groups that cannot be formed yet lack.
+    void prepare_next_groups()
+    {
+        while (const auto next = this->best_formation(std::numeric_limits<std::uint32_t>::max(), false)) {
+            for (const auto& member : next->group.members) {
+                const auto engine = std::find_if(this->input.engines.begin(), this->input.engines.end(),
+                                                 [&](const auto& entry) { return entry.instance == member; });
+                if (!at_hand(*engine, next->group.model)) {
+                    this->stage(*engine, next->group.model);
+                }
+            }
+            this->remove_free(next->group);
+        }
+    }
+
+    /// Stages on the hosts of groups the model that their engines could not serve at once: after the loss of
+    /// a member the others may be worth most as a group of another model.
+    void stage_other_models()
+    {
+        for (const auto& engine : this->input.engines) {
+            if (this->taken.count(engine.instance) != 0) {
+                continue;
+            }
+            const planner_model* wanted = nullptr;
+            for (const auto& model : this->input.models) {
+                if (engine.loaded == model.model) {
+                    continue;
+                }
+                if (at_hand(engine, model.model)) {
+                    wanted = nullptr;
+                    break;
+                }
+                if (wanted == nullptr || model.share > wanted->share) {
+                    wanted = &model;
+                }
+            }
+            if (wanted != nullptr) {
+                this->stage(engine, wanted->model);
+            }
+        }
+    }
+
+    const planner_input& input;
+    std::uint32_t loads_left;
+    std::map<model_id, std::size_t> counts;
+    std::map<model_id, std::size_t> targets;
+    std::map<fabric_domain_id, engine_list> free_by_fabric;
+    std::set<instance_id> taken;
+    replica_plan plan;
+};
+
+} // namespace
+
+replica_plan plan_replicas(const planner_input& input)
+{
+    return planning(input).run();
+}
+
+} // namespace rml
--- a/src/decision/retry_budget.cpp
+++ b/src/decision/retry_budget.cpp
@@ -36,7 +36,8 @@
     }
     const auto window = std::chrono::duration<double>(limits::retry_window).count();
     const auto allowed = std::max(this->settings.share * static_cast<double>(first_tries),
-                                  this->settings.minimum_per_second * window);
+                                  this->settings.minimum_per_second * window) +
+                         this->settings.slack;
     if (static_cast<double>(retries + 1) > allowed) {
         ++this->counts.refused;
         return false;
--- a/src/decision/retry_budget.hpp
+++ b/src/decision/retry_budget.hpp
@@ -15,6 +15,7 @@
 {
     double share{limits::retry_share}; ///< retries per first try
     double minimum_per_second{limits::retry_minimum_per_second};
+    double slack{0}; ///< retries per window on top of both
 };
 
 struct retry_budget_stats
@@ -24,14 +25,17 @@
     std::uint64_t refused{0}; ///< retries over the budget
 };
 
-/// In any window of `limits::retry_window` at most max(share * first tries, minimum * window) retries are
-/// allowed. Counts are kept in buckets: a bucket partly outside the window counts for retries and not for
+/// In any window of `limits::retry_window` at most max(share * first tries, minimum * window) + slack retries
+/// are allowed. Counts are kept in buckets: a bucket partly outside the window counts for retries and not for
 /// first tries, so rounding never raises the budget.
 class retry_budget
 {
 public:
     explicit retry_budget(retry_budget_settings budget = {}) : settings(budget) {}
 
+    /// The share of this daemon follows the number of daemons.
+    void update_settings(const retry_budget_settings& budget) { this->settings = budget; }
+
     /// Counts a first try.
     void record_first_try(time_point now);
 
--- /dev/null
+++ b/src/decision/target_choice.cpp
@@ -0,0 +1,92 @@
+#include "decision/target_choice.hpp"
+
+#include <algorithm>
+
+namespace rml {
+
+namespace {
+
+bool has_place(const target_candidate& candidate)
+{
+    return candidate.own + candidate.others < candidate.slots;
+}
+
+/// Expected share of the target's places, weighted with its slowness.
+double load_of(const target_candidate& candidate)
+{
+    const auto taken = static_cast<double>(candidate.own + candidate.others + 1);
+    return taken / candidate.slots * candidate.slowness;
+}
+
+/// The less, the sooner a candidate is chosen.
+enum class preference
+{
+    sound,
+    near_a_tried_one, ///< in the fabric domain of a target that has had the request
+    doubtful,
+};
+
+preference preference_of(const target_candidate& candidate, const std::vector<target_candidate>& all)
+{
+    if (candidate.doubtful) {
+        return preference::doubtful;
+    }
+    const bool near =
+        !candidate.fabric.empty() && std::any_of(all.begin(), all.end(), [&](const auto& other) {
+            return other.tried && other.fabric == candidate.fabric;
+        });
+    return near ? preference::near_a_tried_one : preference::sound;
+}
+
+/// The candidates with a place that are preferred to all others.
+std::vector<std::size_t> preferred(const std::vector<target_candidate>& candidates)
+{
+    std::vector<std::size_t> out;
+    auto best = preference::doubtful;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        if (candidates[i].tried || !has_place(candidates[i])) {
+            continue;
+        }
+        const auto found = preference_of(candidates[i], candidates);
+        if (found < best) {
+            best = found;
+            out.clear();
+        }
+        if (found == best) {
+            out.push_back(i);
+        }
+    }
+    return out;
+}
+
+} // namespace
+
+std::optional<std::size_t> choose_target(const std::vector<target_candidate>& candidates,
+                                         std::uint64_t random)
+{
+    const auto found = preferred(candidates);
+    if (found.empty()) {
+        return std::nullopt;
+    }
+    const auto first = found[random % found.size()];
+    if (found.size() == 1) {
+        return first;
+    }
+    // The second draw takes one of the others.
+    const auto step = 1 + (random / found.size()) % (found.size() - 1);
+    const auto second = found[(random % found.size() + step) % found.size()];
+    return load_of(candidates[second]) < load_of(candidates[first]) ? second : first;
+}
+
+std::size_t free_places(const std::vector<target_candidate>& candidates)
+{
+    std::size_t sum = 0;
+    for (const auto& candidate : candidates) {
+        if (!candidate.doubtful && has_place(candidate)) {
+            sum += candidate.slots - candidate.own - candidate.others;
+        }
+    }
+    return sum;
+}
+
+} // namespace rml
--- /dev/null
+++ b/src/gateway/daemon.cpp
@@ -0,0 +1,315 @@
+#include "gateway/daemon.hpp"
+
+#include "base/log.hpp"
+#include "base/metrics.hpp"
+#include "gateway/coroutine.hpp"
+#include "gateway/fleet_state.hpp"
+#include "gateway/forwarder.hpp"
+#include "gateway/group_manager.hpp"
+#include "gateway/pages.hpp"
+#include "gateway/peer_exchange.hpp"
+#include "gateway/registration.hpp"
+#include "gateway/store_mirror.hpp"
+#include "http/server.hpp"
+
+#include <algorithm>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <csignal>
+
+namespace rml::gateway {
+
+namespace {
+
+/// Interval in which silence, places and groups are looked at; a fraction of the shortest silence that
+/// counts.
+constexpr milliseconds tick_interval{50};
+/// After the start the list of daemons can be incomplete: all daemons register within this time.
+constexpr milliseconds peers_settle_time{3000};
+/// A stopping daemon takes requests for at least this long, since callers keep addresses for a while.
+constexpr milliseconds shortest_stop{2500};
+/// Left of the platform's grace time for the end of the process itself.
+constexpr milliseconds stop_margin{700};
+/// Time for which callers keep the addresses that they were told.
+constexpr milliseconds address_lifetime{2000};
+
+std::int64_t wall_clock_ms()
+{
+    return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+class gateway_daemon
+{
+public:
+    gateway_daemon(const gateway_settings& settings, const port_factory& create_ports,
+                   const std::function<result<gateway_settings>()>& read_settings)
+        : configured(settings), reload(read_settings), started_ms(wall_clock_ms()),
+          connections(this->context), ports(create_ports(this->connections, settings.store.address)),
+          fleet(settings.daemon), mirror(this->context, this->ports, this->fleet, this->configured),
+          holder(this->context, this->ports, this->mirror, this->fleet, this->configured, this->started_ms),
+          requests(this->context, this->ports, this->fleet, this->connections, this->configured,
+                   this->metrics),
+          manager(this->context, this->ports, this->fleet, this->holder, this->configured, this->metrics),
+          exchange(this->context, this->fleet), readiness([this] { return this->ready(); }),
+          entries(
+              *this->ports.decoder,
+              [this] {
+                  return entry_addresses(this->fleet, this->configured.listen.caller, this->ready(),
+                                         steady_clock::now());
+              },
+              std::min(address_lifetime, settings.bounds.entry_lifetime)),
+          metrics_text(this->metrics), signals(this->context, SIGTERM, SIGINT, SIGHUP), timer(this->context)
+    {
+    }
+
+    status run()
+    {
+        for (const auto& [address, handler, server] :
+             {std::tuple<endpoint, http::handler*, std::unique_ptr<http::server>*>{
+                  this->configured.listen.caller, &this->requests, &this->caller_server},
+              {this->configured.listen.readiness, &this->readiness, &this->readiness_server},
+              {this->configured.listen.entries, &this->entries, &this->entries_server},
+              {this->configured.listen.metrics, &this->metrics_text, &this->metrics_server}}) {
+            auto created = http::server::create(this->context, address, *handler);
+            if (failed(created)) {
+                return error(created);
+            }
+            *server = value(std::move(created));
+        }
+        if (const auto started =
+                this->exchange.start(this->configured.listen.peer, [this] { return this->compose_report(); });
+            failed(started)) {
+            return error(started);
+        }
+        this->connect_parts();
+        log(log_level::info, "started",
+            {{"daemon", this->configured.daemon.str()},
+             {"failure_domain", this->configured.failure_domain.str()},
+             {"caller_address", to_string(this->configured.listen.caller)}});
+        this->mirror.start();
+        this->holder.start();
+        this->wait_for_signal();
+        this->schedule_tick();
+        this->context.run();
+        log(log_level::info, "stopped",
+            {{"daemon", this->configured.daemon.str()},
+             {"open_requests", static_cast<std::int64_t>(this->requests.open_requests())}});
+        return success();
+    }
+
+private:
+    void connect_parts()
+    {
+        this->mirror.on_change = [this] {
+            this->holder.notify();
+            this->follow_config();
+            this->manager.tick();
+        };
+        this->mirror.needs_changes_at_once = [this] { return this->holder.manages(steady_clock::now()); };
+        this->exchange.on_report = [this](const peer_report& report) { this->take_report(report); };
+        this->manager.on_end = [this] { this->exchange.send_now(); };
+        this->requests.on_suspect = [this] {
+            this->exchange.send_now();
+            for (const auto& head : this->requests.standing_still()) {
+                this->manager.on_suspect(head);
+            }
+        };
+    }
+
+    bool ready() const { return this->mirror.complete() && this->fleet.config() && !this->leaving; }
+
+    void follow_config()
+    {
+        const auto& config = this->fleet.config();
+        if (!config || config->version() == this->followed_version) {
+            return;
+        }
+        this->followed_version = config->version();
+        http::server_options options;
+        options.header_bytes = config->limits().header_bytes;
+        options.body_bytes = config->limits().body_bytes;
+        options.head_timeout = config->limits().header_timeout;
+        options.idle_timeout = config->limits().idle_timeout;
+        this->caller_server->update_options(options);
+    }
+
+    peer_report compose_report() const
+    {
+        peer_report out;
+        out.daemon = this->configured.daemon;
+        out.started_ms = this->started_ms;
+        out.leaving = this->leaving;
+        out.ready = this->ready();
+        out.store_reachable = this->mirror.reachable(steady_clock::now());
+        for (const auto& target : this->fleet.in_flight.busy()) {
+            out.in_flight[target] = this->fleet.in_flight.in_flight(target);
+        }
+        out.suspects = this->requests.standing_still();
+        out.answering = this->answering_suspects(steady_clock::now());
+        if (this->holder.manages(steady_clock::now())) {
+            out.avoided = this->manager.avoided();
+            out.slow = this->manager.slow(steady_clock::now());
+        }
+        out.work = this->requests.work();
+        return out;
+    }
+
+    /// Targets that somebody suspects although they answer this daemon.
+    std::vector<instance_id> answering_suspects(time_point now) const
+    {
+        std::vector<instance_id> out;
+        for (const auto& target : this->fleet.in_flight.busy()) {
+            if (this->fleet.suspected(target, now) &&
+                this->fleet.in_flight.progressed(target, fresh_progress, now)) {
+                out.push_back(target);
+            }
+        }
+        return out;
+    }
+
+    void take_report(const peer_report& report)
+    {
+        const auto now = steady_clock::now();
+        for (const auto& head : report.suspects) {
+            this->fleet.suspect(head, now + peer_suspicion);
+            this->manager.on_suspect(head);
+        }
+        for (const auto& head : report.answering) {
+            this->manager.on_progress(head);
+        }
+        for (const auto& [head, factor] : report.slow) {
+            this->fleet.update_slowness(head, factor, now);
+        }
+        for (const auto& engine : report.avoided) {
+            this->fleet.suspect(engine, now + peer_suspicion);
+            for (const auto& group : this->fleet.groups()) {
+                if (std::find(group.members.begin(), group.members.end(), engine) != group.members.end()) {
+                    this->fleet.suspect(group.head, now + peer_suspicion);
+                }
+            }
+        }
+    }
+
+    void schedule_tick()
+    {
+        this->timer.expires_after(tick_interval);
+        this->timer.async_wait([this](const boost::system::error_code& code) {
+            if (!code) {
+                this->tick();
+                this->schedule_tick();
+            }
+        });
+    }
+
+    void tick()
+    {
+        const auto now = steady_clock::now();
+        this->fleet.expire_targets(now);
+        this->fleet.peers_settled = now - this->started >= peers_settle_time;
+        this->requests.tick();
+        if (this->holder.manages(now)) {
+            auto work = this->requests.work();
+            for (const auto& [daemon, peer] : this->fleet.peers()) {
+                if (daemon != this->fleet.self && this->fleet.live(peer, now)) {
+                    for (const auto& [model, amount] : peer.last.work) {
+                        work[model] += amount;
+                    }
+                }
+            }
+            this->manager.update_work(std::move(work));
+            for (const auto& head : this->answering_suspects(now)) {
+                this->manager.on_progress(head);
+            }
+            this->manager.tick();
+        }
+        if (this->leaving) {
+            const bool idle =
+                this->requests.open_requests() == 0 && now - this->leaving_since >= shortest_stop;
+            if (idle || now - this->leaving_since >= this->configured.bounds.stop_grace - stop_margin) {
+                this->context.stop();
+            }
+        }
+    }
+
+    void wait_for_signal()
+    {
+        this->signals.async_wait([this](const boost::system::error_code& code, int signal) {
+            if (code) {
+                return;
+            }
+            if (signal == SIGHUP) {
+                this->reload_settings();
+            } else if (!this->leaving) {
+                this->leave();
+            }
+            this->wait_for_signal();
+        });
+    }
+
+    void reload_settings()
+    {
+        const auto read = this->reload();
+        if (failed(read)) {
+            log(log_level::error, "settings not reloaded", {context_field(error(read))});
+            return;
+        }
+        // Addresses are bound once; what can change while the process runs are the bounds.
+        this->configured.bounds = value(read).bounds;
+        this->configured.store.shortest_lease = value(read).store.shortest_lease;
+        log(log_level::info, "settings reloaded", {{"daemon", this->configured.daemon.str()}});
+    }
+
+    void leave()
+    {
+        this->leaving = true;
+        this->leaving_since = steady_clock::now();
+        log(log_level::info, "leaving",
+            {{"open_requests", static_cast<std::int64_t>(this->requests.open_requests())}});
+        this->caller_server->drain();
+        this->exchange.send_now();
+        start_coroutine(this->context, [this](yield_context yield) { this->holder.leave(yield); });
+    }
+
+    /// Reports come each 100 ms, so a suspicion of another daemon is renewed or ends.
+    static constexpr milliseconds peer_suspicion{600};
+    /// Three reports of a small site, and no longer than the silence after which a target is suspected.
+    static constexpr milliseconds fresh_progress{300};
+
+    gateway_settings configured;
+    const std::function<result<gateway_settings>()>& reload;
+    std::int64_t started_ms;
+    time_point started{steady_clock::now()};
+    boost::asio::io_context context{1};
+    metric_registry metrics;
+    target::connection_pool connections;
+    platform_ports ports;
+    fleet_state fleet;
+    store_mirror mirror;
+    registration holder;
+    forwarder requests;
+    group_manager manager;
+    peer_exchange exchange;
+    readiness_page readiness;
+    entries_page entries;
+    metrics_page metrics_text;
+    std::unique_ptr<http::server> caller_server;
+    std::unique_ptr<http::server> readiness_server;
+    std::unique_ptr<http::server> entries_server;
+    std::unique_ptr<http::server> metrics_server;
+    boost::asio::signal_set signals;
+    boost::asio::steady_timer timer;
+    std::uint64_t followed_version{0};
+    bool leaving{false};
+    time_point leaving_since{};
+};
+
+} // namespace
+
+status run_gateway(const gateway_settings& configured, const port_factory& create_ports,
+                   const std::function<result<gateway_settings>()>& reload)
+{
+    return gateway_daemon(configured, create_ports, reload).run();
+}
+
+} // namespace rml::gateway
--- /dev/null
+++ b/src/gateway/event_framer.cpp
@@ -0,0 +1,77 @@
+#include "gateway/event_framer.hpp"
+
+#include "base/limits.hpp"
+
+#include <charconv>
+
+namespace rml::gateway {
+
+namespace {
+
+/// Value of the `id` field of an event, or nothing when it has none. Fails when it is not a number.
+result<std::optional<std::uint64_t>> find_id(std::string_view event)
+{
+    while (!event.empty()) {
+        const auto end = event.find('\n');
+        auto line = event.substr(0, end);
+        event = end == std::string_view::npos ? std::string_view{} : event.substr(end + 1);
+        if (line.substr(0, 3) != "id:") {
+            continue;
+        }
+        line.remove_prefix(3);
+        while (!line.empty() && line.front() == ' ') {
+            line.remove_prefix(1);
+        }
+        while (!line.empty() && line.back() == '\r') {
+            line.remove_suffix(1);
+        }
+        std::uint64_t id = 0;
+        const auto [stop, code] = std::from_chars(line.data(), line.data() + line.size(), id);
+        if (code != std::errc() || stop != line.data() + line.size()) {
+            return failure{failure_kind::malformed, "event id is not a number"};
+        }
+        return std::optional(id);
+    }
+    return std::optional<std::uint64_t>{};
+}
+
+/// Length of the first event with its empty line, or 0 when it is not complete.
+std::size_t first_event_length(std::string_view bytes)
+{
+    const auto plain = bytes.find("\n\n");
+    const auto windows = bytes.find("\r\n\r\n");
+    if (windows != std::string_view::npos && (plain == std::string_view::npos || windows < plain)) {
+        return windows + 4;
+    }
+    return plain == std::string_view::npos ? 0 : plain + 2;
+}
+
+} // namespace
+
+result<std::string> event_framer::append(std::string_view bytes)
+{
+    this->pending += bytes;
+    std::size_t complete = 0;
+    while (const auto length = first_event_length(std::string_view(this->pending).substr(complete))) {
+        const auto found = find_id(std::string_view(this->pending).substr(complete, length));
+        if (failed(found)) {
+            return error(found);
+        }
+        if (const auto& id = value(found); id) {
+            if (this->last && *id != *this->last + 1) {
+                return failure{failure_kind::malformed, "event " + std::to_string(*id) + " after event " +
+                                                            std::to_string(*this->last)};
+            }
+            this->last = id;
+        }
+        complete += length;
+    }
+    if (this->pending.size() - complete > limits::event_bytes) {
+        return failure{failure_kind::too_large, "event"};
+    }
+    std::string out = this->pending.substr(0, complete);
+    this->pending.erase(0, complete);
+    return out;
+}
+
+} // namespace rml::gateway
--- /dev/null
+++ b/src/gateway/forwarder.cpp
@@ -0,0 +1,236 @@
+#include "gateway/forwarder.hpp"
+
+#include "base/hash.hpp"
+#include "base/log.hpp"
+#include "gateway/request_run.hpp"
+
+#include <algorithm>
+
+namespace rml::gateway {
+
+namespace {
+
+/// A target is taken for standing still after this many of its longest usual passes without any byte. One
+/// pass may just have begun when the last byte came.
+constexpr double silent_passes = 2.0;
+/// New requests avoid a target after this part of that time: it costs nothing where others have places.
+constexpr int doubt_divisor = 3;
+/// Lower bound of that time: a lost packet is sent again after 200 ms.
+constexpr milliseconds shortest_silence{300};
+/// Plain services answer in tens of milliseconds and send nothing before; their silence says little.
+constexpr milliseconds plain_silence{2000};
+/// A suspicion that nobody confirms ends after this time. Long against a repair of the group, which takes one
+/// to two seconds, so that few requests try it in vain.
+constexpr milliseconds suspicion{2500};
+/// Part of an objective that a request may wait for a place; the rest is for reading the prompt and the first
+/// token.
+constexpr double waiting_part = 0.6;
+/// Part of the retry budget that is used: the windows in which the daemons count do not align.
+constexpr double budget_part = 0.85;
+/// Interval in which arriving work is counted: some tens of requests per daemon.
+constexpr milliseconds work_interval{500};
+/// Weight of the newest interval in the smoothed work, so that it follows a change of traffic within 2 to 3
+/// s.
+constexpr double work_gain = 0.2;
+/// A target whose requests all fail counts as five times as slow, so that the better of two draws is nearly
+/// always another one.
+constexpr double failing_slowness = 4;
+
+} // namespace
+
+forwarder::forwarder(boost::asio::io_context& owner, const platform_ports& platform, fleet_state& state,
+                     target::connection_pool& pool, const gateway_settings& settings,
+                     metric_registry& registry)
+    : context(owner), ports(platform), fleet(state), connections(pool), configured(settings),
+      random(hash64(settings.daemon.str())),
+      answered(registry.create_counter("rml_requests_answered_total", "Requests answered by a target")),
+      refused(registry.create_counter("rml_requests_refused_total", "Requests refused that have not run")),
+      failed_requests(
+          registry.create_counter("rml_requests_failed_total", "Requests that ended in a failure")),
+      resumed(registry.create_counter("rml_requests_moved_total", "Requests sent to another target")),
+      left(registry.create_counter("rml_callers_left_total", "Callers that left before the answer")),
+      first_byte(registry.create_histogram("rml_first_byte_seconds", "Arrival to first byte of the answer")),
+      total(registry.create_histogram("rml_request_seconds", "Arrival to the end of the answer"))
+{
+}
+
+forwarder::~forwarder() = default;
+
+void forwarder::handle(const http::request& message, http::response_writer& writer, http::yield_context yield)
+{
+    ++this->open;
+    detail::request_run(*this, message, writer, yield).run();
+    --this->open;
+}
+
+forwarder::pool_state& forwarder::pool(const pool_key& key, milliseconds objective)
+{
+    auto& state = this->pools[key];
+    if (!state.room) {
+        admission_settings settings;
+        settings.max_wait = std::chrono::duration_cast<milliseconds>(waiting_part * objective);
+        state.room = std::make_unique<waiting_room>(this->context, settings);
+        this->update_places(steady_clock::now());
+    }
+    return state;
+}
+
+std::size_t forwarder::slots_of(target_state& state, std::uint32_t slots, time_point now)
+{
+    const auto* service =
+        this->fleet.config() ? this->fleet.config()->find_service(state.entry.service) : nullptr;
+    if (service == nullptr || now >= state.cold_until || service->cold_requests_per_s <= 0) {
+        return slots;
+    }
+    const auto share =
+        cold_share(service->cold_requests_per_s, this->fleet.share_for(state.entry.instance, now));
+    const auto busy = this->fleet.in_flight.in_flight(state.entry.instance) +
+                      this->fleet.others_in_flight(state.entry.instance, now);
+    return std::min<std::size_t>(slots, busy + state.cold_sends.available(share, now));
+}
+
+std::vector<target_candidate> forwarder::candidates(const pool_key& key,
+                                                    const std::vector<instance_id>& tried, time_point now)
+{
+    std::vector<target_candidate> out;
+    const auto add = [&](target_state& state, std::uint32_t slots) {
+        target_candidate candidate;
+        candidate.instance = state.entry.instance;
+        candidate.fabric = state.entry.fabric;
+        candidate.own = this->fleet.in_flight.in_flight(candidate.instance);
+        candidate.others = this->fleet.others_in_flight(candidate.instance, now);
+        candidate.slots = static_cast<std::uint32_t>(this->slots_of(state, slots, now));
+        candidate.slowness = state.slowness_at(now) * (1 + failing_slowness * state.failure_share);
+        candidate.tried = std::find(tried.begin(), tried.end(), candidate.instance) != tried.end();
+        candidate.doubtful =
+            state.suspected_until > now || this->fleet.in_flight.silence(candidate.instance, now) >=
+                                               this->silence_limit(state, now) / doubt_divisor;
+        out.push_back(std::move(candidate));
+    };
+    const auto& config = this->fleet.config();
+    const auto* service = config ? config->find_service(key.service) : nullptr;
+    if (service == nullptr) {
+        return out;
+    }
+    if (!service->engines) {
+        for (auto* state : this->fleet.instances_of(key.service)) {
+            add(*state, state->entry.slots);
+        }
+        return out;
+    }
+    for (const auto& group : this->fleet.groups()) {
+        auto* head = this->fleet.find_target(group.head);
+        if (group.service == key.service && group.model == key.model && head != nullptr &&
+            !this->fleet.drained_domain(head->entry.failure_domain)) {
+            add(*head, service->engines->batch_slots);
+        }
+    }
+    return out;
+}
+
+retry_budget& forwarder::budget(const service_id& service, time_point now)
+{
+    const auto& bounds = this->configured.bounds;
+    const auto daemons = this->fleet.share_for(instance_id(service.str()), now).daemons;
+    auto& found = this->budgets[service];
+    found.update_settings({bounds.retry_share * budget_part, 0,
+                           budget_part * bounds.retry_slack / static_cast<double>(daemons)});
+    return found;
+}
+
+duration forwarder::silence_limit(const target_state& state, time_point now) const
+{
+    const auto* service =
+        this->fleet.config() ? this->fleet.config()->find_service(state.entry.service) : nullptr;
+    if (service == nullptr || !service->engines) {
+        return plain_silence;
+    }
+    const auto& profile = *service->engines;
+    const auto* model = profile.find(state.entry.model);
+    // The longest pass: all slots write, and each step reads a whole piece of a prompt.
+    auto step = profile.step + profile.step_per_request * static_cast<double>(profile.batch_slots);
+    if (profile.prompt_tokens_per_s > 0) {
+        step += std::chrono::duration<double>(profile.prompt_chunk_tokens / profile.prompt_tokens_per_s);
+    }
+    const auto pass =
+        step * profile.steps_per_pass * (model != nullptr ? model->pace : 1.0) * state.slowness_at(now);
+    return std::max<duration>(shortest_silence, std::chrono::duration_cast<duration>(pass * silent_passes));
+}
+
+void forwarder::tick()
+{
+    const auto now = steady_clock::now();
+    this->fleet.in_flight.tick(now);
+    this->find_silent_targets(now);
+    this->update_places(now);
+    for (auto& [key, state] : this->pools) {
+        state.room->expire();
+    }
+    if (now - this->work_counted >= work_interval) {
+        const auto elapsed = std::chrono::duration<double>(now - this->work_counted).count();
+        for (auto& [key, state] : this->pools) {
+            state.work_per_s += work_gain * (state.work_arrived / elapsed - state.work_per_s);
+            state.work_arrived = 0;
+        }
+        this->work_counted = now;
+    }
+}
+
+void forwarder::find_silent_targets(time_point now)
+{
+    this->suspects.clear();
+    bool fresh = false;
+    for (const auto& target : this->fleet.in_flight.busy()) {
+        auto* state = this->fleet.find_target(target);
+        const auto silence = this->fleet.in_flight.silence(target, now);
+        if (state == nullptr || silence < this->silence_limit(*state, now)) {
+            continue;
+        }
+        if (state->suspected_until <= now) {
+            fresh = true;
+            log(log_level::warning, "target stands still",
+                {{"target", target.str()},
+                 {"silent_ms", std::chrono::duration_cast<milliseconds>(silence).count()},
+                 {"in_flight", static_cast<std::int64_t>(this->fleet.in_flight.in_flight(target))}});
+        }
+        this->suspects.push_back(target);
+        state->suspected_until = now + suspicion;
+    }
+    std::vector<std::function<void()>> moves;
+    for (const auto& [number, attempt] : this->attempts) {
+        if (attempt.movable &&
+            std::find(this->suspects.begin(), this->suspects.end(), attempt.target) != this->suspects.end()) {
+            moves.push_back(attempt.move);
+        }
+    }
+    for (const auto& move : moves) {
+        move();
+    }
+    if (fresh && this->on_suspect) {
+        this->on_suspect();
+    }
+}
+
+void forwarder::update_places(time_point now)
+{
+    for (auto& [key, state] : this->pools) {
+        if (!state.room) {
+            continue;
+        }
+        const auto free = free_places(this->candidates(key, {}, now));
+        state.room->update_capacity(state.room->stats().running + free);
+    }
+}
+
+std::map<model_id, double> forwarder::work() const
+{
+    std::map<model_id, double> out;
+    for (const auto& [key, state] : this->pools) {
+        if (!key.model.empty()) {
+            out[key.model] += state.work_per_s;
+        }
+    }
+    return out;
+}
+
+} // namespace rml::gateway
--- /dev/null
+++ b/src/gateway/forwarder.hpp
@@ -0,0 +1,114 @@
+/// The request path: finds the route of a request, waits for a place, passes the request on to a target and
+/// the answer back. Repeats only what may be repeated, and says "not run" only of what has not run.
+#pragma once
+
+#include "base/metrics.hpp"
+#include "decision/retry_budget.hpp"
+#include "decision/target_choice.hpp"
+#include "gateway/fleet_state.hpp"
+#include "gateway/ports.hpp"
+#include "gateway/settings.hpp"
+#include "gateway/waiting_room.hpp"
+#include "http/server.hpp"
+#include "target/connection_pool.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace rml::gateway {
+
+/// Requests that compete for the same places.
+struct pool_key
+{
+    service_id service;
+    model_id model; ///< empty for plain services
+
+    friend bool operator<(const pool_key& a, const pool_key& b)
+    {
+        return a.service == b.service ? a.model < b.model : a.service < b.service;
+    }
+};
+
+namespace detail {
+class request_run;
+} // namespace detail
+
+class forwarder final : public http::handler
+{
+public:
+    forwarder(boost::asio::io_context& context, const platform_ports& ports, fleet_state& fleet,
+              target::connection_pool& connections, const gateway_settings& configured,
+              metric_registry& metrics);
+    ~forwarder() override;
+
+    void handle(const http::request& message, http::response_writer& writer,
+                http::yield_context yield) override;
+
+    /// Finds targets that stand still and moves their requests, updates the places. Call it each 50 ms.
+    void tick();
+    /// Targets that stand still for this daemon.
+    const std::vector<instance_id>& standing_still() const { return this->suspects; }
+    /// Arriving work per model, in engine seconds per second.
+    std::map<model_id, double> work() const;
+    /// Requests being handled.
+    std::size_t open_requests() const { return this->open; }
+
+    /// Called when a target was found standing still for the first time.
+    std::function<void()> on_suspect;
+
+private:
+    friend class detail::request_run;
+
+    /// An attempt that can be ended from outside.
+    struct active_attempt
+    {
+        instance_id target;
+        bool movable{false}; ///< may go on at another target
+        std::function<void()> move;
+    };
+    struct pool_state
+    {
+        std::unique_ptr<waiting_room> room;
+        double work_per_s{0}; ///< smoothed
+        double work_arrived{0};
+    };
+
+    pool_state& pool(const pool_key& key, milliseconds objective);
+    std::vector<target_candidate> candidates(const pool_key& key, const std::vector<instance_id>& tried,
+                                             time_point now);
+    std::size_t slots_of(target_state& state, std::uint32_t slots, time_point now);
+    duration silence_limit(const target_state& state, time_point now) const;
+    retry_budget& budget(const service_id& service, time_point now);
+    void update_places(time_point now);
+    void find_silent_targets(time_point now);
+
+    boost::asio::io_context& context;
+    const platform_ports& ports;
+    fleet_state& fleet;
+    target::connection_pool& connections;
+    const gateway_settings& configured;
+    std::map<pool_key, pool_state> pools;
+    std::map<service_id, retry_budget> budgets;
+    std::unordered_map<std::uint64_t, active_attempt> attempts;
+    std::vector<instance_id> suspects;
+    std::uint64_t next_number{1};
+    std::size_t open{0};
+    std::mt19937_64 random;
+    time_point work_counted{};
+
+    counter& answered;
+    counter& refused;
+    counter& failed_requests;
+    counter& resumed;
+    counter& left;
+    latency_histogram& first_byte;
+    latency_histogram& total;
+};
+
+} // namespace rml::gateway
--- /dev/null
+++ b/src/gateway/group_formation.cpp
@@ -0,0 +1,269 @@
+#include "gateway/group_manager.hpp"
+
+#include "base/log.hpp"
+#include "gateway/coroutine.hpp"
+#include "http/pause.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace rml::gateway {
+
+namespace {
+
+/// Tries of one order. With a third of the orders unanswered, one join in a hundred still fails.
+constexpr int join_tries = 4;
+/// A head refuses to open until it has noticed that it is ready, so the order to open is tried longer.
+constexpr int open_tries = 8;
+constexpr milliseconds open_retry{100};
+/// An engine that is busy with another order refuses to stage; joins take a second or two.
+constexpr milliseconds staging_retry{500};
+/// A member that has not reported its membership this long after it should be ready is asked directly.
+constexpr milliseconds ready_slack{400};
+/// A formation that takes this many times as long as expected, and the slack, is given up.
+constexpr double formation_factor = 3.0;
+/// Looks at the registry while members join; costs no call.
+constexpr milliseconds poll_interval{50};
+
+std::string text_of(const std::vector<instance_id>& list)
+{
+    std::string out;
+    for (const auto& entry : list) {
+        out += (out.empty() ? "" : ",") + entry.str();
+    }
+    return out;
+}
+
+} // namespace
+
+void group_manager::start_formation(const service& of, const planned_group& wanted, time_point now)
+{
+    formation created;
+    created.epoch = this->next_epoch();
+    created.group = group_id("g" + std::to_string(created.epoch));
+    created.service = of.name;
+    created.model = wanted.model;
+    created.fabric = wanted.fabric;
+    created.members = wanted.members;
+    created.expected = wanted.expected;
+    created.loads = wanted.loads;
+    created.started = now;
+    this->formations[created.group] = created;
+    if (const auto kept = this->reservations.find(created.fabric);
+        kept != this->reservations.end() && kept->second.model == created.model) {
+        this->reservations.erase(kept);
+    }
+    this->load_starts.insert(this->load_starts.end(), wanted.loads, now);
+    this->loads.add(wanted.loads);
+    log(log_level::info, "group is formed",
+        {{"group", created.group.str()},
+         {"model", created.model.str()},
+         {"fabric", created.fabric.str()},
+         {"members", text_of(created.members)},
+         {"loads", static_cast<std::int64_t>(created.loads)},
+         {"expected_ms", created.expected.count()}});
+    start_coroutine(this->context,
+                    [this, created](yield_context yield) { this->run_formation(created, yield); });
+}
+
+void group_manager::run_formation(formation plan, yield_context yield)
+{
+    const auto revision = this->held_revision;
+    std::string reason;
+    if (!this->join_members(plan, yield)) {
+        reason = "a member did not join";
+    } else if (!this->wait_until_ready(plan, yield)) {
+        reason = "not ready in time";
+    } else if (!this->open_head(plan, yield)) {
+        reason = "the head did not open";
+    }
+    if (revision != this->held_revision) {
+        return; // the state belongs to a later management
+    }
+    if (!reason.empty()) {
+        this->abandon(plan, reason);
+    } else {
+        this->formed.add();
+        const auto took =
+            std::chrono::duration_cast<milliseconds>(steady_clock::now() - plan.started).count();
+        log(log_level::info, "group opened", {{"group", plan.group.str()}, {"took_ms", took}});
+        // The registry shows the open head a little later; until then the group counts as being formed.
+        const auto limit = steady_clock::now() + detail::formation_slack;
+        while (steady_clock::now() < limit) {
+            const auto* head = this->fleet.find_target(plan.members.front());
+            if (head == nullptr || (head->entry.membership && head->entry.membership->group == plan.group &&
+                                    head->entry.membership->phase == group_phase::open)) {
+                break;
+            }
+            http::pause(poll_interval, yield);
+        }
+    }
+    if (revision == this->held_revision) {
+        this->formations.erase(plan.group);
+        this->tick();
+    }
+}
+
+bool group_manager::join_members(const formation& plan, yield_context yield)
+{
+    group_order what;
+    what.action = group_action::join;
+    what.group = plan.group;
+    what.epoch = plan.epoch;
+    what.model = plan.model;
+    what.members = plan.members;
+    bool all = true;
+    std::vector<std::function<void(yield_context)>> tasks;
+    for (const auto& member : plan.members) {
+        const auto* state = this->fleet.find_target(member);
+        if (state == nullptr) {
+            return false;
+        }
+        tasks.emplace_back([this, &all, &what, entry = state->entry](yield_context inner) {
+            for (int attempt = 0; attempt < join_tries; ++attempt) {
+                const auto answer = this->order(entry, what, inner);
+                if (succeeded(answer)) {
+                    const auto verdict = value(answer);
+                    if (verdict == order_verdict::started || verdict == order_verdict::already) {
+                        return;
+                    }
+                    log(log_level::info, "join refused",
+                        {{"engine", entry.instance.str()},
+                         {"group", what.group.str()},
+                         {"verdict", std::string(to_string(verdict))}});
+                    if (verdict == order_verdict::another_life) {
+                        this->mark_lost(entry.instance, "another instance has its address",
+                                        steady_clock::now());
+                    }
+                    if (verdict != order_verdict::not_now) {
+                        all = false;
+                        return;
+                    }
+                } else if (error(answer).kind == failure_kind::lapsed) {
+                    all = false;
+                    return;
+                }
+                http::pause(open_retry, inner);
+            }
+            all = false;
+            this->mark_lost(entry.instance, "does not answer the order to join", steady_clock::now());
+        });
+    }
+    this->run_all(std::move(tasks), yield);
+    return all;
+}
+
+bool group_manager::wait_until_ready(const formation& plan, yield_context yield)
+{
+    const auto expected = std::chrono::duration_cast<milliseconds>(plan.expected * formation_factor);
+    const auto limit = plan.started + expected + detail::formation_slack;
+    auto ask_after = steady_clock::now() + plan.expected + ready_slack;
+    std::set<instance_id> ready;
+    while (steady_clock::now() < limit) {
+        const auto now = steady_clock::now();
+        const bool ask = now >= ask_after;
+        std::vector<std::function<void(yield_context)>> tasks;
+        for (const auto& member : plan.members) {
+            const auto* state = this->fleet.find_target(member);
+            if (state == nullptr || this->is_lost(state->entry) || state->entry.draining) {
+                return false;
+            }
+            const auto holds = [&plan](const std::optional<group_membership>& found) {
+                return found && found->group == plan.group && found->epoch == plan.epoch &&
+                       found->phase != group_phase::joining;
+            };
+            if (holds(state->entry.membership)) {
+                ready.insert(member);
+            } else if (ask && ready.count(member) == 0) {
+                tasks.emplace_back([this, &ready, holds, entry = state->entry](yield_context inner) {
+                    this->probes_sent.add();
+                    const auto answer = this->ports.engines->report(
+                        entry, steady_clock::now() + detail::probe_timeout, inner);
+                    if (succeeded(answer) && holds(value(answer).membership)) {
+                        ready.insert(entry.instance);
+                    }
+                });
+            }
+        }
+        if (!tasks.empty()) {
+            this->run_all(std::move(tasks), yield);
+            ask_after = steady_clock::now() + ready_slack;
+        }
+        if (ready.size() == plan.members.size()) {
+            return true;
+        }
+        http::pause(poll_interval, yield);
+    }
+    return false;
+}
+
+bool group_manager::open_head(const formation& plan, yield_context yield)
+{
+    group_order what;
+    what.action = group_action::open;
+    what.group = plan.group;
+    what.epoch = plan.epoch;
+    for (int attempt = 0; attempt < open_tries; ++attempt) {
+        const auto* head = this->fleet.find_target(plan.members.front());
+        if (head == nullptr) {
+            return false;
+        }
+        const auto entry = head->entry;
+        const auto answer = this->order(entry, what, yield);
+        if (succeeded(answer) &&
+            (value(answer) == order_verdict::started || value(answer) == order_verdict::already)) {
+            return true;
+        }
+        if (succeeded(answer) && value(answer) != order_verdict::not_now) {
+            return false;
+        }
+        if (failed(answer) && error(answer).kind == failure_kind::lapsed) {
+            return false;
+        }
+        http::pause(open_retry, yield);
+    }
+    return false;
+}
+
+void group_manager::abandon(const formation& plan, const std::string& reason)
+{
+    this->abandoned.add();
+    log(log_level::warning, "formation given up", {{"group", plan.group.str()}, {"reason", reason}});
+    // The order to open may be carried out later, so the head has to leave before it is used again.
+    if (const auto* head = this->fleet.find_target(plan.members.front()); head != nullptr) {
+        this->end_group({plan.group, plan.epoch}, head->entry, {plan.members.front()}, false,
+                        steady_clock::now(), reason);
+    }
+}
+
+void group_manager::start_staging(const planned_stage& wanted, const served_model& model, time_point now)
+{
+    const auto* state = this->fleet.find_target(wanted.instance);
+    if (state == nullptr) {
+        return;
+    }
+    this->stagings[wanted.instance] = {wanted.model, now + model.load * 2 + detail::formation_slack};
+    this->load_starts.push_back(now);
+    this->loads.add();
+    log(log_level::info, "weights are staged",
+        {{"engine", wanted.instance.str()}, {"model", wanted.model.str()}});
+    start_coroutine(this->context, [this, wanted, entry = state->entry](yield_context yield) {
+        group_order what;
+        what.action = group_action::stage;
+        what.model = wanted.model;
+        const auto answer = this->order(entry, what, yield);
+        if (failed(answer) ||
+            (value(answer) != order_verdict::started && value(answer) != order_verdict::already)) {
+            log(log_level::info, "staging refused",
+                {{"engine", wanted.instance.str()},
+                 {"reason", failed(answer) ? error(answer).context : std::string(to_string(value(answer)))}});
+            const bool may_run = failed(answer) && error(answer).kind == failure_kind::outcome_unknown;
+            if (const auto found = this->stagings.find(wanted.instance);
+                found != this->stagings.end() && !may_run) {
+                found->second.until = steady_clock::now() + staging_retry;
+            }
+        }
+    });
+}
+
+} // namespace rml::gateway
--- /dev/null
+++ b/src/gateway/group_manager.cpp
@@ -0,0 +1,422 @@
+#include "gateway/group_manager.hpp"
+
+#include "base/log.hpp"
+#include "gateway/coroutine.hpp"
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <cmath>
+#include <limits>
+
+namespace rml::gateway {
+
+namespace {
+
+/// Engines answer orders within milliseconds; a lost packet is sent again after 200 ms.
+constexpr milliseconds order_timeout{450};
+/// Orders of an earlier holder arrive within this time, or count as late ones that the epoch refuses.
+constexpr milliseconds settle_time{400};
+/// At the first start of the site engines register one after the other. Groups are formed once no new one has
+/// come for this long, so that the first few do not decide the mix of models.
+constexpr milliseconds first_settle_time{500};
+/// How much faster the platform loads weights until a site gets its first request.
+constexpr int first_load_divisor = 10;
+/// The platform's engines carry out an unanswered order up to 12 s later; 3 s are for its way.
+constexpr milliseconds late_order_limit{15000};
+/// Orders of one holder; a day of repairs needs some thousands.
+constexpr int epoch_counter_bits = 16;
+/// One for the group and one for its fence.
+constexpr std::uint64_t epochs_per_group = 2;
+/// The limit of the weight store is stated per second.
+constexpr seconds load_window{1};
+/// Part of the models' shares that follows the measured work; the rest is as configured, which holds when
+/// there is no traffic yet and damps short bursts.
+constexpr double measured_part = 0.5;
+
+} // namespace
+
+group_manager::group_manager(boost::asio::io_context& owner, const platform_ports& platform,
+                             fleet_state& state, const management_right& right,
+                             const gateway_settings& settings, metric_registry& registry)
+    : context(owner), ports(platform), fleet(state), holder(right), configured(settings),
+      formed(registry.create_counter("rml_groups_formed_total", "Groups opened")),
+      abandoned(registry.create_counter("rml_groups_abandoned_total", "Formations given up")),
+      ended(registry.create_counter("rml_groups_ended_total", "Groups ended")),
+      loads(registry.create_counter("rml_weight_loads_total", "Loads from the weight store ordered")),
+      orders(registry.create_counter("rml_orders_total", "Orders sent to engines")),
+      probes_sent(registry.create_counter("rml_probes_total", "Reports asked of engines"))
+{
+}
+
+std::vector<instance_id> group_manager::lost() const
+{
+    std::vector<instance_id> out;
+    for (const auto& [engine, state] : this->lost_engines) {
+        out.push_back(engine);
+    }
+    return out;
+}
+
+std::vector<instance_id> group_manager::avoided() const
+{
+    auto out = this->lost();
+    for (const auto& [key, state] : this->endings) {
+        if (!state.acknowledged && !state.head.instance.empty()) {
+            out.push_back(state.head.instance);
+        }
+    }
+    return out;
+}
+
+bool group_manager::holds(time_point now)
+{
+    if (!this->holder.manages(now)) {
+        return false;
+    }
+    if (this->held_revision != this->holder.management_revision()) {
+        this->reset();
+        this->held_revision = this->holder.management_revision();
+        this->settled_at = now + settle_time;
+        this->first_start =
+            std::none_of(this->fleet.targets().begin(), this->fleet.targets().end(), [](const auto& entry) {
+                return entry.second.entry.membership || !entry.second.entry.model.empty();
+            });
+        this->probe_all_groups(now);
+    }
+    return true;
+}
+
+bool group_manager::active(time_point now)
+{
+    return this->holds(now) && now >= this->settled_at;
+}
+
+void group_manager::reset()
+{
+    this->formations.clear();
+    this->endings.clear();
+    this->unanswered_runs.clear();
+    this->lost_engines.clear();
+    this->stagings.clear();
+    this->reservations.clear();
+    this->standstill = standstill_evidence(detail::standstill_limit);
+    this->epoch_counter = 0;
+}
+
+std::uint64_t group_manager::next_epoch()
+{
+    this->epoch_counter += epochs_per_group;
+    return (this->held_revision << epoch_counter_bits) + this->epoch_counter;
+}
+
+void group_manager::tick()
+{
+    const auto now = steady_clock::now();
+    if (!this->active(now) || !this->fleet.config()) {
+        return;
+    }
+    this->first_start = this->first_start && this->work.empty();
+    this->forget_past(now);
+    this->probe_lost(now);
+    this->probe_slow_groups(now);
+    this->probe_absent_members(now);
+    this->review_groups(now);
+    this->plan(now);
+}
+
+void group_manager::forget_past(time_point now)
+{
+    this->forget_probes(now);
+    for (auto entry = this->lost_engines.begin(); entry != this->lost_engines.end();) {
+        const auto* engine = this->fleet.find_entry(entry->first);
+        const bool other_life = engine == nullptr || engine->started_ms != entry->second.started_ms;
+        entry = other_life && !entry->second.probing ? this->lost_engines.erase(entry) : std::next(entry);
+    }
+    for (auto entry = this->stagings.begin(); entry != this->stagings.end();) {
+        const auto* state = this->fleet.find_target(entry->first);
+        const bool done = state == nullptr || now >= entry->second.until ||
+                          std::find(state->entry.staged.begin(), state->entry.staged.end(),
+                                    entry->second.model) != state->entry.staged.end();
+        entry = done ? this->stagings.erase(entry) : std::next(entry);
+    }
+    for (auto entry = this->reservations.begin(); entry != this->reservations.end();) {
+        entry = now >= entry->second.until ? this->reservations.erase(entry) : std::next(entry);
+    }
+    while (!this->load_starts.empty() && this->load_starts.front() + load_window <= now) {
+        this->load_starts.pop_front();
+    }
+}
+
+void group_manager::review_groups(time_point now)
+{
+    std::map<run_key, std::vector<const target_entry*>> by_group;
+    const auto add = [&](const target_entry& entry) {
+        if (entry.membership && !is_parked(entry.membership->group)) {
+            by_group[{entry.membership->group, entry.membership->epoch}].push_back(&entry);
+        }
+    };
+    for (const auto& [instance, entry] : this->fleet.absent_members()) {
+        add(entry);
+    }
+    for (const auto& [instance, state] : this->fleet.targets()) {
+        add(state.entry);
+    }
+    for (auto entry = this->endings.begin(); entry != this->endings.end();) {
+        const auto& state = entry->second;
+        const bool past = state.acknowledged || now - state.since > late_order_limit;
+        entry = by_group.count(entry->first) == 0 && !state.order_pending && past ? this->endings.erase(entry)
+                                                                                  : std::next(entry);
+    }
+    for (const auto& [key, members] : by_group) {
+        this->review_group(key, members, now);
+    }
+    for (auto& [key, state] : this->endings) {
+        this->progress_ending(key, state, now);
+    }
+}
+
+void group_manager::review_group(const run_key& key, const std::vector<const target_entry*>& members,
+                                 time_point now)
+{
+    if (const auto forming = this->formations.find(key.first);
+        forming != this->formations.end() && forming->second.epoch == key.second) {
+        return;
+    }
+    if (this->endings.count(key) != 0) {
+        return;
+    }
+    const target_entry* head = nullptr;
+    std::vector<instance_id> names;
+    for (const auto* member : members) {
+        head = member->membership->rank == 0 ? member : head;
+        names.push_back(member->instance);
+    }
+    if (head == nullptr) {
+        // The head may live and serve, cut off from the store only.
+        const auto* removed = this->fleet.removed_head(key.first, key.second);
+        return this->end_group(key, removed != nullptr ? *removed : target_entry{}, names, true, now,
+                               "head missing");
+    }
+    const auto phase = head->membership->phase;
+    if (phase == group_phase::closing) {
+        return;
+    }
+    if (phase != group_phase::open) {
+        // Nobody manages it, but orders of an earlier holder may still be under way.
+        this->unanswered_runs.insert(key);
+        return this->end_group(key, *head, names, false, now, "left over");
+    }
+    const auto* service = this->fleet.config()->find_service(head->service);
+    const auto* model =
+        service != nullptr && service->engines ? service->engines->find(head->model) : nullptr;
+    if (model == nullptr) {
+        return this->end_group(key, *head, names, true, now, "model is no longer served");
+    }
+    for (const auto* member : members) {
+        if (this->is_lost(*member)) {
+            return this->end_group(key, *head, names, false, now, "member lost");
+        }
+        if (member->draining) {
+            return this->end_group(key, *head, names, true, now, "member leaves");
+        }
+    }
+    if (members.size() < model->group_size) {
+        this->end_group(key, *head, names, true, now, "member missing");
+    }
+}
+
+group_manager::use group_manager::use_of(const target_state& engine) const
+{
+    const auto& entry = engine.entry;
+    if (entry.draining || engine.kept_until || this->is_lost(entry) ||
+        this->fleet.drained_domain(entry.failure_domain)) {
+        return use::unusable;
+    }
+    for (const auto& [group, forming] : this->formations) {
+        if (std::find(forming.members.begin(), forming.members.end(), entry.instance) !=
+            forming.members.end()) {
+            return use::busy;
+        }
+    }
+    for (const auto& [key, end] : this->endings) {
+        // Also members that report no membership any more: the head may still serve.
+        const bool concerned =
+            end.head.instance == entry.instance ||
+            std::find(end.members.begin(), end.members.end(), entry.instance) != end.members.end();
+        const bool elsewhere =
+            entry.membership && run_key(entry.membership->group, entry.membership->epoch) != key;
+        if (concerned && !elsewhere && !end.acknowledged) {
+            return use::busy;
+        }
+    }
+    if (!entry.membership || is_parked(entry.membership->group)) {
+        return use::free;
+    }
+    const run_key key{entry.membership->group, entry.membership->epoch};
+    if (const auto end = this->endings.find(key); end != this->endings.end()) {
+        // Also a member that was not registered when its group began to end.
+        return end->second.acknowledged ? use::free : use::busy;
+    }
+    const auto head =
+        std::find_if(this->fleet.targets().begin(), this->fleet.targets().end(), [&](const auto& other) {
+            const auto& membership = other.second.entry.membership;
+            return membership && membership->rank == 0 &&
+                   run_key(membership->group, membership->epoch) == key;
+        });
+    if (head == this->fleet.targets().end()) {
+        return use::busy;
+    }
+    const auto phase = head->second.entry.membership->phase;
+    return phase == group_phase::open || phase == group_phase::closing ? use::busy : use::free;
+}
+
+std::uint32_t group_manager::loads_allowed(const engine_profile& profile) const
+{
+    std::uint32_t running = 0;
+    for (const auto& [group, forming] : this->formations) {
+        running += forming.loads;
+    }
+    running += static_cast<std::uint32_t>(this->stagings.size());
+    if (this->first_start) {
+        return std::numeric_limits<std::uint32_t>::max();
+    }
+    if (running >= profile.concurrent_loads) {
+        return 0;
+    }
+    const auto recent = static_cast<double>(this->load_starts.size());
+    const auto by_rate = profile.loads_per_s > 0 ? std::max(0.0, std::floor(profile.loads_per_s - recent))
+                                                 : profile.concurrent_loads;
+    return std::min(profile.concurrent_loads - running, static_cast<std::uint32_t>(by_rate));
+}
+
+std::vector<planner_model> group_manager::models_of(const engine_profile& profile) const
+{
+    double configured_sum = 0;
+    double work_sum = 0;
+    for (const auto& model : profile.models) {
+        configured_sum += model.engine_share;
+        const auto found = this->work.find(model.model);
+        work_sum += found == this->work.end() ? 0 : found->second;
+    }
+    std::vector<planner_model> out;
+    for (const auto& model : profile.models) {
+        const auto found = this->work.find(model.model);
+        const auto usual = configured_sum > 0 ? model.engine_share / configured_sum
+                                              : 1.0 / static_cast<double>(profile.models.size());
+        const auto measured = work_sum > 0 && found != this->work.end() ? found->second / work_sum : usual;
+        const auto load = this->first_start ? model.load / first_load_divisor : model.load;
+        out.push_back(
+            {model.model, model.group_size, usual + measured_part * (measured - usual), load, model.warm});
+    }
+    return out;
+}
+
+void group_manager::plan(time_point now)
+{
+    for (const auto& [name, service] : this->fleet.config()->services()) {
+        if (service.engines) {
+            this->plan_service(service, now);
+        }
+    }
+}
+
+void group_manager::plan_service(const service& of, time_point now)
+{
+    if (this->first_start && now - this->fleet.newest_target() < first_settle_time) {
+        return;
+    }
+    planner_input input;
+    input.models = this->models_of(*of.engines);
+    input.loads_allowed = this->loads_allowed(*of.engines);
+    input.join_with_loads = this->first_start;
+    for (const auto& [instance, state] : this->fleet.targets()) {
+        if (state.entry.service != of.name) {
+            continue;
+        }
+        const auto use = this->use_of(state);
+        if (use == use::unusable) {
+            continue;
+        }
+        planner_engine engine{instance,          state.entry.fabric, use == use::free,
+                              state.entry.model, state.entry.staged, model_id()};
+        if (const auto staging = this->stagings.find(instance); staging != this->stagings.end()) {
+            engine.staging = staging->second.model;
+        }
+        input.engines.push_back(std::move(engine));
+    }
+    for (const auto& group : this->fleet.groups()) {
+        // Groups of a domain that is out of service are kept for its return, but serve nobody now.
+        const auto* head = this->fleet.find_target(group.head);
+        const bool in_service = head != nullptr && !this->fleet.drained_domain(head->entry.failure_domain);
+        if (group.service == of.name && in_service && this->endings.count({group.group, group.epoch}) == 0) {
+            input.groups.push_back({group.group, group.model, group.fabric, group.members, true});
+        }
+    }
+    for (const auto& entry : this->formations) {
+        const auto& forming = entry.second;
+        const bool serves =
+            std::any_of(input.groups.begin(), input.groups.end(),
+                        [&](const planner_group& group) { return group.group == forming.group; });
+        if (forming.service == of.name && !serves) {
+            input.groups.push_back({forming.group, forming.model, forming.fabric, forming.members, false});
+        }
+    }
+    for (const auto& [fabric, reserved] : this->reservations) {
+        input.reserved[fabric] = reserved.model;
+    }
+    const auto plan = plan_replicas(input);
+    for (const auto& wanted : plan.create) {
+        this->start_formation(of, wanted, now);
+    }
+    if (plan.retire) {
+        this->retire(*plan.retire, now);
+    }
+    for (const auto& wanted : plan.stage) {
+        this->start_staging(wanted, *of.engines->find(wanted.model), now);
+    }
+}
+
+void group_manager::retire(const planned_retirement& wanted, time_point now)
+{
+    this->reservations[wanted.fabric] = {wanted.model, now + detail::graceful_end + detail::formation_slack};
+    for (const auto& group : this->fleet.groups()) {
+        if (std::find(wanted.groups.begin(), wanted.groups.end(), group.group) != wanted.groups.end()) {
+            this->end_group(group, true, now, "another model needs the engines");
+        }
+    }
+}
+
+result<order_verdict> group_manager::order(const target_entry& engine, const group_order& what,
+                                           yield_context yield)
+{
+    const auto now = steady_clock::now();
+    if (!this->holder.manages(now) || this->held_revision != this->holder.management_revision()) {
+        return failure{failure_kind::lapsed, "management is not held"};
+    }
+    this->orders.add();
+    auto answer = this->ports.engines->order(engine, what, now + order_timeout, yield);
+    if (failed(answer) && error(answer).kind == failure_kind::outcome_unknown) {
+        this->unanswered_runs.emplace(what.group, what.epoch);
+    }
+    return answer;
+}
+
+void group_manager::run_all(std::vector<std::function<void(yield_context)>> tasks, yield_context yield)
+{
+    std::size_t open = tasks.size();
+    boost::asio::steady_timer done(this->context, time_point::max());
+    for (auto& task : tasks) {
+        start_coroutine(this->context, [&open, &done, run = std::move(task)](yield_context inner) {
+            run(inner);
+            if (--open == 0) {
+                done.cancel();
+            }
+        });
+    }
+    while (open != 0) {
+        boost::system::error_code ignored;
+        done.async_wait(yield[ignored]);
+    }
+}
+
+} // namespace rml::gateway
--- /dev/null
+++ b/src/gateway/group_manager.hpp
@@ -0,0 +1,219 @@
+/// Forms, opens and mends the groups of engines. Runs on the one daemon that holds the management; its state
+/// is what the engines report of themselves, so a new holder needs nothing from the one before.
+///
+/// Safety: an engine is given to another group only when the head of its group is known not to serve. Epochs
+/// grow with each order to join and with each holder, so an order that is carried out late is refused by
+/// every engine that has seen a newer one.
+#pragma once
+
+#include "base/metrics.hpp"
+#include "decision/replica_planner.hpp"
+#include "decision/standstill.hpp"
+#include "gateway/fleet_state.hpp"
+#include "gateway/management_right.hpp"
+#include "gateway/ports.hpp"
+#include "gateway/settings.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace rml::gateway {
+
+namespace detail {
+
+/// Added to the expected time of a formation before it is given up: registry, orders and their repeats.
+constexpr milliseconds formation_slack{6000};
+/// Requests in progress at a group that ends may finish for this long. Longer ones go on at another group.
+constexpr milliseconds graceful_end{3000};
+/// Engines answer reports within milliseconds; a lost packet is sent again after 200 ms.
+constexpr milliseconds probe_timeout{300};
+/// A group whose members all answer but from which nobody gets anything for this long has lost a link between
+/// them. Five times the longest usual pass.
+constexpr milliseconds standstill_limit{1500};
+
+} // namespace detail
+
+class group_manager
+{
+public:
+    group_manager(boost::asio::io_context& context, const platform_ports& ports, fleet_state& fleet,
+                  const management_right& holder, const gateway_settings& configured,
+                  metric_registry& metrics);
+
+    /// Looks at all groups and starts what is to be done. Call it each 50 ms and after changes.
+    void tick();
+    /// A daemon finds that this head stands still.
+    void on_suspect(const instance_id& head);
+    /// A daemon gets answers from this head although somebody suspects it.
+    void on_progress(const instance_id& head) { this->standstill.on_progress(head); }
+    /// Sets the arriving work per model over all daemons, in engine seconds per second.
+    void update_work(std::map<model_id, double> work) { this->work = std::move(work); }
+
+    /// Engines that do not answer.
+    std::vector<instance_id> lost() const;
+    /// Engines that are to get no new requests: those that are lost, and heads whose groups end.
+    std::vector<instance_id> avoided() const;
+    /// Heads of slow groups with the factor on their times.
+    std::map<instance_id, double> slow(time_point now) const;
+    /// Called when a group begins to end.
+    std::function<void()> on_end;
+
+private:
+    using run_key = std::pair<group_id, std::uint64_t>; ///< group and epoch
+
+    struct formation
+    {
+        group_id group;
+        std::uint64_t epoch{0};
+        service_id service;
+        model_id model;
+        fabric_domain_id fabric;
+        std::vector<instance_id> members;
+        milliseconds expected{0};
+        std::uint32_t loads{0};
+        time_point started{};
+        bool opened{false}; ///< the head has accepted the order to open
+    };
+    struct lost_engine
+    {
+        std::int64_t started_ms{0};
+        time_point next_probe{};
+        bool probing{false};
+    };
+    /// A group that is to end.
+    struct ending
+    {
+        bool graceful{false}; ///< the head finishes what it has
+        time_point since{};
+        bool order_pending{false};
+        bool closed{false};       ///< the head has accepted the order to close
+        bool left{false};         ///< the head has left the group
+        bool fence{false};        ///< a newer epoch is to keep orders of this group from taking effect late
+        bool acknowledged{false}; ///< the members are free
+        time_point next_order{};
+        std::uint32_t unanswered{0};
+        target_entry head; ///< as last registered; without an instance when it was never seen
+        std::vector<instance_id> members;
+        bool member_told{false};
+        /// Time from which a head that has work has noticed that a member left and serves no more.
+        std::optional<time_point> broken_at;
+    };
+    struct staging
+    {
+        model_id model;
+        time_point until{};
+    };
+    /// Free engines of a fabric domain that are kept for a model.
+    struct reservation
+    {
+        model_id model;
+        time_point until{};
+    };
+    enum class use
+    {
+        unusable, ///< leaving, lost, drained
+        busy,     ///< in a group that serves or is being formed or ended
+        free,
+    };
+
+    /// Whether this daemon has the right to manage; begins anew when it has got it again.
+    bool holds(time_point now);
+    /// Whether orders may be given: not before those of an earlier holder have arrived.
+    bool active(time_point now);
+    void reset();
+    void review_groups(time_point now);
+    void review_group(const run_key& key, const std::vector<const target_entry*>& members, time_point now);
+    void end_group(const run_key& key, const target_entry& head, std::vector<instance_id> members,
+                   bool graceful, time_point now, const std::string& reason);
+    void end_group(const served_group& group, bool graceful, time_point now, const std::string& reason);
+    void release_members(const run_key& key, const ending& state);
+    void tell_a_member(const run_key& key, ending& state, time_point now);
+    void confirm_out_of_reach(const run_key& key, ending& state);
+    void progress_ending(const run_key& key, ending& state, time_point now);
+    void take_end_answer(const run_key& key, ending& state, group_action action,
+                         const result<order_verdict>& answer);
+    void forget_past(time_point now);
+    void probe_lost(time_point now);
+    void plan(time_point now);
+    void plan_service(const service& of, time_point now);
+    use use_of(const target_state& engine) const;
+    std::uint32_t loads_allowed(const engine_profile& profile) const;
+    std::vector<planner_model> models_of(const engine_profile& profile) const;
+
+    void retire(const planned_retirement& wanted, time_point now);
+    void start_formation(const service& of, const planned_group& wanted, time_point now);
+    void run_formation(formation plan, yield_context yield);
+    bool join_members(const formation& plan, yield_context yield);
+    bool wait_until_ready(const formation& plan, yield_context yield);
+    bool open_head(const formation& plan, yield_context yield);
+    void abandon(const formation& plan, const std::string& reason);
+    void start_staging(const planned_stage& wanted, const served_model& model, time_point now);
+    void probe_all_groups(time_point now);
+    void probe_slow_groups(time_point now);
+    /// Members that are cut off from the store only stay in their groups as long as they answer.
+    void probe_absent_members(time_point now);
+    void probe_absent_member(const target_entry& member, yield_context yield);
+    /// Unless the group was probed within the interval.
+    void probe_group_once(const instance_id& head, milliseconds interval, time_point now);
+    /// Whether the last probe is at least that old; a probe that is due counts as sent.
+    bool probe_due(const instance_id& engine, milliseconds interval, time_point now);
+    void forget_probes(time_point now);
+    void probe_group(const instance_id& head, yield_context yield);
+    /// Adds two staggered probes; `answer` has the first report, or a failure when there is none.
+    void add_probes(const target_entry& engine, result<engine_report>& answer,
+                    std::vector<std::function<void(yield_context)>>& tasks);
+
+    static bool is_parked(const group_id& group);
+    /// The next order that ends the group.
+    static group_order next_end_order(const run_key& key, const ending& state, const target_state* head,
+                                      time_point now);
+    static group_order leave_order(const run_key& key);
+    /// Sends an order if this daemon still holds the management.
+    result<order_verdict> order(const target_entry& engine, const group_order& what, yield_context yield);
+    void mark_lost(const instance_id& engine, const std::string& reason, time_point now);
+    bool is_lost(const target_entry& engine) const;
+    /// Runs the tasks at once and waits for all of them.
+    void run_all(std::vector<std::function<void(yield_context)>> tasks, yield_context yield);
+    /// Epoch of a new group. The one after it is kept for the group's fence.
+    std::uint64_t next_epoch();
+    /// Newer than the group and older than every later one.
+    static std::uint64_t fence_epoch(const run_key& key) { return key.second + 1; }
+
+    boost::asio::io_context& context;
+    const platform_ports& ports;
+    fleet_state& fleet;
+    const management_right& holder;
+    const gateway_settings& configured;
+    std::map<model_id, double> work;
+
+    std::uint64_t held_revision{0}; ///< of the management that the state below belongs to
+    time_point settled_at{};        ///< orders of an earlier holder have arrived by then
+    std::uint64_t epoch_counter{0};
+    bool first_start{
+        false}; ///< no engine was in a group yet and no request has come: loads are short and free
+    std::map<group_id, formation> formations;
+    std::map<run_key, ending> endings;
+    std::set<run_key> unanswered_runs; ///< groups with an order that was left unanswered
+    std::map<instance_id, lost_engine> lost_engines;
+    std::map<instance_id, staging> stagings;
+    std::map<fabric_domain_id, reservation> reservations;
+    std::map<instance_id, time_point> probed; ///< last probe of heads and absent members
+    standstill_evidence standstill{detail::standstill_limit};
+    std::deque<time_point> load_starts;
+
+    counter& formed;
+    counter& abandoned;
+    counter& ended;
+    counter& loads;
+    counter& orders;
+    counter& probes_sent;
+};
+
+} // namespace rml::gateway
--- /dev/null
+++ b/src/gateway/pages.hpp
@@ -0,0 +1,61 @@
+/// Small pages that a daemon serves beside requests: readiness, entry addresses, metrics.
+#pragma once
+
+#include "base/metrics.hpp"
+#include "gateway/fleet_state.hpp"
+#include "gateway/ports.hpp"
+#include "http/server.hpp"
+
+#include <functional>
+#include <vector>
+
+namespace rml::gateway {
+
+/// Addresses at which callers are to connect: this daemon if it takes requests, and the others that do.
+/// A daemon that was heard and fell silent is named only when no other is left.
+std::vector<endpoint> entry_addresses(const fleet_state& fleet, const endpoint& own, bool own_ready,
+                                      time_point now);
+
+/// 200 while `ready` holds, 503 otherwise.
+class readiness_page final : public http::handler
+{
+public:
+    explicit readiness_page(std::function<bool()> ready) : ready(std::move(ready)) {}
+    void handle(const http::request& message, http::response_writer& writer,
+                http::yield_context yield) override;
+
+private:
+    std::function<bool()> ready;
+};
+
+/// Tells callers where to connect; 503 when no address is known.
+class entries_page final : public http::handler
+{
+public:
+    entries_page(const site_decoder& encoder, std::function<std::vector<endpoint>()> addresses,
+                 milliseconds lifetime)
+        : encoder(encoder), addresses(std::move(addresses)), lifetime(lifetime)
+    {
+    }
+    void handle(const http::request& message, http::response_writer& writer,
+                http::yield_context yield) override;
+
+private:
+    const site_decoder& encoder;
+    std::function<std::vector<endpoint>()> addresses;
+    milliseconds lifetime;
+};
+
+/// Prometheus text.
+class metrics_page final : public http::handler
+{
+public:
+    explicit metrics_page(const metric_registry& metrics) : metrics(metrics) {}
+    void handle(const http::request& message, http::response_writer& writer,
+                http::yield_context yield) override;
+
+private:
+    const metric_registry& metrics;
+};
+
+} // namespace rml::gateway
--- /dev/null
+++ b/src/gateway/peer_report.hpp
@@ -0,0 +1,37 @@
+/// What daemons tell each other several times a second over UDP: requests in flight and doubtful targets.
+#pragma once
+
+#include "base/failure.hpp"
+#include "base/ids.hpp"
+#include "base/time.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace rml::gateway {
+
+struct peer_report
+{
+    daemon_id daemon;
+    std::int64_t started_ms{0}; ///< tells lives of a daemon apart
+    std::uint64_t sequence{0};
+    bool leaving{false};
+    bool ready{false};
+    bool store_reachable{false};
+    std::map<instance_id, std::uint32_t> in_flight;
+    std::vector<instance_id> suspects;  ///< targets that stand still for the sender
+    std::vector<instance_id> answering; ///< targets that somebody suspects and that answer the sender
+    std::vector<instance_id> avoided;   ///< by the group manager: lost engines, heads of groups that end
+    std::map<instance_id, double> slow; ///< by the group manager: slow heads, factor on their times
+    std::map<model_id, double> work;    ///< arriving work per model, in engine seconds per second
+};
+
+/// CBOR. A report of 600 targets has about 20 KB; usual ones fit into one packet.
+std::string encode_report(const peer_report& report);
+/// Fails with `malformed`.
+result<peer_report> decode_report(std::string_view bytes);
+
+} // namespace rml::gateway
--- /dev/null
+++ b/src/gateway/ports.cpp
@@ -0,0 +1,41 @@
+#include "gateway/ports.hpp"
+
+namespace rml::gateway {
+
+std::string_view to_string(group_action action)
+{
+    switch (action) {
+    case group_action::join:
+        return "join";
+    case group_action::open:
+        return "open";
+    case group_action::close:
+        return "close";
+    case group_action::leave:
+        return "leave";
+    case group_action::stage:
+        return "stage";
+    }
+    return "unknown";
+}
+
+std::string_view to_string(order_verdict verdict)
+{
+    switch (verdict) {
+    case order_verdict::started:
+        return "started";
+    case order_verdict::already:
+        return "already";
+    case order_verdict::not_now:
+        return "not now";
+    case order_verdict::stale:
+        return "stale";
+    case order_verdict::another_life:
+        return "another life";
+    case order_verdict::unknown_order:
+        return "unknown order";
+    }
+    return "unknown";
+}
+
+} // namespace rml::gateway
--- /dev/null
+++ b/src/gateway/ports.hpp
@@ -0,0 +1,216 @@
+/// Interfaces that the adapter of a platform implements: metadata store, decoding, orders to engines.
+#pragma once
+
+#include "base/failure.hpp"
+#include "base/time.hpp"
+#include "gateway/site.hpp"
+
+#include <boost/asio/spawn.hpp>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace rml::gateway {
+
+using yield_context = boost::asio::yield_context;
+
+/// Names of the headers that carry the gateway's own fields between callers, daemons and targets.
+struct header_names
+{
+    std::string request_id;
+    std::string deadline_ms;      ///< time that the sender still waits
+    std::string account;          ///< set for targets
+    std::string expected_target;  ///< a target with another id answers 421
+    std::string urgency;          ///< 0 (first) to 9
+    std::string last_event_id;    ///< last event that the caller has
+    std::string model;            ///< model that the caller asks for
+    std::string token_counts;     ///< prompt tokens, most output tokens
+    std::string answer_signature; ///< set by targets; a 2xx without it is no answer of a target
+    std::string not_executed;     ///< set by targets on answers to requests that they did not run
+};
+
+struct store_item
+{
+    std::string key;
+    std::string value;
+    std::uint64_t revision{0};
+};
+
+/// Items of a prefix with the revision of the store at the time of the read.
+struct store_snapshot
+{
+    std::vector<store_item> items;
+    std::uint64_t revision{0};
+};
+
+/// A change of a key. Without a value the key was removed.
+struct store_event
+{
+    std::string key;
+    std::optional<std::string> value;
+    std::uint64_t revision{0};
+};
+
+struct store_changes
+{
+    std::vector<store_event> events;
+    std::uint64_t revision{0}; ///< the next watch continues after this
+};
+
+struct lease_handle
+{
+    std::uint64_t id{0}; ///< 0: none
+    milliseconds lifetime{0};
+};
+
+struct expected_revision
+{
+    std::string key;
+    std::uint64_t revision{0}; ///< 0: the key must not exist
+};
+
+struct store_put
+{
+    std::string key;
+    std::string value;
+    std::uint64_t lease{0};
+};
+
+/// All or nothing.
+struct store_commit
+{
+    std::vector<expected_revision> expected;
+    std::vector<store_put> puts;
+    std::vector<std::string> removals;
+};
+
+/// The platform's store. Failures of reads: `timeout`, `connection_refused`, `connection_broken`,
+/// `malformed`, `unavailable`, `rate_limited`. Failures of writes: `conflict`, `lapsed` (no such lease),
+/// `unavailable`, `rate_limited` and `connection_refused` (nothing was done), `outcome_unknown` (may take
+/// effect, also later).
+class metadata_store
+{
+public:
+    metadata_store() = default;
+    metadata_store(const metadata_store&) = delete;
+    metadata_store& operator=(const metadata_store&) = delete;
+    virtual ~metadata_store() = default;
+
+    /// All items whose key begins with the prefix. The pages behind it are read one after the other, so the
+    /// result is not a snapshot of one moment; its revision is that of the first page.
+    virtual result<store_snapshot> read(const std::string& prefix, time_point deadline,
+                                        yield_context yield) = 0;
+    /// Changes after a revision, as soon as there is one, or none when the wait ends. Fails with `stale` when
+    /// the store no longer has that history.
+    virtual result<store_changes> watch(const std::string& prefix, std::uint64_t after, milliseconds wait,
+                                        time_point deadline, yield_context yield) = 0;
+    /// Returns the revision of the change.
+    virtual result<std::uint64_t> commit(const store_commit& change, time_point deadline,
+                                         yield_context yield) = 0;
+    virtual result<lease_handle> create_lease(milliseconds lifetime, time_point deadline,
+                                              yield_context yield) = 0;
+    /// Fails with `lapsed` when the lease has ended.
+    virtual status renew_lease(std::uint64_t lease, time_point deadline, yield_context yield) = 0;
+    virtual status end_lease(std::uint64_t lease, time_point deadline, yield_context yield) = 0;
+
+    /// Calls since the start, also refused ones.
+    virtual std::uint64_t calls() const = 0;
+};
+
+/// What the platform and its operators keep in the store, decoded.
+class site_decoder
+{
+public:
+    site_decoder() = default;
+    site_decoder(const site_decoder&) = delete;
+    site_decoder& operator=(const site_decoder&) = delete;
+    virtual ~site_decoder() = default;
+
+    virtual std::string config_key() const = 0;
+    virtual std::string targets_prefix() const = 0;
+    /// A key below this prefix, followed by the name of a failure domain, takes that domain out of service.
+    virtual std::string drained_domains_prefix() const = 0;
+
+    /// Fails with `malformed`.
+    virtual result<std::shared_ptr<const site_config>> decode_config(std::string_view bytes) const = 0;
+    /// `instance` is the key without the prefix. Fails with `malformed`.
+    virtual result<target_entry> decode_target(std::string_view instance, std::string_view bytes) const = 0;
+    /// Body of the answer that tells callers where to connect.
+    virtual std::string encode_entry_addresses(const std::vector<endpoint>& addresses,
+                                               milliseconds lifetime) const = 0;
+};
+
+enum class group_action
+{
+    join,  ///< become a member
+    open,  ///< head: begin to serve
+    close, ///< head: finish the requests in progress, then stop serving
+    leave, ///< give up membership at once
+    stage, ///< load weights onto the host
+};
+
+std::string_view to_string(group_action action);
+
+struct group_order
+{
+    group_action action{group_action::join};
+    group_id group;
+    std::uint64_t epoch{0};
+    model_id model;                   ///< join and stage
+    std::vector<instance_id> members; ///< join; the first is the head
+};
+
+/// How an engine answered an order.
+enum class order_verdict
+{
+    started,       ///< it has begun
+    already,       ///< the state holds already
+    not_now,       ///< does not fit the engine's state
+    stale,         ///< the engine has seen a higher epoch, or the epoch with other members
+    another_life,  ///< another instance has the address
+    unknown_order, ///< malformed
+};
+
+std::string_view to_string(order_verdict verdict);
+
+/// An engine's own state, some hundred ms old.
+struct engine_report
+{
+    double pace{1}; ///< above 1: slower than usual
+    std::uint32_t running{0};
+    std::uint32_t waiting{0};
+    bool busy{false}; ///< an order is in progress
+    model_id model;
+    std::vector<model_id> staged;
+    std::optional<group_membership> membership;
+};
+
+class engine_control
+{
+public:
+    engine_control() = default;
+    engine_control(const engine_control&) = delete;
+    engine_control& operator=(const engine_control&) = delete;
+    virtual ~engine_control() = default;
+
+    /// Fails with `connection_refused` when nothing was sent and `outcome_unknown` when the order may be
+    /// carried out, at once or later.
+    virtual result<order_verdict> order(const target_entry& engine, const group_order& what,
+                                        time_point deadline, yield_context yield) = 0;
+    virtual result<engine_report> report(const target_entry& engine, time_point deadline,
+                                         yield_context yield) = 0;
+};
+
+/// Everything that depends on the platform.
+struct platform_ports
+{
+    header_names headers;
+    std::unique_ptr<site_decoder> decoder;
+    std::unique_ptr<metadata_store> store;
+    std::unique_ptr<engine_control> engines;
+};
+
+} // namespace rml::gateway
--- /dev/null
+++ b/src/gateway/request_run.cpp
@@ -0,0 +1,640 @@
+#include "gateway/request_run.hpp"
+
+#include "base/log.hpp"
+#include "http/pause.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <iomanip>
+#include <sstream>
+#include <utility>
+
+namespace rml::gateway::detail {
+
+namespace {
+
+/// A connection to a target is there within a few round trips; the first lost packet is sent again after 1 s,
+/// which is longer than most objectives.
+constexpr milliseconds connect_limit{350};
+/// A request that must not run twice goes over a connection that was idle for no longer than this: a target
+/// may drop an idle connection without notice, and then it is unknown whether the request has run.
+constexpr milliseconds fresh_connection{500};
+/// Pause before another look for a place.
+constexpr milliseconds place_retry{25};
+/// An engine that refused is closing or full; for about this long the registry may not show it yet.
+constexpr milliseconds refusal_doubt{400};
+/// Shortest time after which a refused caller is asked to come back.
+constexpr milliseconds shortest_retry_after{150};
+/// When nothing is known, for example before the first configuration.
+constexpr milliseconds unknown_retry_after{500};
+constexpr std::size_t longest_whole_body = 16 * 1024 * 1024;
+constexpr std::uint32_t lowest_urgency = 9;
+/// Weight of the newest request in the smoothed share of failed ones.
+constexpr double failure_gain = 0.15;
+
+/// Headers that concern one connection only.
+bool is_connection_header(std::string_view name)
+{
+    static constexpr std::string_view names[] = {"connection", "keep-alive",        "proxy-connection",
+                                                 "te",         "trailer",           "upgrade",
+                                                 "expect",     "transfer-encoding", "content-length"};
+    return std::any_of(std::begin(names), std::end(names),
+                       [&](std::string_view entry) { return http::equal_names(entry, name); });
+}
+
+std::optional<std::uint64_t> parse_count(std::string_view text)
+{
+    std::uint64_t out = 0;
+    const auto [end, code] = std::from_chars(text.data(), text.data() + text.size(), out);
+    return code == std::errc() && end == text.data() + text.size() ? std::optional(out) : std::nullopt;
+}
+
+std::string_view without_port(std::string_view host)
+{
+    const auto colon = host.rfind(':');
+    return colon == std::string_view::npos || host.back() == ']' ? host : host.substr(0, colon);
+}
+
+std::string as_seconds(milliseconds time)
+{
+    std::ostringstream out;
+    out << std::fixed << std::setprecision(2) << std::chrono::duration<double>(time).count();
+    return out.str();
+}
+
+/// Engine seconds that a request takes: its prompt, and its tokens in a half-full batch.
+double work_of(const engine_profile& profile, const served_model& model, std::string_view token_counts)
+{
+    const auto comma = token_counts.find(',');
+    const auto prompt = parse_count(token_counts.substr(0, comma));
+    const auto most =
+        comma == std::string_view::npos ? std::nullopt : parse_count(token_counts.substr(comma + 1));
+    if (!prompt || !most) {
+        return 0;
+    }
+    const auto writers = std::max(1.0, profile.batch_slots / 2.0);
+    const auto per_token = (profile.step / writers + profile.step_per_request).count() / 1000;
+    const auto reading =
+        profile.prompt_tokens_per_s > 0 ? static_cast<double>(*prompt) / profile.prompt_tokens_per_s : 0;
+    return model.pace * model.group_size * (reading + static_cast<double>(*most) * per_token);
+}
+
+} // namespace
+
+request_run::request_run(forwarder& forward_owner, const http::request& request,
+                         http::response_writer& answer, http::yield_context coroutine)
+    : owner(forward_owner), message(request), writer(answer), yield(coroutine),
+      config(forward_owner.fleet.config()), number(forward_owner.next_number++), arrived(steady_clock::now())
+{
+}
+
+void request_run::run()
+{
+    if (!this->rejected()) {
+        this->forward();
+    }
+    this->write_log();
+}
+
+bool request_run::rejected()
+{
+    const auto& names = this->owner.ports.headers;
+    this->request_id = http::find_header(this->message.headers, names.request_id).value_or("");
+    if (!this->config) {
+        this->refuse(unknown_retry_after, "no configuration yet");
+        return true;
+    }
+    const auto host = http::find_header(this->message.headers, "host").value_or("");
+    this->chosen_route = this->config->find_route(without_port(host), http::path_of(this->message.target));
+    if (this->chosen_route == nullptr) {
+        this->respond(404, "no such route");
+        return true;
+    }
+    if (!this->find_account()) {
+        this->respond(401, "unknown API key");
+        return true;
+    }
+    if (this->request_id.empty()) {
+        this->respond(400, "no request id");
+        return true;
+    }
+    const auto stated = http::find_header(this->message.headers, names.deadline_ms);
+    const auto wanted = stated ? parse_count(*stated) : std::nullopt;
+    auto time = this->chosen_route->timeout;
+    if (wanted) {
+        time = std::min(time,
+                        milliseconds(static_cast<std::int64_t>(std::min<std::uint64_t>(*wanted, 1U << 30U))));
+    }
+    this->deadline = this->arrived + time;
+    this->model = model_id(http::find_header(this->message.headers, names.model).value_or(""));
+    const auto last = http::find_header(this->message.headers, names.last_event_id);
+    this->events = event_framer(last ? parse_count(*last) : std::nullopt);
+    return false;
+}
+
+bool request_run::find_account()
+{
+    this->priority = this->chosen_route->priority;
+    if (!this->config->has_accounts()) {
+        return true;
+    }
+    static constexpr std::string_view scheme = "Bearer ";
+    const auto credentials = http::find_header(this->message.headers, "authorization").value_or("");
+    const auto* found = credentials.compare(0, scheme.size(), scheme) == 0
+                            ? this->config->find_account(credentials.substr(scheme.size()))
+                            : nullptr;
+    if (found == nullptr) {
+        return this->chosen_route->without_key;
+    }
+    this->account = found->name.str();
+    this->priority = found->priority.value_or(this->priority);
+    return true;
+}
+
+void request_run::forward()
+{
+    const auto& parts = this->chosen_route->services;
+    double sum = 0;
+    for (const auto& part : parts) {
+        sum += part.weight;
+    }
+    auto point = std::uniform_real_distribution<double>(0, sum)(this->owner.random);
+    auto picked = parts.front().service;
+    for (const auto& part : parts) {
+        if (part.weight > 0) {
+            picked = part.service;
+            if (point < part.weight) {
+                break;
+            }
+            point -= part.weight;
+        }
+    }
+    this->chosen_service = this->config->find_service(picked);
+    if (this->chosen_service == nullptr) {
+        return this->refuse(unknown_retry_after, "route names an unknown service");
+    }
+    const auto& engines = this->chosen_service->engines;
+    if (engines && engines->find(this->model) == nullptr) {
+        return this->refuse(unknown_retry_after, "service has no such model");
+    }
+    const pool_key key{picked, engines ? this->model : model_id()};
+    auto& pool = this->owner.pool(key, this->chosen_route->objective);
+    if (engines) {
+        const auto counts =
+            http::find_header(this->message.headers, this->owner.ports.headers.token_counts).value_or("");
+        pool.work_arrived += work_of(*engines, *engines->find(this->model), counts);
+    }
+    this->owner.budget(picked, this->arrived).record_first_try(this->arrived);
+    this->writer.on_disconnect([this] {
+        this->caller_left = true;
+        if (this->current != nullptr) {
+            this->current->close();
+        }
+        if (this->waiting_in != nullptr) {
+            this->waiting_in->cancel(this->number);
+        }
+    });
+    if (!this->wait_for_place(*pool.room)) {
+        return;
+    }
+    const auto started = steady_clock::now();
+    this->run_attempts();
+    const bool usual = this->outcome == "answered" && this->sends == 1;
+    pool.room->finish(usual ? steady_clock::now() - started : duration::zero());
+}
+
+bool request_run::wait_for_place(waiting_room& room)
+{
+    admission_request wanted;
+    wanted.ticket = this->number;
+    wanted.account = account_id(this->account);
+    wanted.priority = this->priority;
+    wanted.deadline = this->deadline;
+    this->waiting_in = &room;
+    const auto answer = room.wait(wanted, this->yield);
+    this->waiting_in = nullptr;
+    this->waited = this->since_arrival();
+    if (this->caller_left || answer.verdict == place_verdict::caller_left) {
+        if (answer.verdict == place_verdict::granted) {
+            room.finish(duration::zero());
+        }
+        this->outcome = "caller left";
+        this->owner.left.add();
+        return false;
+    }
+    if (answer.verdict == place_verdict::refused) {
+        this->refuse(answer.retry_after,
+                     answer.reason == refusal_reason::no_capacity ? "no target serves" : "no place in time");
+        return false;
+    }
+    return true;
+}
+
+std::optional<instance_id> request_run::choose()
+{
+    const auto now = steady_clock::now();
+    const pool_key key{this->chosen_service->name, this->chosen_service->engines ? this->model : model_id()};
+    const auto candidates = this->owner.candidates(key, this->tried, now);
+    const auto index = choose_target(candidates, this->owner.random());
+    return index ? std::optional(candidates[*index].instance) : std::nullopt;
+}
+
+std::optional<instance_id> request_run::choose_or_wait()
+{
+    // The places of the queue are some ten milliseconds old: a target may have filled up or fallen silent
+    // since.
+    const auto limit = this->arrived + this->chosen_route->objective / 2;
+    auto found = this->choose();
+    while (!found && this->sends == 0 && !this->caller_left && steady_clock::now() < limit) {
+        http::pause(place_retry, this->yield);
+        found = this->choose();
+    }
+    return found;
+}
+
+void request_run::run_attempts()
+{
+    while (true) {
+        const auto target = this->choose_or_wait();
+        auto* state = target ? this->owner.fleet.find_target(*target) : nullptr;
+        if (this->caller_left) {
+            this->outcome = "caller left";
+            this->owner.left.add();
+            return;
+        }
+        if (state == nullptr) {
+            this->reason = this->tried.empty() ? "no target has a place" : this->reason + "; no other target";
+            return this->finish_unanswered();
+        }
+        this->tried.push_back(*target);
+        const auto end = this->attempt(*state);
+        this->judge(*target, end);
+        if (end == attempt_end::answered) {
+            this->outcome = "answered";
+            this->owner.answered.add();
+            return;
+        }
+        if (end == attempt_end::caller_left || this->caller_left) {
+            this->outcome = "caller left";
+            this->owner.left.add();
+            this->writer.abort();
+            return;
+        }
+        if (!this->may_repeat(end)) {
+            return this->finish_unanswered();
+        }
+        this->owner.resumed.add();
+        this->events.restart();
+        log(log_level::info, "request moved",
+            {{"request_id", this->request_id},
+             {"from", target->str()},
+             {"reason", this->reason},
+             {"last_event", static_cast<std::int64_t>(this->events.last_id().value_or(0))}});
+    }
+}
+
+bool request_run::may_repeat(attempt_end end)
+{
+    const auto now = steady_clock::now();
+    if (end == attempt_end::timed_out || now >= this->deadline) {
+        return false;
+    }
+    if (end == attempt_end::not_sent) {
+        return true; // no target has seen the request
+    }
+    if (this->sends >= this->chosen_route->max_attempts) {
+        this->reason += "; no attempt left";
+        return false;
+    }
+    if (end != attempt_end::not_run && !this->chosen_route->idempotent()) {
+        return false;
+    }
+    if (!this->owner.budget(this->chosen_service->name, now).try_retry(now)) {
+        this->reason += "; retry budget spent";
+        return false;
+    }
+    return true;
+}
+
+void request_run::judge(const instance_id& target, attempt_end end)
+{
+    auto* state = this->owner.fleet.find_target(target);
+    if (state == nullptr || end == attempt_end::caller_left) {
+        return;
+    }
+    if (end == attempt_end::not_run && this->chosen_service->engines) {
+        this->owner.fleet.suspect(target, steady_clock::now() + refusal_doubt);
+    }
+    const bool failed_there = end == attempt_end::lost || end == attempt_end::not_sent ||
+                              end == attempt_end::timed_out ||
+                              (end == attempt_end::answered && this->final_status >= 500);
+    state->failure_share += failure_gain * ((failed_there ? 1.0 : 0.0) - state->failure_share);
+}
+
+request_run::attempt_end request_run::attempt(target_state& state)
+{
+    const auto now = steady_clock::now();
+    const auto target = state.entry; // the registry may change during the attempt
+    if (now<state.cold_until&& this->chosen_service->cold_requests_per_s> 0) {
+        const auto share = cold_share(this->chosen_service->cold_requests_per_s,
+                                      this->owner.fleet.share_for(target.instance, now));
+        if (!state.cold_sends.take(share, now)) {
+            this->reason = "cold target has had its share";
+            return attempt_end::not_sent;
+        }
+    }
+    const bool once = !this->chosen_route->idempotent();
+    auto bound = this->owner.connections.take_idle(target.address, std::nullopt,
+                                                   once ? fresh_connection : limits::target_idle_time);
+    if (!bound.connection) {
+        auto opened = this->owner.connections.open(
+            target.address, std::min(this->deadline, now + connect_limit), this->yield);
+        if (failed(opened)) {
+            this->reason = error(opened).context;
+            if (steady_clock::now() >= this->deadline) {
+                return attempt_end::timed_out;
+            }
+            this->owner.fleet.suspect(target.instance, steady_clock::now() + milliseconds(1000));
+            return this->caller_left ? attempt_end::caller_left : attempt_end::not_sent;
+        }
+        bound.connection = value(std::move(opened));
+    }
+    if (this->caller_left) {
+        this->owner.connections.give_back(target.address, std::move(bound));
+        return attempt_end::caller_left;
+    }
+    this->move_requested = false;
+    this->current = bound.connection.get();
+    this->owner.fleet.in_flight.begin(target.instance, steady_clock::now());
+    this->owner.attempts[this->number] = {target.instance, this->chosen_route->idempotent(), [this] {
+                                              this->move_requested = true;
+                                              if (this->current != nullptr) {
+                                                  this->current->close();
+                                              }
+                                          }};
+    const auto end = this->exchange(*bound.connection, target);
+    this->owner.attempts.erase(this->number);
+    this->owner.fleet.in_flight.end(target.instance);
+    this->current = nullptr;
+    if (end == attempt_end::answered || end == attempt_end::not_run) {
+        this->owner.connections.give_back(target.address, std::move(bound));
+    }
+    return end;
+}
+
+request_run::attempt_end request_run::exchange(http::client_connection& connection,
+                                               const target_entry& target)
+{
+    ++this->sends;
+    this->had_run_before = std::exchange(this->may_have_run, true);
+    if (const auto written = connection.write_request(this->outgoing(target), this->deadline, this->yield);
+        failed(written)) {
+        return this->failed_exchange(error(written));
+    }
+    return this->receive(connection, target);
+}
+
+request_run::attempt_end request_run::failed_exchange(const failure& why)
+{
+    this->reason = why.context;
+    if (this->caller_left) {
+        return attempt_end::caller_left;
+    }
+    if (this->move_requested) {
+        this->reason = "target stands still";
+        return attempt_end::moved;
+    }
+    return why.kind == failure_kind::timeout ? attempt_end::timed_out : attempt_end::lost;
+}
+
+bool request_run::is_answer_of_target(const http::response& head)
+{
+    const auto& names = this->owner.ports.headers;
+    if (http::find_header(head.headers, names.request_id).value_or(this->request_id) != this->request_id) {
+        this->reason = "answer to another request";
+        return false;
+    }
+    if (http::find_header(head.headers, "content-encoding")) {
+        this->reason = "answer with a content encoding";
+        return false;
+    }
+    if (head.status >= 200 && head.status < 300 && !http::find_header(head.headers, names.answer_signature)) {
+        this->reason = "answer without signature";
+        return false;
+    }
+    return true;
+}
+
+request_run::attempt_end request_run::receive(http::client_connection& connection, const target_entry& target)
+{
+    auto head = connection.read_head(this->deadline, this->yield);
+    if (failed(head)) {
+        return this->failed_exchange(error(head));
+    }
+    this->owner.fleet.in_flight.progress(target.instance, steady_clock::now());
+    const auto& received = value(head);
+    if (!this->is_answer_of_target(received)) {
+        return attempt_end::lost;
+    }
+    const auto& names = this->owner.ports.headers;
+    const bool not_run = received.status == 421 || http::find_header(received.headers, names.not_executed);
+    if (not_run && received.status >= 400) {
+        this->may_have_run = this->had_run_before;
+        this->reason = "target refused with " + std::to_string(received.status);
+        const auto limit = std::min(this->deadline, steady_clock::now() + connect_limit);
+        // The rest of the refusal is read so that the connection can be used again.
+        for (auto part = connection.read_body_part(limit, this->yield); succeeded(part) && value(part);
+             part = connection.read_body_part(limit, this->yield)) {
+        }
+        return attempt_end::not_run;
+    }
+    if (this->chosen_route->kind == route_kind::stream && received.status == 200) {
+        return this->relay_stream(connection, target, received);
+    }
+    if (this->head_sent) {
+        this->reason = "status " + std::to_string(received.status) + " for the rest of a stream";
+        return attempt_end::lost;
+    }
+    return this->relay_whole(connection, target, value(std::move(head)));
+}
+
+request_run::attempt_end request_run::relay_stream(http::client_connection& connection,
+                                                   const target_entry& target, const http::response& head)
+{
+    while (true) {
+        auto part = connection.read_body_part(this->deadline, this->yield);
+        if (failed(part)) {
+            return this->failed_exchange(error(part));
+        }
+        this->owner.fleet.in_flight.progress(target.instance, steady_clock::now());
+        if (!value(part) && this->events.partial()) {
+            this->reason = "answer ends within an event";
+            return attempt_end::lost;
+        }
+        auto complete = this->events.append(value(part).value_or(""));
+        if (failed(complete)) {
+            this->reason = error(complete).context;
+            return attempt_end::lost;
+        }
+        const bool last = !value(part);
+        if (!this->head_sent && (last || !value(complete).empty())) {
+            // The head goes out with the first event, so that until then the request can be moved or refused.
+            this->head_sent = true;
+            this->final_status = head.status;
+            this->first_byte = this->since_arrival();
+            this->owner.first_byte.record(this->first_byte);
+            if (failed(this->writer.start(this->incoming(head)))) {
+                return attempt_end::caller_left;
+            }
+        }
+        if (!value(complete).empty() && failed(this->writer.write(value(complete)))) {
+            return attempt_end::caller_left;
+        }
+        if (last) {
+            return failed(this->writer.finish()) ? attempt_end::caller_left : attempt_end::answered;
+        }
+    }
+}
+
+request_run::attempt_end request_run::relay_whole(http::client_connection& connection,
+                                                  const target_entry& target, http::response head)
+{
+    connection.update_body_limit(longest_whole_body);
+    while (true) {
+        auto part = connection.read_body_part(this->deadline, this->yield);
+        if (failed(part)) {
+            return this->failed_exchange(error(part));
+        }
+        this->owner.fleet.in_flight.progress(target.instance, steady_clock::now());
+        if (!value(part)) {
+            break;
+        }
+        head.body += *value(part);
+    }
+    this->final_status = head.status;
+    this->first_byte = this->since_arrival();
+    this->owner.first_byte.record(this->first_byte);
+    auto answer = this->incoming(head);
+    answer.body = std::move(head.body);
+    this->head_sent = true;
+    return failed(this->writer.send(answer)) ? attempt_end::caller_left : attempt_end::answered;
+}
+
+http::request request_run::outgoing(const target_entry& target) const
+{
+    const auto& names = this->owner.ports.headers;
+    http::request out{this->message.method, this->message.target, {}, this->message.body};
+    const auto listed = http::find_header(this->message.headers, "connection").value_or("");
+    for (const auto& entry : this->message.headers) {
+        const bool own = http::equal_names(entry.name, names.deadline_ms) ||
+                         http::equal_names(entry.name, names.account) ||
+                         http::equal_names(entry.name, names.expected_target) ||
+                         http::equal_names(entry.name, names.urgency) ||
+                         http::equal_names(entry.name, "authorization") ||
+                         (http::equal_names(entry.name, names.last_event_id) && this->events.last_id());
+        if (!own && !is_connection_header(entry.name) && !http::list_names(listed, entry.name)) {
+            out.headers.push_back(entry);
+        }
+    }
+    const auto time = std::max<std::int64_t>(1, this->left(steady_clock::now()).count());
+    out.headers.push_back({names.deadline_ms, std::to_string(time)});
+    out.headers.push_back({names.expected_target, target.instance.str()});
+    if (!this->account.empty()) {
+        out.headers.push_back({names.account, this->account});
+    }
+    if (this->chosen_service->engines) {
+        out.headers.push_back({names.urgency, std::to_string(std::min(lowest_urgency, this->priority))});
+    }
+    if (const auto& last = this->events.last_id()) {
+        out.headers.push_back({names.last_event_id, std::to_string(*last)});
+    }
+    return out;
+}
+
+http::response request_run::incoming(const http::response& from) const
+{
+    http::response out{from.status, {}, {}};
+    const auto listed = http::find_header(from.headers, "connection").value_or("");
+    for (const auto& entry : from.headers) {
+        if (!is_connection_header(entry.name) && !http::list_names(listed, entry.name)) {
+            out.headers.push_back(entry);
+        }
+    }
+    return out;
+}
+
+void request_run::finish_unanswered()
+{
+    if (this->head_sent) {
+        // An unfinished answer must not look complete.
+        this->outcome = "broken off";
+        this->owner.failed_requests.add();
+        this->writer.abort();
+        return;
+    }
+    if (!this->may_have_run) {
+        return this->refuse(shortest_retry_after, this->reason);
+    }
+    this->respond(steady_clock::now() >= this->deadline ? 504 : 502, this->reason);
+}
+
+void request_run::refuse(milliseconds retry_after, const std::string& why)
+{
+    this->outcome = "refused";
+    this->reason = why;
+    this->final_status = 503;
+    this->owner.refused.add();
+    auto answer = http::json_response(503, R"({"error":"not run"})");
+    answer.headers.push_back({"Retry-After", as_seconds(retry_after)});
+    if (failed(this->writer.send(answer))) {
+        this->reason += "; caller left before the refusal";
+    }
+}
+
+void request_run::respond(int status, const std::string& why)
+{
+    this->outcome = status < 500 ? "rejected" : "failed";
+    this->reason = why;
+    this->final_status = status;
+    this->owner.failed_requests.add();
+    const auto body = R"({"error":{"status":)" + std::to_string(status) + "}}";
+    if (failed(this->writer.send(http::json_response(status, body)))) {
+        this->reason += "; caller left before the answer";
+    }
+}
+
+milliseconds request_run::left(time_point now) const
+{
+    return std::chrono::duration_cast<milliseconds>(this->deadline - now);
+}
+
+milliseconds request_run::since_arrival() const
+{
+    return std::chrono::duration_cast<milliseconds>(steady_clock::now() - this->arrived);
+}
+
+void request_run::write_log() const
+{
+    std::string targets;
+    for (const auto& target : this->tried) {
+        targets += (targets.empty() ? "" : ",") + target.str();
+    }
+    const auto took = this->since_arrival();
+    this->owner.total.record(took);
+    log(log_level::info, "request",
+        {{"request_id", this->request_id},
+         {"route", this->chosen_route != nullptr ? this->chosen_route->name : ""},
+         {"account", this->account},
+         {"model", this->model.str()},
+         {"config", static_cast<std::int64_t>(this->config ? this->config->version() : 0)},
+         {"outcome", this->outcome},
+         {"status", static_cast<std::int64_t>(this->final_status)},
+         {"reason", this->reason},
+         {"targets", targets},
+         {"waited_ms", this->waited.count()},
+         {"first_byte_ms", this->first_byte.count()},
+         {"took_ms", took.count()}});
+}
+
+} // namespace rml::gateway::detail
--- /dev/null
+++ b/src/gateway/request_run.hpp
@@ -0,0 +1,99 @@
+/// One request of a caller, from its head to the last byte of its answer.
+#pragma once
+
+#include "gateway/event_framer.hpp"
+#include "gateway/forwarder.hpp"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace rml::gateway::detail {
+
+class request_run
+{
+public:
+    request_run(forwarder& owner, const http::request& message, http::response_writer& writer,
+                http::yield_context yield);
+
+    void run();
+
+private:
+    /// How an attempt at one target ended.
+    enum class attempt_end
+    {
+        answered,    ///< the caller has the whole answer
+        not_sent,    ///< no connection, so nothing was sent
+        not_run,     ///< the target says that it did not run the request
+        lost,        ///< may have run; the answer did not come or is no answer of the target
+        moved,       ///< ended by this daemon, because the target stands still
+        timed_out,   ///< may have run; the time of the request is over
+        caller_left, ///< nobody waits for the answer any more
+    };
+
+    /// Answers at once a request that cannot be forwarded; false when it can.
+    bool rejected();
+    bool find_account();
+    void forward();
+    /// Waits for a place; false when the request is over.
+    bool wait_for_place(waiting_room& room);
+    void run_attempts();
+    std::optional<instance_id> choose();
+    std::optional<instance_id> choose_or_wait();
+    attempt_end attempt(target_state& state);
+    attempt_end exchange(http::client_connection& connection, const target_entry& target);
+    attempt_end receive(http::client_connection& connection, const target_entry& target);
+    attempt_end relay_stream(http::client_connection& connection, const target_entry& target,
+                             const http::response& head);
+    attempt_end relay_whole(http::client_connection& connection, const target_entry& target,
+                            http::response head);
+    attempt_end failed_exchange(const failure& reason);
+    bool is_answer_of_target(const http::response& head);
+    bool may_repeat(attempt_end end);
+    void judge(const instance_id& target, attempt_end end);
+
+    http::request outgoing(const target_entry& target) const;
+    http::response incoming(const http::response& from) const;
+
+    void finish_unanswered();
+    void refuse(milliseconds retry_after, const std::string& reason);
+    void respond(int status, const std::string& reason);
+    void write_log() const;
+    milliseconds left(time_point now) const;
+    milliseconds since_arrival() const;
+
+    forwarder& owner;
+    const http::request& message;
+    http::response_writer& writer;
+    http::yield_context yield;
+
+    std::shared_ptr<const site_config> config; ///< the version in force when the request arrived
+    const route* chosen_route{nullptr};
+    const service* chosen_service{nullptr};
+    std::string request_id;
+    std::string account;
+    std::uint32_t priority{0};
+    model_id model;
+    const std::uint64_t number;
+    const time_point arrived;
+    time_point deadline{};
+
+    waiting_room* waiting_in{nullptr};
+    http::client_connection* current{nullptr}; ///< of the attempt in progress
+    bool caller_left{false};
+    bool move_requested{false};
+
+    std::vector<instance_id> tried;
+    std::uint32_t sends{0}; ///< targets that the request was sent to
+    bool may_have_run{false};
+    bool had_run_before{false}; ///< the same before the attempt in progress
+    bool head_sent{false};
+    event_framer events;
+    milliseconds waited{0};
+    milliseconds first_byte{-1}; ///< -1: none was sent
+    int final_status{0};
+    std::string outcome;
+    std::string reason;
+};
+
+} // namespace rml::gateway::detail
--- /dev/null
+++ b/src/gateway/settings.hpp
@@ -0,0 +1,61 @@
+/// Settings of the gateway daemon: JSON with comments, strict about unknown, repeated and missing keys.
+#pragma once
+
+#include "base/endpoint.hpp"
+#include "base/failure.hpp"
+#include "base/ids.hpp"
+#include "base/time.hpp"
+#include "objects/settings.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace rml::gateway {
+
+struct listen_addresses
+{
+    endpoint caller;    ///< requests
+    endpoint readiness; ///< asked by the platform once a second
+    endpoint entries;   ///< tells callers where to connect
+    endpoint metrics;
+    endpoint peer; ///< UDP, between daemons
+};
+
+struct store_settings
+{
+    endpoint address;
+    double writes_per_s{0}; ///< of all daemons together
+    double reads_per_s{0};
+    milliseconds shortest_lease{1000};
+};
+
+/// Bounds that the operators promise to their own users.
+struct promised_bounds
+{
+    milliseconds drain{2000};         ///< from the notice that a target leaves to the last request sent to it
+    milliseconds stop_grace{8000};    ///< from SIGTERM to SIGKILL
+    milliseconds config_apply{2000};  ///< from the acknowledgement of a configuration to its use
+    milliseconds stall{5000};         ///< time for which a group with a lost member stands still
+    double retry_share{0.2};          ///< repeats per request
+    milliseconds retry_window{10000}; ///< in which the share is counted
+    double retry_slack{0};            ///< repeats allowed beyond the share in a window, over all daemons
+    milliseconds entry_lifetime{5000}; ///< longest time for which callers may keep entry addresses
+};
+
+struct gateway_settings
+{
+    daemon_id daemon;
+    region_id region;
+    failure_domain_id failure_domain;
+    listen_addresses listen;
+    store_settings store;
+    milliseconds registry_heartbeat{1200}; ///< interval in which targets renew their entries
+    double cpu_share{1};                   ///< of a core
+    promised_bounds bounds;
+    log_settings log; ///< without a file: standard output
+};
+
+/// Fails with `invalid_settings`; the context names the key, what was found and what is allowed.
+result<gateway_settings> parse_gateway_settings(const std::string& text);
+
+} // namespace rml::gateway
--- /dev/null
+++ b/src/gateway/store_mirror.cpp
@@ -0,0 +1,290 @@
+#include "gateway/store_mirror.hpp"
+
+#include "base/json_reader.hpp"
+#include "base/log.hpp"
+#include "decision/watch_pace.hpp"
+#include "gateway/coroutine.hpp"
+#include "http/pause.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace rml::gateway {
+
+namespace {
+
+using nlohmann::json;
+
+/// Wait of one watch. Short, because a connection that hangs without an error is noticed only after it.
+constexpr milliseconds watch_wait{800};
+/// Time beyond the wait until the answer must be there.
+constexpr milliseconds watch_slack{400};
+/// Three pages from a store that is 80 times slower than the 4 ms that the platform states.
+constexpr milliseconds read_timeout{1000};
+/// Pause of the manager between two watches while changes keep coming: gathers the entries of engines that
+/// join together, and is short against the joins that its repairs wait for.
+constexpr milliseconds manager_pause{80};
+/// A read of the whole store of a healthy platform: some pages of a few milliseconds, and one lost packet,
+/// which is sent again after 200 ms.
+constexpr milliseconds usual_read{300};
+/// Pauses after a failed call. The first lets a short interruption pass; all daemons together stay far below
+/// the store's rate at the longest.
+constexpr milliseconds first_retry{150};
+constexpr milliseconds longest_retry{800};
+/// Without an answer for this long the store counts as unreachable: one watch and one retry have failed.
+constexpr milliseconds unreachable_after{2200};
+constexpr milliseconds hang_detection = watch_wait + watch_slack + first_retry + usual_read;
+
+bool starts_with(const std::string& text, const std::string& prefix)
+{
+    return text.compare(0, prefix.size(), prefix) == 0;
+}
+
+} // namespace
+
+std::string encode_daemon_entry(const daemon_entry& entry)
+{
+    return json{{"caller", to_string(entry.caller)},
+                {"peer", to_string(entry.peer)},
+                {"started_ms", entry.started_ms}}
+        .dump();
+}
+
+result<daemon_entry> decode_daemon_entry(std::string_view bytes)
+{
+    const auto document = parse_json(bytes);
+    if (failed(document)) {
+        return error(document);
+    }
+    daemon_entry out;
+    std::vector<field_problem> problems;
+    object_reader reader(value(document), "daemon", problems);
+    std::uint64_t started = 0;
+    reader.required("caller", out.caller);
+    reader.required("peer", out.peer);
+    reader.required("started_ms", started);
+    if (!problems.empty()) {
+        return failure{failure_kind::malformed, to_string(problems.front())};
+    }
+    out.started_ms = static_cast<std::int64_t>(started);
+    return out;
+}
+
+store_mirror::store_mirror(boost::asio::io_context& owner, const platform_ports& platform, fleet_state& state,
+                           const gateway_settings& settings)
+    : context(owner), ports(platform), fleet(state), configured(settings),
+      removals(settings.registry_heartbeat)
+{
+}
+
+void store_mirror::start()
+{
+    start_coroutine(this->context, [this](yield_context yield) { this->run(yield); });
+}
+
+bool store_mirror::reachable(time_point now) const
+{
+    return this->has_read && now - this->contact < unreachable_after;
+}
+
+void store_mirror::run(yield_context yield)
+{
+    auto retry = first_retry;
+    bool whole = false;
+    while (!this->stopped) {
+        const bool good = whole ? this->watch_once(yield) : this->read_all(yield);
+        if (good) {
+            retry = first_retry;
+            whole = true;
+            continue;
+        }
+        whole = false;
+        http::pause(retry, yield);
+        retry = std::min(retry * 2, longest_retry);
+    }
+}
+
+bool store_mirror::read_all(yield_context yield)
+{
+    const auto sent = steady_clock::now();
+    auto whole = this->ports.store->read("", sent + read_timeout, yield);
+    const auto now = steady_clock::now();
+    if (failed(whole)) {
+        this->note_failure(error(whole));
+        return false;
+    }
+    this->note_contact(now);
+    std::set<std::string> present;
+    for (const auto& item : value(whole).items) {
+        present.insert(item.key);
+        this->apply({item.key, item.value, item.revision}, now);
+    }
+    // What is known but absent was removed while nobody watched.
+    std::vector<std::string> gone;
+    for (const auto& [instance, state] : this->fleet.targets()) {
+        gone.push_back(this->ports.decoder->targets_prefix() + instance.str());
+    }
+    for (const auto& [daemon, peer] : this->fleet.peers()) {
+        gone.push_back(own_keys::daemons_prefix + daemon.str());
+    }
+    gone.emplace_back(own_keys::manager);
+    for (const auto& key : gone) {
+        if (present.count(key) == 0) {
+            this->apply({key, std::nullopt, value(whole).revision}, now);
+        }
+    }
+    std::set<failure_domain_id> drained;
+    const auto drained_prefix = this->ports.decoder->drained_domains_prefix();
+    for (const auto& key : present) {
+        if (starts_with(key, drained_prefix)) {
+            drained.emplace(key.substr(drained_prefix.size()));
+        }
+    }
+    this->fleet.update_drained_domains(std::move(drained));
+    this->seen_revision = value(whole).revision;
+    this->has_read = true;
+    if (this->on_change) {
+        this->on_change();
+    }
+    return true;
+}
+
+bool store_mirror::watch_once(yield_context yield)
+{
+    const auto deadline = steady_clock::now() + watch_wait + watch_slack;
+    auto changes = this->ports.store->watch("", this->seen_revision, watch_wait, deadline, yield);
+    const auto now = steady_clock::now();
+    if (failed(changes)) {
+        this->note_failure(error(changes));
+        return false;
+    }
+    this->note_contact(now);
+    for (const auto& event : value(changes).events) {
+        this->apply(event, now);
+    }
+    this->seen_revision = std::max(this->seen_revision, value(changes).revision);
+    if (!value(changes).events.empty()) {
+        if (this->on_change) {
+            this->on_change();
+        }
+        const bool at_once = !this->needs_changes_at_once || this->needs_changes_at_once();
+        const auto& bounds = this->configured.bounds;
+        const auto known_within = std::min(bounds.drain, bounds.config_apply);
+        http::pause(at_once ? manager_pause : gathering_pause(known_within, hang_detection), yield);
+    }
+    return true;
+}
+
+void store_mirror::note_failure(const failure& reason)
+{
+    if (reason.kind == failure_kind::stale) {
+        // The store lives; only its history was cut. Targets may have lapsed meanwhile, or not.
+        log(log_level::info, "store history lost, reading all", {context_field(reason)});
+        return;
+    }
+    if (this->was_reachable) {
+        log(log_level::warning, "store does not answer", {kind_field(reason), context_field(reason)});
+    }
+    this->was_reachable = false;
+}
+
+void store_mirror::note_contact(time_point now)
+{
+    if (!this->was_reachable) {
+        this->removals.on_answer(now - this->contact, now);
+        log(log_level::info, "store answers again",
+            {{"silent_ms", std::chrono::duration_cast<milliseconds>(now - this->contact).count()}});
+    }
+    this->was_reachable = true;
+    this->contact = now;
+}
+
+void store_mirror::apply(const store_event& event, time_point now)
+{
+    const auto& decoder = *this->ports.decoder;
+    if (event.key == decoder.config_key()) {
+        this->apply_config(event);
+    } else if (starts_with(event.key, decoder.targets_prefix())) {
+        this->apply_target(event.key.substr(decoder.targets_prefix().size()), event, now);
+    } else if (starts_with(event.key, decoder.drained_domains_prefix())) {
+        const failure_domain_id domain(event.key.substr(decoder.drained_domains_prefix().size()));
+        this->fleet.update_drained_domain(domain, event.value.has_value());
+        log(log_level::info, event.value ? "failure domain drained" : "failure domain in service",
+            {{"failure_domain", domain.str()}, {"revision", static_cast<std::int64_t>(event.revision)}});
+    } else if (starts_with(event.key, own_keys::daemons_prefix)) {
+        this->apply_daemon(event.key.substr(std::string(own_keys::daemons_prefix).size()), event);
+    } else if (event.key == own_keys::manager) {
+        this->current_manager =
+            event.value ? std::optional(manager_record{*event.value, event.revision}) : std::nullopt;
+    }
+}
+
+void store_mirror::apply_config(const store_event& event)
+{
+    if (!event.value) {
+        return;
+    }
+    auto decoded = this->ports.decoder->decode_config(*event.value);
+    if (failed(decoded)) {
+        log(log_level::error, "configuration not readable", {context_field(error(decoded))});
+        return;
+    }
+    const auto version = value(decoded)->version();
+    if (this->fleet.update_config(value(std::move(decoded)))) {
+        log(log_level::info, "configuration in force",
+            {{"version", static_cast<std::int64_t>(version)},
+             {"revision", static_cast<std::int64_t>(event.revision)}});
+    }
+}
+
+void store_mirror::apply_target(const std::string& instance, const store_event& event, time_point now)
+{
+    const instance_id id(instance);
+    if (!event.value) {
+        const auto keep = this->removals.keep_until(now);
+        log(log_level::info, "target entry removed",
+            {{"target", instance}, {"kept_for_now", keep.has_value()}});
+        this->fleet.destroy_target(id, now, keep);
+        return;
+    }
+    auto decoded = this->ports.decoder->decode_target(instance, *event.value);
+    if (failed(decoded)) {
+        ++this->fleet.stats.malformed_entries;
+        log(log_level::warning, "target entry not readable",
+            {{"target", instance}, context_field(error(decoded))});
+        this->fleet.destroy_target(id, now, std::nullopt);
+        return;
+    }
+    const auto* before = this->fleet.find_target(id);
+    const auto& entry = value(decoded);
+    if (before == nullptr || before->entry.draining != entry.draining ||
+        before->entry.started_ms != entry.started_ms) {
+        log(log_level::info, "target entry",
+            {{"target", instance},
+             {"service", entry.service.str()},
+             {"failure_domain", entry.failure_domain.str()},
+             {"fabric", entry.fabric.str()},
+             {"draining", entry.draining},
+             {"started_ms", entry.started_ms}});
+    }
+    this->fleet.update_target(value(std::move(decoded)), now);
+}
+
+void store_mirror::apply_daemon(const std::string& name, const store_event& event)
+{
+    const daemon_id daemon(name);
+    if (!event.value) {
+        this->fleet.destroy_peer(daemon);
+        return;
+    }
+    const auto decoded = decode_daemon_entry(*event.value);
+    if (failed(decoded)) {
+        log(log_level::warning, "daemon entry not readable",
+            {{"daemon", name}, context_field(error(decoded))});
+        return;
+    }
+    const auto& entry = value(decoded);
+    this->fleet.update_peer(daemon, entry.caller, entry.peer, entry.started_ms);
+}
+
+} // namespace rml::gateway
--- /dev/null
+++ b/src/gateway/store_mirror.hpp
@@ -0,0 +1,95 @@
+/// Follows the platform's store: configuration, targets, drained failure domains, daemons and the holder of
+/// the group management. One watch over the whole store costs one call per batch of changes.
+#pragma once
+
+#include "base/time.hpp"
+#include "decision/removal_doubt.hpp"
+#include "gateway/fleet_state.hpp"
+#include "gateway/ports.hpp"
+#include "gateway/settings.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace rml::gateway {
+
+/// Keys that the daemons themselves write.
+namespace own_keys {
+constexpr const char* daemons_prefix = "rml/daemon/";
+constexpr const char* manager = "rml/manager";
+} // namespace own_keys
+
+/// The entry of a daemon in the store.
+struct daemon_entry
+{
+    endpoint caller;
+    endpoint peer;
+    std::int64_t started_ms{0};
+};
+
+std::string encode_daemon_entry(const daemon_entry& entry);
+/// Fails with `malformed`.
+result<daemon_entry> decode_daemon_entry(std::string_view bytes);
+
+/// Holder of the group management as the store has it.
+struct manager_record
+{
+    std::string holder; ///< daemon and its life
+    std::uint64_t revision{0};
+};
+
+class store_mirror
+{
+public:
+    /// Follows changes of the bounds in `settings`.
+    store_mirror(boost::asio::io_context& context, const platform_ports& ports, fleet_state& fleet,
+                 const gateway_settings& settings);
+
+    /// Starts following; runs until stop().
+    void start();
+    void stop() { this->stopped = true; }
+
+    /// True once the whole store was read.
+    bool complete() const { return this->has_read; }
+    /// Time of the last answer of the store.
+    time_point last_contact() const { return this->contact; }
+    bool reachable(time_point now) const;
+    /// Revision of the store up to which all changes are known.
+    std::uint64_t revision() const { return this->seen_revision; }
+    const std::optional<manager_record>& manager() const { return this->current_manager; }
+
+    /// The holder of the group management needs each change at once; the others gather changes for a while.
+    std::function<bool()> needs_changes_at_once;
+    /// Called after each batch of changes.
+    std::function<void()> on_change;
+
+private:
+    void run(yield_context yield);
+    bool read_all(yield_context yield);
+    bool watch_once(yield_context yield);
+    void apply(const store_event& event, time_point now);
+    void apply_config(const store_event& event);
+    void apply_target(const std::string& instance, const store_event& event, time_point now);
+    void apply_daemon(const std::string& name, const store_event& event);
+    void note_failure(const failure& reason);
+    void note_contact(time_point now);
+
+    boost::asio::io_context& context;
+    const platform_ports& ports;
+    fleet_state& fleet;
+    const gateway_settings& configured;
+    bool stopped{false};
+    bool has_read{false};
+    std::uint64_t seen_revision{0};
+    time_point contact{};
+    bool was_reachable{true};
+    removal_doubt removals;
+    std::optional<manager_record> current_manager;
+};
+
+} // namespace rml::gateway
--- /dev/null
+++ b/src/gateway/waiting_room.hpp
@@ -0,0 +1,68 @@
+/// Requests of one service or model that wait at this daemon for a place at a target. Order and refusals are
+/// decided by `admission`; this class only wakes the coroutines.
+#pragma once
+
+#include "decision/admission.hpp"
+#include "decision/return_schedule.hpp"
+
+#include <boost/asio/spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <unordered_map>
+
+namespace rml::gateway {
+
+enum class place_verdict
+{
+    granted,
+    refused,
+    caller_left,
+};
+
+struct place_answer
+{
+    place_verdict verdict{place_verdict::refused};
+    refusal_reason reason{refusal_reason::none};
+    milliseconds retry_after{0}; ///< after a refusal: when to come back
+};
+
+class waiting_room
+{
+public:
+    waiting_room(boost::asio::io_context& context, const admission_settings& settings)
+        : context(context), queue(settings)
+    {
+    }
+
+    /// Waits until the request may start. A granted place is given back with `finish`.
+    place_answer wait(const admission_request& request, boost::asio::yield_context yield);
+    /// The caller of a waiting request has left.
+    void cancel(admission_ticket ticket);
+    /// `took` is zero when the request says nothing about the usual time.
+    void finish(duration took);
+    void update_capacity(std::size_t places);
+    void expire();
+
+    const admission_stats& stats() const { return this->queue.stats(); }
+
+private:
+    struct waiter
+    {
+        explicit waiter(boost::asio::io_context& context) : timer(context) {}
+        boost::asio::steady_timer timer;
+        place_answer answer;
+        time_point deadline{};
+        bool decided{false};
+    };
+    void wake(const admission_changes& changes);
+    void decide(admission_ticket ticket, const place_answer& answer);
+
+    boost::asio::io_context& context;
+    place_answer refusal(refusal_reason reason, milliseconds expected_wait, time_point deadline);
+
+    admission queue;
+    return_schedule returns;
+    std::unordered_map<admission_ticket, waiter*> waiters;
+};
+
+} // namespace rml::gateway
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -47,7 +47,11 @@
     out.version(11);
     out.set(bhttp::field::host, host);
     for (const auto& entry : message.headers) {
-        out.set(entry.name, entry.value);
+        if (beast::iequals(entry.name, "host")) {
+            out.set(bhttp::field::host, entry.value);
+        } else {
+            out.insert(entry.name, entry.value); // a header may occur more than once
+        }
     }
     out.body() = message.body;
     out.prepare_payload();
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -5,20 +5,34 @@
 
 namespace rml::http {
 
-namespace {
-
-bool equal_ignoring_case(std::string_view a, std::string_view b)
+bool equal_names(std::string_view a, std::string_view b)
 {
     return std::equal(a.begin(), a.end(), b.begin(), b.end(),
                       [](unsigned char x, unsigned char y) { return std::tolower(x) == std::tolower(y); });
 }
 
-} // namespace
+bool list_names(std::string_view value, std::string_view name)
+{
+    while (!value.empty()) {
+        const auto end = value.find(',');
+        auto part = value.substr(0, end);
+        value = end == std::string_view::npos ? std::string_view{} : value.substr(end + 1);
+        const auto first = part.find_first_not_of(" \t");
+        if (first == std::string_view::npos) {
+            continue;
+        }
+        part = part.substr(first, part.find_last_not_of(" \t") - first + 1);
+        if (equal_names(part, name)) {
+            return true;
+        }
+    }
+    return false;
+}
 
 std::optional<std::string> find_header(const header_list& headers, std::string_view name)
 {
     for (const auto& entry : headers) {
-        if (equal_ignoring_case(entry.name, name)) {
+        if (equal_names(entry.name, name)) {
             return entry.value;
         }
     }
--- a/src/control/pause.hpp
+++ b/src/http/pause.hpp
@@ -7,14 +7,14 @@
 #include <boost/asio/spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-namespace rml::control {
+namespace rml::http {
 
 /// Waits on the coroutine's own executor.
 inline void pause(milliseconds time, boost::asio::yield_context yield)
 {
-    boost::asio::steady_timer timer(http::executor_of(yield), time);
+    boost::asio::steady_timer timer(executor_of(yield), time);
     boost::system::error_code ignored;
     timer.async_wait(yield[ignored]);
 }
 
-} // namespace rml::control
+} // namespace rml::http
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <sys/socket.h>
 #include <unordered_map>
+#include <utility>
 
 namespace rml::http {
 
@@ -32,6 +33,7 @@
     tcp::acceptor acceptor;
     handler& requests;
     server_options options;
+    mutable std::mutex options_lock;
     std::atomic<bool> draining{false};
     std::atomic<bool> stopped{false};
     std::atomic<std::uint64_t> accepted{0};
@@ -39,6 +41,12 @@
     std::atomic<std::uint64_t> malformed{0};
     std::atomic<std::uint64_t> in_flight{0};
     std::atomic<std::uint64_t> open{0};
+    server_options current_options() const
+    {
+        const std::scoped_lock hold(this->options_lock);
+        return this->options;
+    }
+
     std::mutex connections_lock;
     std::unordered_map<std::uint64_t, beast::tcp_stream*> connections; ///< open ones by their number
     std::uint64_t next_connection{0};
@@ -120,9 +128,41 @@
         return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
     }
 
+    void on_disconnect(const std::function<void()>& left) override
+    {
+        this->watch = std::make_shared<departure_watch>();
+        this->watch->left = left;
+        this->stream.socket().async_wait(tcp::socket::wait_read,
+                                         [this, shared = this->watch](const boost::system::error_code& code) {
+                                             // After the end of the request the writer is gone and the
+                                             // callback with it.
+                                             if (shared->left && !code && this->disconnected()) {
+                                                 std::exchange(shared->left, nullptr)();
+                                             }
+                                             shared->waiting = false;
+                                         });
+    }
+
+    ~stream_writer() override
+    {
+        if (this->watch && this->watch->waiting) {
+            this->watch->left = nullptr;
+            boost::system::error_code ignored;
+            this->stream.socket().cancel(ignored);
+        }
+    }
+    stream_writer(const stream_writer&) = delete;
+    stream_writer& operator=(const stream_writer&) = delete;
+
     bool complete() const { return this->ended; }
 
 private:
+    struct departure_watch
+    {
+        std::function<void()> left;
+        bool waiting{true};
+    };
+
     template <class Message>
     void fill(Message& out, const response& from) const
     {
@@ -147,6 +187,7 @@
     milliseconds timeout;
     bool keep_alive;
     yield_context yield;
+    std::shared_ptr<departure_watch> watch;
     bool head_sent{false};
     bool ended{false};
 };
@@ -217,6 +258,11 @@
     if (code) {
         return code;
     }
+    if (const auto coding = parser.get()[bhttp::field::transfer_encoding];
+        !coding.empty() && !beast::iequals(coding, "chunked")) {
+        // The length of such a body is unknown: what follows could be taken for another request.
+        return bhttp::error::bad_transfer_encoding;
+    }
     if (const auto expects = parser.get()[bhttp::field::expect]; beast::iequals(expects, "100-continue")) {
         bhttp::response<bhttp::empty_body> go_on{bhttp::status::continue_, 11};
         bhttp::async_write(stream, go_on, yield[code]);
@@ -266,18 +312,19 @@
     beast::flat_buffer buffer;
     for (bool first = true; !shared->stopped; first = false) {
         bhttp::request_parser<bhttp::string_body> parser;
-        const auto code = read_request(stream, buffer, parser, shared->options, first, yield);
+        const auto options = shared->current_options();
+        const auto code = read_request(stream, buffer, parser, options, first, yield);
         if (code == bhttp::error::end_of_stream) {
             break;
         }
         if (code) {
             ++shared->malformed;
-            stream_writer writer(stream, shared->options.write_timeout, false, yield);
+            stream_writer writer(stream, options.write_timeout, false, yield);
             writer.send(error_response(status_of(code)));
             break;
         }
         const bool keep = parser.get().keep_alive() && !shared->draining;
-        stream_writer writer(stream, shared->options.write_timeout, keep, yield);
+        stream_writer writer(stream, options.write_timeout, keep, yield);
         {
             const counter_guard busy(shared->in_flight);
             stream.expires_never();
@@ -304,7 +351,7 @@
         if (code) {
             continue;
         }
-        if (shared->open >= shared->options.connections) {
+        if (shared->open >= shared->current_options().connections) {
             ++shared->refused;
             continue;
         }
@@ -369,6 +416,12 @@
                         this->inner->in_flight, this->inner->open};
 }
 
+void server::update_options(const server_options& options)
+{
+    const std::scoped_lock hold(this->inner->options_lock);
+    this->inner->options = options;
+}
+
 void server::drain()
 {
     this->inner->draining = true;
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string_view>
 
@@ -39,6 +40,10 @@
     virtual bool started() const = 0;
     /// True when the other side has closed the connection.
     virtual bool disconnected() const { return false; }
+    /// Calls `left` at most once, on the connection's executor, when the other side closes the connection
+    /// while the request is being handled. Bytes that arrive before that end the watch. The callback is
+    /// dropped with the writer.
+    virtual void on_disconnect(const std::function<void()>& left) { (void)left; }
 };
 
 /// Serves requests. Called from many connections at once.
@@ -88,6 +93,8 @@
     /// Address in use, with the port that the system picked when 0 was asked for.
     endpoint local() const;
     server_stats stats() const;
+    /// Applies to the requests that are read from now on.
+    void update_options(const server_options& options);
 
     /// From now on every response closes its connection. The listening socket stays open.
     void drain();
--- a/src/objects/settings.cpp
+++ b/src/objects/settings.cpp
@@ -28,7 +28,9 @@
     reader.finish();
 }
 
-void read_log(object_reader reader, log_settings& out)
+} // namespace
+
+void read_log_settings(object_reader reader, log_settings& out)
 {
     reader.optional_choice("level", out.level,
                            {{"debug", log_level::debug},
@@ -39,7 +41,7 @@
     reader.finish();
 }
 
-std::string joined(const std::vector<field_problem>& problems)
+std::string join_problems(const std::vector<field_problem>& problems)
 {
     std::string out;
     for (const auto& problem : problems) {
@@ -48,31 +50,19 @@
     return out;
 }
 
-} // namespace
-
 result<settings> parse_settings(const std::string& text)
 {
-    const auto document = parse_json(text);
-    if (failed(document)) {
-        return failure{failure_kind::invalid_settings, error(document).context};
-    }
-    settings out;
-    std::vector<field_problem> problems;
-    object_reader reader(value(document), "", problems);
-    reader.required("daemon", out.daemon);
-    reader.required("region", out.region);
-    reader.required("failure_domain", out.failure_domain);
-    read_listen(reader.child("listen"), out.listen);
-    read_platform(reader.child("platform"), out.platform);
-    reader.required("peer_secret", out.peer_secret, secret_length);
-    reader.required("operator_token", out.operator_token, secret_length);
-    reader.optional("workers", out.workers, worker_count);
-    read_log(reader.child("log", false), out.log);
-    reader.finish();
-    if (!problems.empty()) {
-        return failure{failure_kind::invalid_settings, joined(problems)};
-    }
-    return out;
+    return read_settings_document<settings>(text, [](object_reader& reader, settings& out) {
+        reader.required("daemon", out.daemon);
+        reader.required("region", out.region);
+        reader.required("failure_domain", out.failure_domain);
+        read_listen(reader.child("listen"), out.listen);
+        read_platform(reader.child("platform"), out.platform);
+        reader.required("peer_secret", out.peer_secret, secret_length);
+        reader.required("operator_token", out.operator_token, secret_length);
+        reader.optional("workers", out.workers, worker_count);
+        read_log_settings(reader.child("log", false), out.log);
+    });
 }
 
 } // namespace rml
--- a/src/objects/settings.hpp
+++ b/src/objects/settings.hpp
@@ -4,10 +4,12 @@
 #include "base/endpoint.hpp"
 #include "base/failure.hpp"
 #include "base/ids.hpp"
+#include "base/json_reader.hpp"
 #include "base/log.hpp"
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace rml {
 
@@ -44,6 +46,31 @@
     log_settings log;
 };
 
+/// Reads the settings of a process's log, which all daemons share.
+void read_log_settings(object_reader reader, log_settings& out);
+/// All problems in one line.
+std::string join_problems(const std::vector<field_problem>& problems);
+
+/// Reads a settings document: `read(reader, out)` reads the fields. Fails with `invalid_settings` when the
+/// text is not JSON or any field has a problem, an unknown one included.
+template <class Out, class Read>
+result<Out> read_settings_document(const std::string& text, Read read)
+{
+    const auto document = parse_json(text);
+    if (failed(document)) {
+        return failure{failure_kind::invalid_settings, error(document).context};
+    }
+    Out out;
+    std::vector<field_problem> problems;
+    object_reader reader(value(document), "", problems);
+    read(reader, out);
+    reader.finish();
+    if (!problems.empty()) {
+        return failure{failure_kind::invalid_settings, join_problems(problems)};
+    }
+    return out;
+}
+
 /// Fails with `invalid_settings`; the context names the key, what was found and what is allowed.
 result<settings> parse_settings(const std::string& text);
 
--- a/src/peer/messages.cpp
+++ b/src/peer/messages.cpp
@@ -96,6 +96,11 @@
     return {{type_field, "o"}, {"d", m.failure_domain.str()}, {"r", bytes_of(m.reports)}};
 }
 
+json to_document(const observe_ask_message& m)
+{
+    return {{type_field, "observe_ask"}, {"d", m.failure_domain.str()}};
+}
+
 json to_document(const slot_ask& m)
 {
     return {{type_field, "slot_ask"},           {"ask", m.ask},
@@ -255,6 +260,9 @@
     if (type == "o") {
         return message{observe_message{failure_domain_id(d.at("d").get<std::string>()), text_of(d.at("r"))}};
     }
+    if (type == "observe_ask") {
+        return message{observe_ask_message{failure_domain_id(d.at("d").get<std::string>())}};
+    }
     if (type == "graft") {
         return decode_graft(d);
     }
--- a/src/standin/instances.cpp
+++ b/src/standin/instances.cpp
@@ -45,7 +45,6 @@
     http::response replace(const http::request& message);
     const std::string& visible();
 
-    std::unique_ptr<http::server> server;
     std::deque<list_version> versions;
     instances_faults faults;
     std::uint64_t reads{0};
@@ -112,39 +111,23 @@
     return control_answer(reader.finish());
 }
 
-instances_server::instances_server(std::shared_ptr<state> initial) : inner(std::move(initial)) {}
-
-instances_server::~instances_server()
-{
-    this->inner->server.reset();
-}
+instances_server::instances_server(std::shared_ptr<state> initial) : served_standin(std::move(initial)) {}
 
 result<std::unique_ptr<instances_server>> instances_server::create(boost::asio::io_context& context,
-                                                                   const endpoint& listen, milliseconds lag,
+                                                                   const endpoint& address, milliseconds lag,
                                                                    const std::string& initial)
 {
     if (const auto checked = check_list(initial); failed(checked)) {
         return error(checked);
     }
-    auto created = std::make_shared<state>();
-    created->faults.lag = lag;
-    created->versions.push_back({time_point::min(), initial});
-    auto server = http::server::create(context, listen, *created);
-    if (failed(server)) {
-        return error(server);
+    auto initial_state = std::make_shared<state>();
+    initial_state->faults.lag = lag;
+    initial_state->versions.push_back({time_point::min(), initial});
+    auto created = std::unique_ptr<instances_server>(new instances_server(std::move(initial_state)));
+    if (const auto listening = created->listen(context, address); failed(listening)) {
+        return error(listening);
     }
-    created->server = value(std::move(server));
-    return std::unique_ptr<instances_server>(new instances_server(std::move(created)));
-}
-
-endpoint instances_server::local() const
-{
-    return this->inner->server->local();
-}
-
-void instances_server::stop()
-{
-    this->inner->server->stop();
+    return created;
 }
 
 std::string instances_server::fault_help()
--- a/src/standin/kv.cpp
+++ b/src/standin/kv.cpp
@@ -79,7 +79,6 @@
     std::string encode_stats() const;
 
     asio::io_context& context;
-    std::unique_ptr<http::server> server;
     std::map<std::string, stored_value> values;
     std::map<std::uint64_t, lease_state> leases;
     std::list<asio::steady_timer*> waiting;
@@ -355,33 +354,22 @@
         .dump();
 }
 
-kv_server::kv_server(std::shared_ptr<state> initial) : inner(std::move(initial)) {}
+kv_server::kv_server(const std::shared_ptr<state>& initial) : served_standin(initial), inner(initial) {}
 
 kv_server::~kv_server()
 {
-    this->inner->server.reset();
+    this->close();
     this->inner->leases.clear();
 }
 
-result<std::unique_ptr<kv_server>> kv_server::create(asio::io_context& context, const endpoint& listen)
+result<std::unique_ptr<kv_server>> kv_server::create(asio::io_context& context, const endpoint& address)
 {
-    auto created = std::make_shared<state>(context);
-    auto server = http::server::create(context, listen, *created);
-    if (failed(server)) {
-        return error(server);
+    const auto initial_state = std::make_shared<state>(context);
+    auto created = std::unique_ptr<kv_server>(new kv_server(initial_state));
+    if (const auto listening = created->listen(context, address); failed(listening)) {
+        return error(listening);
     }
-    created->server = value(std::move(server));
-    return std::unique_ptr<kv_server>(new kv_server(std::move(created)));
-}
-
-endpoint kv_server::local() const
-{
-    return this->inner->server->local();
-}
-
-void kv_server::stop()
-{
-    this->inner->server->stop();
+    return created;
 }
 
 std::string kv_server::fault_help()
--- a/src/standin/kv.hpp
+++ b/src/standin/kv.hpp
@@ -4,6 +4,7 @@
 #include "base/endpoint.hpp"
 #include "base/failure.hpp"
 #include "http/server.hpp"
+#include "standin/standin.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <memory>
@@ -25,24 +26,19 @@
 
 /// The store behind its HTTP interface. The context must run on one thread, and not while the object is
 /// destroyed.
-class kv_server
+class kv_server final : public served_standin
 {
 public:
     static result<std::unique_ptr<kv_server>> create(boost::asio::io_context& context,
-                                                     const endpoint& listen);
+                                                     const endpoint& address);
     ~kv_server();
-    kv_server(const kv_server&) = delete;
-    kv_server& operator=(const kv_server&) = delete;
-
-    endpoint local() const;
-    void stop();
 
     /// Lines for --help that document POST /faults.
     static std::string fault_help();
 
 private:
     struct state;
-    explicit kv_server(std::shared_ptr<state> initial);
+    explicit kv_server(const std::shared_ptr<state>& initial);
     std::shared_ptr<state> inner;
 };
 
--- a/src/standin/service.cpp
+++ b/src/standin/service.cpp
@@ -31,7 +31,6 @@
     http::response run(const http::request& message, std::string_view path);
 
     std::string name;
-    std::unique_ptr<http::server> server;
     service_faults faults;
     std::map<std::string, std::uint64_t> runs_of_key;
     std::uint64_t runs{0};
@@ -117,33 +116,17 @@
     return control_answer(reader.finish());
 }
 
-service_server::service_server(std::shared_ptr<state> initial) : inner(std::move(initial)) {}
-
-service_server::~service_server()
-{
-    this->inner->server.reset();
-}
+service_server::service_server(std::shared_ptr<state> initial) : served_standin(std::move(initial)) {}
 
 result<std::unique_ptr<service_server>>
-service_server::create(boost::asio::io_context& context, const endpoint& listen, const std::string& name)
+service_server::create(boost::asio::io_context& context, const endpoint& address, const std::string& name)
 {
-    auto created = std::make_shared<state>(name);
-    auto server = http::server::create(context, listen, *created);
-    if (failed(server)) {
-        return error(server);
+    auto initial_state = std::make_shared<state>(name);
+    auto created = std::unique_ptr<service_server>(new service_server(std::move(initial_state)));
+    if (const auto listening = created->listen(context, address); failed(listening)) {
+        return error(listening);
     }
-    created->server = value(std::move(server));
-    return std::unique_ptr<service_server>(new service_server(std::move(created)));
-}
-
-endpoint service_server::local() const
-{
-    return this->inner->server->local();
-}
-
-void service_server::stop()
-{
-    this->inner->server->stop();
+    return created;
 }
 
 std::string service_server::fault_help()
--- a/src/standin/service.hpp
+++ b/src/standin/service.hpp
@@ -4,6 +4,7 @@
 #include "base/endpoint.hpp"
 #include "base/failure.hpp"
 #include "http/server.hpp"
+#include "standin/standin.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <memory>
@@ -14,17 +15,11 @@
 /// Answers every call with {"service", "path", "key", "run", "body_hash"}: `run` counts the runs of the key,
 /// `body_hash` is the decimal hash64 of the body. The context must run on one thread, and not while the
 /// object is destroyed.
-class service_server
+class service_server final : public served_standin
 {
 public:
     static result<std::unique_ptr<service_server>> create(boost::asio::io_context& context,
-                                                          const endpoint& listen, const std::string& name);
-    ~service_server();
-    service_server(const service_server&) = delete;
-    service_server& operator=(const service_server&) = delete;
-
-    endpoint local() const;
-    void stop();
+                                                          const endpoint& address, const std::string& name);
 
     /// Lines for --help that document POST /faults.
     static std::string fault_help();
@@ -32,7 +27,6 @@
 private:
     struct state;
     explicit service_server(std::shared_ptr<state> initial);
-    std::shared_ptr<state> inner;
 };
 
 } // namespace rml::standin
--- a/src/standin/standin.cpp
+++ b/src/standin/standin.cpp
@@ -10,6 +10,26 @@
 
 namespace rml::standin {
 
+endpoint served_standin::local() const
+{
+    return this->server->local();
+}
+
+void served_standin::stop()
+{
+    this->server->stop();
+}
+
+status served_standin::listen(boost::asio::io_context& context, const endpoint& address)
+{
+    auto created = http::server::create(context, address, *this->handler);
+    if (failed(created)) {
+        return error(created);
+    }
+    this->server = value(std::move(created));
+    return success();
+}
+
 void sleep_for(milliseconds time, yield_context yield)
 {
     if (time <= milliseconds::zero()) {
--- a/src/standin/standin.hpp
+++ b/src/standin/standin.hpp
@@ -10,6 +10,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
 #include <functional>
+#include <memory>
 #include <nlohmann/json_fwd.hpp>
 #include <string>
 
@@ -17,6 +18,31 @@
 
 using http::yield_context;
 
+/// A stand-in that serves one socket. The context must run on one thread, and not while the object is
+/// destroyed.
+class served_standin
+{
+public:
+    served_standin(const served_standin&) = delete;
+    served_standin& operator=(const served_standin&) = delete;
+
+    endpoint local() const;
+    void stop();
+
+protected:
+    explicit served_standin(std::shared_ptr<http::handler> calls) : handler(std::move(calls)) {}
+    ~served_standin() = default;
+
+    /// Fails as http::server::create does.
+    status listen(boost::asio::io_context& context, const endpoint& address);
+    /// Closes the socket; the handler gets no further calls.
+    void close() { this->server.reset(); }
+
+private:
+    std::shared_ptr<http::handler> handler; ///< outlives the server
+    std::unique_ptr<http::server> server;
+};
+
 /// Waits inside a coroutine.
 void sleep_for(milliseconds time, yield_context yield);
 
--- a/src/standin/weights.cpp
+++ b/src/standin/weights.cpp
@@ -23,7 +23,6 @@
     void load(http::response_writer& writer, yield_context yield);
 
     weights_options options;
-    std::unique_ptr<http::server> server;
     bool down{false};
     std::uint32_t loading{0};
     std::uint32_t most_loading{0};
@@ -96,34 +95,18 @@
     return control_answer(reader.finish());
 }
 
-weights_server::weights_server(std::shared_ptr<state> initial) : inner(std::move(initial)) {}
-
-weights_server::~weights_server()
-{
-    this->inner->server.reset();
-}
+weights_server::weights_server(std::shared_ptr<state> initial) : served_standin(std::move(initial)) {}
 
 result<std::unique_ptr<weights_server>> weights_server::create(boost::asio::io_context& context,
-                                                               const endpoint& listen,
+                                                               const endpoint& address,
                                                                const weights_options& options)
 {
-    auto created = std::make_shared<state>(options);
-    auto server = http::server::create(context, listen, *created);
-    if (failed(server)) {
-        return error(server);
+    auto initial_state = std::make_shared<state>(options);
+    auto created = std::unique_ptr<weights_server>(new weights_server(std::move(initial_state)));
+    if (const auto listening = created->listen(context, address); failed(listening)) {
+        return error(listening);
     }
-    created->server = value(std::move(server));
-    return std::unique_ptr<weights_server>(new weights_server(std::move(created)));
-}
-
-endpoint weights_server::local() const
-{
-    return this->inner->server->local();
-}
-
-void weights_server::stop()
-{
-    this->inner->server->stop();
+    return created;
 }
 
 std::string weights_server::fault_help()
--- a/src/standin/weights.hpp
+++ b/src/standin/weights.hpp
@@ -4,6 +4,7 @@
 #include "base/endpoint.hpp"
 #include "base/failure.hpp"
 #include "base/time.hpp"
+#include "standin/standin.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
@@ -20,17 +21,11 @@
 };
 
 /// The context must run on one thread, and not while the object is destroyed.
-class weights_server
+class weights_server final : public served_standin
 {
 public:
     static result<std::unique_ptr<weights_server>>
-    create(boost::asio::io_context& context, const endpoint& listen, const weights_options& options);
-    ~weights_server();
-    weights_server(const weights_server&) = delete;
-    weights_server& operator=(const weights_server&) = delete;
-
-    endpoint local() const;
-    void stop();
+    create(boost::asio::io_context& context, const endpoint& address, const weights_options& options);
 
     /// Lines for --help that document POST /faults.
     static std::string fault_help();
@@ -38,7 +33,6 @@
 private:
     struct state;
     explicit weights_server(std::shared_ptr<state> initial);
-    std::shared_ptr<state> inner;
 };
 
 } // namespace rml::standin
--- a/src/target/connection_pool.cpp
+++ b/src/target/connection_pool.cpp
@@ -23,9 +23,10 @@
     return youngest;
 }
 
-bound_connection connection_pool::take_idle(const endpoint& remote, std::optional<std::uint64_t> incarnation)
+bound_connection connection_pool::take_idle(const endpoint& remote, std::optional<std::uint64_t> incarnation,
+                                            milliseconds longest_idle)
 {
-    const auto oldest = steady_clock::now() - limits::target_idle_time;
+    const auto oldest = steady_clock::now() - longest_idle;
     while (true) {
         auto candidate = this->pop(remote);
         if (!candidate.bound.connection) {
@@ -77,6 +78,17 @@
     connections.erase(connections.begin(), surplus);
 }
 
+void connection_pool::clear(const endpoint& remote)
+{
+    std::vector<idle_connection> discarded;
+    const std::scoped_lock lock(this->mutex);
+    if (const auto found = this->idle.find(to_string(remote)); found != this->idle.end()) {
+        discarded.swap(found->second);
+        this->idle.erase(found);
+        this->counts.discarded += discarded.size();
+    }
+}
+
 void connection_pool::clear()
 {
     std::unordered_map<std::string, std::vector<idle_connection>> discarded;
