Read the loss of a cut-off member when its group ends

Cause: the test polled the list of lost engines every 3 ms. The member's loss, the end of its group, the leaving of the head and the drop of the member's entry can all happen within one such interval; the engine is forgotten with its group, and the poll never sees it. Ruled out: a probe that gets an answer from the dark engine (the group does end, with `member lost`).

The test now reads the list in the callback that the manager makes when the group ends, and also checks that nothing else is in it.

--- a/tests/gateway/group_manager_test.cpp
+++ b/tests/gateway/group_manager_test.cpp
@@ -88,9 +88,12 @@
         {
             // Guards against a group that is closed and waits for requests that cannot go on: the engine
             // counts as lost like any other, so that daemons avoid its group and the head leaves at once.
+            // The loss is read when the group ends: without a group the engine is forgotten at once.
+            std::vector<instance_id> lost_at_end;
+            site.manager.on_end = [&] { lost_at_end = site.manager.lost(); };
             cut.faults.dark = true;
-            REQUIRE(site.run_until([&] { return !site.manager.lost().empty(); }));
-            CHECK(site.manager.lost().front() == group.members.back());
+            REQUIRE(site.run_until([&] { return !lost_at_end.empty(); }));
+            CHECK(lost_at_end == std::vector<instance_id>{group.members.back()});
             REQUIRE(site.run_until([&] { return site.group_count() == all_groups - 1; }));
             site.run_for(site.site->fleet.timing.stall * 2);
             CHECK(first_break(site).empty());
