Do not send requests to targets that are believed gone because all others are full

In overload all groups that work are full, and a target to avoid was used when nothing else had a place; with nothing in flight the dead one had places.

Ruled out: late news of the loss (each daemon had the manager's list).

Change: `target_choice` tells targets that are silent for a while (used when no other has a place) from those that are believed gone, lost or closing (used only when all untried ones are). A request waits for a place or is refused as not run instead. The section of `a target is chosen among those with a place` fails without the rule.

--- a/src/decision/target_choice.cpp
+++ b/src/decision/target_choice.cpp
@@ -24,10 +24,14 @@
     sound,
     near_a_tried_one, ///< in the fabric domain of a target that has had the request
     doubtful,
+    avoided,
 };
 
 preference preference_of(const target_candidate& candidate, const std::vector<target_candidate>& all)
 {
+    if (candidate.avoided) {
+        return preference::avoided;
+    }
     if (candidate.doubtful) {
         return preference::doubtful;
     }
@@ -42,9 +46,13 @@
 std::vector<std::size_t> preferred(const std::vector<target_candidate>& candidates)
 {
     std::vector<std::size_t> out;
-    auto best = preference::doubtful;
+    const bool any_usable = std::any_of(candidates.begin(), candidates.end(), [](const auto& candidate) {
+        return !candidate.tried && !candidate.avoided;
+    });
+    auto best = preference::avoided;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
-        if (candidates[i].tried || !has_place(candidates[i])) {
+        const bool passed_over = candidates[i].avoided && any_usable;
+        if (candidates[i].tried || passed_over || !has_place(candidates[i])) {
             continue;
         }
         const auto found = preference_of(candidates[i], candidates);
@@ -82,7 +90,7 @@
 {
     std::size_t sum = 0;
     for (const auto& candidate : candidates) {
-        if (!candidate.doubtful && has_place(candidate)) {
+        if (!candidate.doubtful && !candidate.avoided && has_place(candidate)) {
             sum += candidate.slots - candidate.own - candidate.others;
         }
     }
--- a/src/decision/target_choice.hpp
+++ b/src/decision/target_choice.hpp
@@ -2,7 +2,8 @@
 /// other's requests only some hundred milliseconds late: the less loaded of two random candidates, so that
 /// they do not all pick the same idle target at once. Answers also the loss of a whole fabric domain: a
 /// request that is moved goes to another domain if one has a place, because the rest of the first may be lost
-/// unseen.
+/// unseen. When all targets that work are full, the dead ones look empty: a request waits rather than try
+/// one.
 #pragma once
 
 #include "base/ids.hpp"
@@ -22,14 +23,16 @@
     std::uint32_t slots{1};  ///< requests that it runs at once
     double slowness{1};      ///< factor on its times, above 1: slower than usual
     bool tried{false};       ///< has had this request before
-    bool doubtful{false};    ///< fails or stands still; used when nothing else is left
+    bool doubtful{false};    ///< silent for a while; used when no other has a place
+    bool avoided{false};     ///< believed to be gone, lost or closing; used when all untried ones are
 };
 
-/// Index of the chosen candidate, or nothing when all are full or tried. `random` is uniform over all values.
+/// Index of the chosen candidate, or nothing when those that may be used are full or tried. `random` is
+/// uniform over all values.
 std::optional<std::size_t> choose_target(const std::vector<target_candidate>& candidates,
                                          std::uint64_t random);
 
-/// Free places over all candidates that are not doubtful.
+/// Free places over all candidates that are neither doubtful nor avoided.
 std::size_t free_places(const std::vector<target_candidate>& candidates);
 
 } // namespace rml
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -244,7 +244,7 @@
 bool fleet_state::suspected(const instance_id& instance, time_point now) const
 {
     const auto found = this->all_targets.find(instance);
-    return found != this->all_targets.end() && found->second.doubtful(now);
+    return found != this->all_targets.end() && found->second.avoided(now);
 }
 
 void fleet_state::update_avoided(const daemon_id& manager, const std::vector<instance_id>& engines,
--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -36,7 +36,7 @@
     time_point slow_until{}; ///< the report of the slowness holds until then
 
     /// Whether it is to get no new requests, unless nothing else is left.
-    bool doubtful(time_point now) const { return now < this->suspected_until || now < this->avoided_until; }
+    bool avoided(time_point now) const { return now < this->suspected_until || now < this->avoided_until; }
     /// Factor on its times; 1 when no report holds.
     double slowness_at(time_point now) const { return now < this->slow_until ? this->slowness : 1; }
 };
@@ -112,7 +112,7 @@
     /// Registered targets of a plain service that may get new requests.
     std::vector<target_state*> instances_of(const service_id& service);
 
-    /// Marks a target as doubtful for a time.
+    /// Has a target avoided for a time.
     void suspect(const instance_id& instance, time_point until);
     bool suspected(const instance_id& instance, time_point now) const;
     /// Takes the whole list of engines that the manager of the groups avoids; their groups get no new
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -102,8 +102,9 @@
         candidate.slots = static_cast<std::uint32_t>(this->slots_of(state, slots, now));
         candidate.slowness = state.slowness_at(now) * (1 + failing_slowness * state.failure_share);
         candidate.tried = std::find(tried.begin(), tried.end(), candidate.instance) != tried.end();
-        candidate.doubtful = state.doubtful(now) || this->fleet.in_flight.silence(candidate.instance, now) >=
-                                                        this->silence_limit(state, now) / doubt_divisor;
+        candidate.avoided = state.avoided(now);
+        candidate.doubtful = this->fleet.in_flight.silence(candidate.instance, now) >=
+                             this->silence_limit(state, now) / doubt_divisor;
         out.push_back(std::move(candidate));
     };
     const auto& config = this->fleet.config();
@@ -221,7 +222,7 @@
 
 void forwarder::doubt(target_state& state, target_fault fault, time_point now)
 {
-    const bool fresh = !state.doubtful(now);
+    const bool fresh = !state.avoided(now);
     const auto doubt = doubt_after(fault, this->configured.registry_heartbeat);
     state.suspected_until = std::max(state.suspected_until, now + doubt.time);
     if (!doubt.shared) {
--- a/tests/decision/target_choice_test.cpp
+++ b/tests/decision/target_choice_test.cpp
@@ -43,6 +43,25 @@
             CHECK(choose_target(rest, 7) == 2U);
         }
     }
+    SECTION("a target that is believed to be gone is not tried because all others are full")
+    {
+        // Guards against overload that is sent to dead targets: nothing is in flight there, so they alone
+        // seem to have places.
+        auto dead = place("dead", 0);
+        dead.avoided = true;
+        auto silent = place("silent", 3);
+        silent.doubtful = true;
+        CHECK_FALSE(choose_target({dead, place("full", 10)}, 3));
+        CHECK(choose_target({dead, place("full", 10), silent}, 3) == 2U);
+        CHECK(free_places({dead, place("full", 10)}) == 0);
+
+        SECTION("unless all are")
+        {
+            auto tried = place("tried", 1);
+            tried.tried = true;
+            CHECK(choose_target({tried, dead}, 3) == 1U);
+        }
+    }
     SECTION("a moved request leaves the fabric domain of the target that failed")
     {
         // Guards against streams that are broken off: all groups of a fabric domain fell silent, and the
