--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -136,7 +136,7 @@
     bool live(const peer_state& peer, time_point now) const;
 
     progress_monitor in_flight;
-    /// Targets that other daemons find silent.
+    /// Targets that this daemon and the others find silent.
     suspicion_votes doubts;
     /// False until the list of daemons can be complete.
     bool peers_settled{false};
