Name few daemons to callers, and pass changes of the store on

Cause 1: late answers of the small model on the grown sites. Callers are told of as few daemons as carry the load (decision entry_choice: the largest first, two layers over the failure domains at least), and reports between these come each 100 ms. The test plays 300 requests a second over 400 places: 89 daemons with reports of 0.74 s fill targets, 8 with reports of 0.1 s do not.

The manager passes the changes that it reads on to the others over UDP (change_notice); a daemon that misses one, or hears none for 0.7 s, follows the store itself as before.

--- /dev/null
+++ b/src/decision/entry_choice.cpp
@@ -0,0 +1,59 @@
+#include "decision/entry_choice.hpp"
+
+#include "base/hash.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <numeric>
+
+namespace rml {
+
+namespace {
+
+/// A stream of some 27 events costs a daemon 1 to 1.5 ms of a core (docs/measurements.md), so that a core
+/// takes 700 or more a second. At a third of that the daemons bear a burst and the loss of a failure domain.
+constexpr double requests_per_core = 250;
+/// With two in each failure domain the loss of one daemon leaves callers a near one.
+constexpr std::size_t least_per_domain = 2;
+
+} // namespace
+
+std::vector<std::size_t> choose_entries(const std::vector<entry_candidate>& candidates, double requests_per_s)
+{
+    std::vector<std::size_t> order(candidates.size());
+    std::iota(order.begin(), order.end(), std::size_t{0});
+    const auto tie_break = [&](std::size_t index) { return hash64(candidates[index].daemon.str()); };
+    std::sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
+        const auto& first = candidates[a];
+        const auto& second = candidates[b];
+        if (first.store_reachable != second.store_reachable) {
+            return first.store_reachable;
+        }
+        return first.cores != second.cores ? first.cores > second.cores : tie_break(a) < tie_break(b);
+    });
+    // The nth candidates of all failure domains make the nth layer.
+    std::map<failure_domain_id, std::size_t> seen;
+    std::vector<std::vector<std::size_t>> layers;
+    for (const auto index : order) {
+        const auto layer = seen[candidates[index].failure_domain]++;
+        layers.resize(std::max(layers.size(), layer + 1));
+        layers[layer].push_back(index);
+    }
+    std::vector<std::size_t> out;
+    double smallest = std::numeric_limits<double>::max();
+    for (std::size_t layer = 0; layer < layers.size(); ++layer) {
+        for (const auto index : layers[layer]) {
+            out.push_back(index);
+            smallest = std::min(smallest, candidates[index].cores);
+        }
+        // Callers pick any of them, so the smallest takes as much as the others.
+        const auto carried = static_cast<double>(out.size()) * smallest * requests_per_core;
+        if (layer + 1 >= least_per_domain && carried >= requests_per_s) {
+            break;
+        }
+    }
+    return out;
+}
+
+} // namespace rml
--- /dev/null
+++ b/src/gateway/change_notice.cpp
@@ -0,0 +1,115 @@
+#include "gateway/change_notice.hpp"
+
+#include "base/json_reader.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <numeric>
+
+namespace rml::gateway {
+
+namespace {
+
+using nlohmann::json;
+
+/// Tells notices from reports and from other versions.
+constexpr std::uint32_t notice_format = 2;
+/// Keys and values in one notice. Some packets of a usual link; an entry of a target has 300 to 400 bytes.
+constexpr std::size_t largest_notice = 4000;
+
+std::size_t size_of(const store_event& event)
+{
+    return event.key.size() + (event.value ? event.value->size() : 0);
+}
+
+} // namespace
+
+std::vector<change_notice> split_changes(std::uint64_t after, std::uint64_t revision,
+                                         const std::vector<store_event>& events)
+{
+    std::vector<change_notice> out;
+    change_notice open;
+    std::size_t bytes = 0;
+    const auto begin_after = [&](std::uint64_t known) {
+        if (!open.events.empty()) {
+            out.push_back(std::move(open));
+        }
+        open = {};
+        open.after = open.revision = known;
+        bytes = 0;
+    };
+    begin_after(after);
+    for (auto first = events.begin(); first != events.end();) {
+        // Changes of one revision belong together.
+        const auto of = first->revision;
+        const auto end =
+            std::find_if(first, events.end(), [&](const store_event& event) { return event.revision != of; });
+        const auto size = std::accumulate(first, end, std::size_t{0}, [](std::size_t sum, const auto& event) {
+            return sum + size_of(event);
+        });
+        if (size > largest_notice) {
+            begin_after(of);
+        } else {
+            if (bytes + size > largest_notice) {
+                begin_after(open.revision);
+            }
+            open.events.insert(open.events.end(), first, end);
+            open.revision = of;
+            bytes += size;
+        }
+        first = end;
+    }
+    open.revision = std::max(open.revision, revision);
+    out.push_back(std::move(open));
+    return out;
+}
+
+std::string encode_notice(const change_notice& notice)
+{
+    json events = json::array();
+    for (const auto& event : notice.events) {
+        json entry{{"k", event.key}, {"r", event.revision}};
+        if (event.value) {
+            entry["v"] = json::binary({event.value->begin(), event.value->end()});
+        }
+        events.push_back(std::move(entry));
+    }
+    return to_cbor_bytes({{"f", notice_format},
+                          {"d", notice.daemon.str()},
+                          {"a", notice.after},
+                          {"r", notice.revision},
+                          {"t", notice.age.count()},
+                          {"e", std::move(events)}});
+}
+
+bool is_notice(const json& message)
+{
+    const auto format = message.is_object() ? message.find("f") : message.end();
+    return format != message.end() && *format == notice_format;
+}
+
+result<change_notice> decode_notice(const json& message)
+{
+    try {
+        change_notice out;
+        out.daemon = daemon_id(message.at("d").get<std::string>());
+        out.after = message.at("a").get<std::uint64_t>();
+        out.revision = message.at("r").get<std::uint64_t>();
+        out.age = milliseconds(message.at("t").get<std::int64_t>());
+        for (const auto& entry : message.at("e")) {
+            store_event event;
+            event.key = entry.at("k").get<std::string>();
+            event.revision = entry.at("r").get<std::uint64_t>();
+            if (const auto found = entry.find("v"); found != entry.end()) {
+                const auto& content = found->get_binary();
+                event.value = std::string(content.begin(), content.end());
+            }
+            out.events.push_back(std::move(event));
+        }
+        return out;
+    } catch (const json::exception& problem) {
+        return failure{failure_kind::malformed, std::string("notice of changes: ") + problem.what()};
+    }
+}
+
+} // namespace rml::gateway
--- a/src/gateway/daemon.cpp
+++ b/src/gateway/daemon.cpp
@@ -3,6 +3,7 @@
 #include "base/log.hpp"
 #include "base/metrics.hpp"
 #include "gateway/coroutine.hpp"
+#include "gateway/entry_list.hpp"
 #include "gateway/fleet_state.hpp"
 #include "gateway/forwarder.hpp"
 #include "gateway/group_manager.hpp"
@@ -55,8 +56,11 @@
           entries(
               *this->ports.decoder,
               [this] {
-                  return entry_addresses(this->fleet, this->configured.listen.caller, this->ready(),
-                                         steady_clock::now());
+                  std::vector<endpoint> out;
+                  for (const auto& entry : entry_daemons(this->fleet, this->own(), steady_clock::now())) {
+                      out.push_back(entry.caller);
+                  }
+                  return out;
               },
               std::min(address_lifetime, settings.bounds.entry_lifetime)),
           metrics_text(this->metrics), signals(this->context, SIGTERM, SIGINT, SIGHUP), timer(this->context)
@@ -107,6 +111,15 @@
             this->manager.tick();
         };
         this->mirror.needs_changes_at_once = [this] { return this->holder.manages(steady_clock::now()); };
+        this->mirror.on_store_changes = [this](const std::vector<change_notice>& notices) {
+            if (this->holder.manages(steady_clock::now())) {
+                for (const auto& notice : notices) {
+                    this->exchange.send_notice(notice);
+                }
+                this->notice_sent = steady_clock::now();
+            }
+        };
+        this->exchange.on_notice = [this](const change_notice& notice) { this->mirror.take_notice(notice); };
         this->exchange.on_report = [this](const peer_report& report) { this->take_report(report); };
         this->manager.on_end = [this] { this->exchange.send_now(); };
         this->requests.on_suspect = [this] {
@@ -121,6 +134,13 @@
         };
     }
 
+    own_state own() const
+    {
+        return {daemon_entry{this->configured.listen.caller, this->configured.listen.peer, this->started_ms,
+                             this->configured.failure_domain, this->configured.cpu_share},
+                this->ready(), this->mirror.reachable(steady_clock::now()), this->requests.requests_per_s()};
+    }
+
     bool ready() const { return this->mirror.complete() && this->fleet.config() && !this->leaving; }
 
     void follow_config()
@@ -158,6 +178,7 @@
             out.slow = this->manager.slow(steady_clock::now());
         }
         out.work = this->requests.work();
+        out.requests_per_s = this->requests.requests_per_s();
         return out;
     }
 
@@ -215,7 +236,16 @@
         this->fleet.expire_targets(now);
         this->fleet.peers_settled = now - this->started >= peers_settle_time;
         this->requests.tick();
+        if (now >= this->entries_reviewed + entries_interval) {
+            this->entries_reviewed = now;
+            std::set<daemon_id> named;
+            for (const auto& entry : entry_daemons(this->fleet, this->own(), now)) {
+                named.insert(entry.daemon);
+            }
+            this->exchange.update_entries(std::move(named));
+        }
         if (this->holder.manages(now)) {
+            this->send_notice(now);
             auto work = this->requests.work();
             for (const auto& [daemon, peer] : this->fleet.peers()) {
                 if (daemon != this->fleet.self && this->fleet.live(peer, now)) {
@@ -240,6 +270,18 @@
         }
     }
 
+    /// Says how far this daemon knows the store when it had no changes to pass on for a while.
+    void send_notice(time_point now)
+    {
+        if (now < this->notice_sent + notice_interval) {
+            return;
+        }
+        if (const auto notice = this->mirror.compose_notice(now)) {
+            this->exchange.send_notice(*notice);
+            this->notice_sent = now;
+        }
+    }
+
     void wait_for_signal()
     {
         this->signals.async_wait([this](const boost::system::error_code& code, int signal) {
@@ -279,6 +321,10 @@
         start_coroutine(this->context, [this](yield_context yield) { this->holder.leave(yield); });
     }
 
+    /// Two notices may be lost before the others follow the store themselves.
+    static constexpr milliseconds notice_interval{250};
+    /// The daemons that callers are told of change with losses, which take longer to be noticed.
+    static constexpr milliseconds entries_interval{200};
     /// Reports come each 100 ms, so a suspicion of another daemon is renewed or ends.
     static constexpr milliseconds peer_suspicion{600};
     /// Three reports of a small site, and no longer than the silence after which a target is suspected.
@@ -308,6 +354,8 @@
     boost::asio::signal_set signals;
     boost::asio::steady_timer timer;
     std::uint64_t followed_version{0};
+    time_point entries_reviewed{};
+    time_point notice_sent{};
     bool leaving{false};
     time_point leaving_since{};
 };
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -279,13 +279,10 @@
     }
 }
 
-void fleet_state::update_peer(const daemon_id& daemon, const endpoint& caller, const endpoint& peer,
-                              std::int64_t started_ms)
+void fleet_state::update_peer(const daemon_id& daemon, daemon_entry entry)
 {
     auto& state = this->all_peers[daemon];
-    state.caller_address = caller;
-    state.peer_address = peer;
-    state.started_ms = started_ms;
+    state.entry = std::move(entry);
     state.registered = true;
 }
 
--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -54,12 +54,20 @@
     std::vector<instance_id> members; ///< by rank
 };
 
+/// The entry of a daemon in the store.
+struct daemon_entry
+{
+    endpoint caller; ///< where callers connect
+    endpoint peer;   ///< where reports go
+    std::int64_t started_ms{0};
+    failure_domain_id failure_domain;
+    double cores{0}; ///< share of a core that it may use
+};
+
 /// Another daemon, from the store and from its own reports.
 struct peer_state
 {
-    endpoint caller_address; ///< where callers connect
-    endpoint peer_address;   ///< where reports go
-    std::int64_t started_ms{0};
+    daemon_entry entry;
     bool registered{false}; ///< its entry is in the store
     time_point heard{};     ///< last report
     peer_report last;
@@ -123,8 +131,7 @@
 
     // Other daemons.
 
-    void update_peer(const daemon_id& daemon, const endpoint& caller, const endpoint& peer,
-                     std::int64_t started_ms);
+    void update_peer(const daemon_id& daemon, daemon_entry entry);
     void destroy_peer(const daemon_id& daemon);
     /// Returns false for a report that is older than the last one.
     bool take_report(const peer_report& report, time_point now);
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -178,6 +178,9 @@
             state.work_per_s += work_gain * (state.work_arrived / elapsed - state.work_per_s);
             state.work_arrived = 0;
         }
+        const auto arrived = static_cast<double>(this->next_number - this->requests_counted);
+        this->arriving_per_s += work_gain * (arrived / elapsed - this->arriving_per_s);
+        this->requests_counted = this->next_number;
         this->work_counted = now;
     }
 }
--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -57,6 +57,8 @@
     const std::vector<instance_id>& standing_still() const { return this->suspects; }
     /// Arriving work per model, in engine seconds per second.
     std::map<model_id, double> work() const;
+    /// Arriving requests per second, smoothed.
+    double requests_per_s() const { return this->arriving_per_s; }
     /// Requests being handled.
     std::size_t open_requests() const { return this->open; }
 
@@ -104,6 +106,8 @@
     std::size_t open{0};
     std::mt19937_64 random;
     time_point work_counted{};
+    std::uint64_t requests_counted{1}; ///< value of `next_number` when the requests were last counted
+    double arriving_per_s{0};
 
     counter& answered;
     counter& refused;
--- a/src/gateway/pages.hpp
+++ b/src/gateway/pages.hpp
@@ -2,7 +2,6 @@
 #pragma once
 
 #include "base/metrics.hpp"
-#include "gateway/fleet_state.hpp"
 #include "gateway/ports.hpp"
 #include "http/server.hpp"
 
@@ -11,11 +10,6 @@
 
 namespace rml::gateway {
 
-/// Addresses at which callers are to connect: this daemon if it takes requests, and the others that do.
-/// A daemon that was heard and fell silent is named only when no other is left.
-std::vector<endpoint> entry_addresses(const fleet_state& fleet, const endpoint& own, bool own_ready,
-                                      time_point now);
-
 /// 200 while `ready` holds, 503 otherwise.
 class readiness_page final : public http::handler
 {
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -1,8 +1,10 @@
 #include "gateway/peer_exchange.hpp"
 
+#include "base/bounded_cbor.hpp"
 #include "base/log.hpp"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
 namespace rml::gateway {
 
@@ -12,9 +14,14 @@
 
 /// Load of other daemons may be this old when a target is chosen.
 constexpr milliseconds report_interval{100};
-/// Reports per second that one daemon sends at most; larger fleets report less often.
+/// Reports per second that one daemon sends to a set of others at most; to larger sets it reports less often.
 constexpr int reports_per_s = 120;
 
+milliseconds interval_for(std::size_t receivers)
+{
+    return std::max(report_interval, milliseconds(1000 * static_cast<int>(receivers) / reports_per_s));
+}
+
 } // namespace
 
 peer_exchange::peer_exchange(boost::asio::io_context& context, fleet_state& state)
@@ -52,18 +59,18 @@
     this->socket.close(ignored);
 }
 
-milliseconds peer_exchange::interval() const
+bool peer_exchange::is_entry() const
 {
-    const auto peers = static_cast<int>(this->fleet.peers().size());
-    return std::max(report_interval, milliseconds(1000 * peers / reports_per_s));
+    return this->entries.count(this->fleet.self) != 0;
 }
 
 void peer_exchange::schedule()
 {
-    this->timer.expires_after(this->interval());
+    this->timer.expires_at(this->is_entry() ? std::min(this->next_to_entries, this->next_to_all)
+                                            : this->next_to_all);
     this->timer.async_wait([this](const boost::system::error_code& code) {
         if (!code) {
-            this->send_now();
+            this->send(steady_clock::now() >= this->next_to_all);
             this->schedule();
         }
     });
@@ -71,44 +78,81 @@
 
 void peer_exchange::send_now()
 {
+    this->send(true);
+}
+
+void peer_exchange::send(bool to_all)
+{
+    const auto now = steady_clock::now();
+    this->next_to_entries = now + interval_for(this->entries.size());
+    if (to_all) {
+        this->next_to_all = now + interval_for(this->fleet.peers().size());
+    }
     auto report = this->compose();
     report.sequence = ++this->sequence;
-    const auto bytes = encode_report(report);
+    this->send_bytes(encode_report(report), to_all);
+}
+
+void peer_exchange::send_notice(const change_notice& notice)
+{
+    this->send_bytes(encode_notice(notice), true);
+}
+
+void peer_exchange::send_bytes(const std::string& bytes, bool to_all)
+{
     for (const auto& [daemon, peer] : this->fleet.peers()) {
-        if (daemon == this->fleet.self || peer.peer_address.port == 0 || !peer.registered) {
+        const auto& target = peer.entry.peer;
+        const bool wanted = to_all || this->entries.count(daemon) != 0;
+        if (!wanted || daemon == this->fleet.self || target.port == 0 || !peer.registered) {
             continue;
         }
         boost::system::error_code code;
-        const auto address = boost::asio::ip::make_address(peer.peer_address.address, code);
+        const auto address = boost::asio::ip::make_address(target.address, code);
         if (!code) {
-            this->socket.send_to(boost::asio::buffer(bytes), udp::endpoint(address, peer.peer_address.port),
-                                 0, code);
+            this->socket.send_to(boost::asio::buffer(bytes), udp::endpoint(address, target.port), 0, code);
         }
         // A report that the socket does not take is as good as a lost one; the next is due soon.
         ++(code ? this->counts.unsent : this->counts.sent);
     }
 }
 
+void peer_exchange::take(std::string_view bytes)
+{
+    const auto refuse = [this](const failure& reason) {
+        ++this->counts.malformed;
+        log(log_level::warning, "message of another daemon not readable", {context_field(reason)});
+    };
+    const auto message = decode_bounded_cbor(bytes);
+    if (is_notice(message)) {
+        if (const auto notice = decode_notice(message); failed(notice)) {
+            refuse(error(notice));
+        } else if (this->on_notice) {
+            this->on_notice(value(notice));
+        }
+        return;
+    }
+    const auto report = decode_report(message);
+    if (failed(report)) {
+        refuse(error(report));
+    } else if (this->fleet.take_report(value(report), steady_clock::now()) && this->on_report) {
+        this->on_report(value(report));
+    }
+}
+
 void peer_exchange::receive()
 {
-    this->socket.async_receive_from(
-        boost::asio::buffer(this->buffer), this->sender,
-        [this](const boost::system::error_code& code, std::size_t length) {
-            if (code == boost::asio::error::operation_aborted || !this->socket.is_open()) {
-                return;
-            }
-            if (!code) {
-                ++this->counts.received;
-                const auto report = decode_report(std::string_view(this->buffer.data(), length));
-                if (failed(report)) {
-                    ++this->counts.malformed;
-                    log(log_level::warning, "peer report not readable", {context_field(error(report))});
-                } else if (this->fleet.take_report(value(report), steady_clock::now()) && this->on_report) {
-                    this->on_report(value(report));
-                }
-            }
-            this->receive();
-        });
+    this->socket.async_receive_from(boost::asio::buffer(this->buffer), this->sender,
+                                    [this](const boost::system::error_code& code, std::size_t length) {
+                                        if (code == boost::asio::error::operation_aborted ||
+                                            !this->socket.is_open()) {
+                                            return;
+                                        }
+                                        if (!code) {
+                                            ++this->counts.received;
+                                            this->take(std::string_view(this->buffer.data(), length));
+                                        }
+                                        this->receive();
+                                    });
 }
 
 } // namespace rml::gateway
--- a/src/gateway/peer_exchange.hpp
+++ b/src/gateway/peer_exchange.hpp
@@ -1,6 +1,7 @@
 /// Sends and receives the reports between daemons over UDP. A lost report is replaced by the next one.
 #pragma once
 
+#include "gateway/change_notice.hpp"
 #include "gateway/fleet_state.hpp"
 
 #include <array>
@@ -8,6 +9,7 @@
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <set>
 #include <string>
 
 namespace rml::gateway {
@@ -29,10 +31,18 @@
     status start(const endpoint& listen, std::function<peer_report()> compose);
     /// Sends a report at once, for example because a target stands still.
     void send_now();
+    /// Sends a notice to all other daemons.
+    void send_notice(const change_notice& notice);
     void stop();
 
+    /// Daemons that take most requests. Reports between them come more often: their view of each other's load
+    /// decides how evenly targets are filled.
+    void update_entries(std::set<daemon_id> daemons) { this->entries = std::move(daemons); }
+
     /// Called after each report that was taken.
     std::function<void(const peer_report&)> on_report;
+    /// Called for each notice of changes.
+    std::function<void(const change_notice&)> on_notice;
 
     const exchange_stats& stats() const { return this->counts; }
 
@@ -41,7 +51,10 @@
 
     void receive();
     void schedule();
-    milliseconds interval() const;
+    void send(bool to_all);
+    void send_bytes(const std::string& bytes, bool to_all);
+    void take(std::string_view bytes);
+    bool is_entry() const;
 
     fleet_state& fleet;
     boost::asio::ip::udp::socket socket;
@@ -49,6 +62,9 @@
     boost::asio::ip::udp::endpoint sender;
     std::array<char, largest_datagram> buffer{};
     std::function<peer_report()> compose;
+    std::set<daemon_id> entries;
+    time_point next_to_entries{};
+    time_point next_to_all{};
     std::uint64_t sequence{0};
     exchange_stats counts;
 };
--- a/src/gateway/peer_report.cpp
+++ b/src/gateway/peer_report.cpp
@@ -62,48 +62,45 @@
                         {"a", names_of(report.answering)},
                         {"x", names_of(report.avoided)},
                         {"p", std::move(slow)},
-                        {"w", std::move(work)}};
+                        {"w", std::move(work)},
+                        {"q", report.requests_per_s}};
     return to_cbor_bytes(document);
 }
 
-result<peer_report> decode_report(std::string_view bytes)
+result<peer_report> decode_report(const json& message)
 {
-    auto parsed = parse_cbor(bytes);
-    if (failed(parsed)) {
-        return error(parsed);
-    }
-    const auto& document = value(parsed);
     try {
-        if (document.at("f").get<std::uint32_t>() != report_format) {
+        if (message.at("f").get<std::uint32_t>() != report_format) {
             return failure{failure_kind::malformed, "peer report of another format"};
         }
         peer_report out;
-        out.daemon = daemon_id(document.at("d").get<std::string>());
-        out.started_ms = document.at("b").get<std::int64_t>();
-        out.sequence = document.at("n").get<std::uint64_t>();
-        out.leaving = document.at("l").get<bool>();
-        out.ready = document.at("r").get<bool>();
-        out.store_reachable = document.at("s").get<bool>();
-        if (document.at("t").size() > longest_list || document.at("u").size() > longest_list) {
+        out.daemon = daemon_id(message.at("d").get<std::string>());
+        out.started_ms = message.at("b").get<std::int64_t>();
+        out.sequence = message.at("n").get<std::uint64_t>();
+        out.leaving = message.at("l").get<bool>();
+        out.ready = message.at("r").get<bool>();
+        out.store_reachable = message.at("s").get<bool>();
+        if (message.at("t").size() > longest_list || message.at("u").size() > longest_list) {
             return failure{failure_kind::too_large, "peer report"};
         }
-        for (const auto& [target, count] : document.at("t").items()) {
+        for (const auto& [target, count] : message.at("t").items()) {
             out.in_flight[instance_id(target)] = count.get<std::uint32_t>();
         }
-        out.suspects = read_names(document, "u");
-        if (document.contains("a")) { // daemons of the version before do not send these two
-            out.answering = read_names(document, "a");
-            for (const auto& [head, factor] : document.at("p").items()) {
+        out.suspects = read_names(message, "u");
+        if (message.contains("a")) { // daemons of the version before do not send these two
+            out.answering = read_names(message, "a");
+            for (const auto& [head, factor] : message.at("p").items()) {
                 out.slow[instance_id(head)] = factor.get<double>();
             }
         }
-        out.avoided = read_names(document, "x");
-        out.silent = document.contains("o") ? read_names(document, "o") : out.suspects;
+        out.avoided = read_names(message, "x");
+        out.silent = message.contains("o") ? read_names(message, "o") : out.suspects;
         // Only the manager of the groups avoids any; the version before does not say that it is the one.
-        out.manages = document.contains("m") ? document.at("m").get<bool>() : !out.avoided.empty();
-        for (const auto& [model, amount] : document.at("w").items()) {
+        out.manages = message.contains("m") ? message.at("m").get<bool>() : !out.avoided.empty();
+        for (const auto& [model, amount] : message.at("w").items()) {
             out.work[model_id(model)] = amount.get<double>();
         }
+        out.requests_per_s = message.value("q", 0.0); // the version before does not send it
         return out;
     } catch (const json::exception& problem) {
         return failure{failure_kind::malformed, std::string("peer report: ") + problem.what()};
--- a/src/gateway/peer_report.hpp
+++ b/src/gateway/peer_report.hpp
@@ -7,8 +7,8 @@
 
 #include <cstdint>
 #include <map>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace rml::gateway {
@@ -29,11 +29,12 @@
     std::vector<instance_id> avoided;   ///< by the group manager: lost engines, heads of groups that end
     std::map<instance_id, double> slow; ///< by the group manager: slow heads, factor on their times
     std::map<model_id, double> work;    ///< arriving work per model, in engine seconds per second
+    double requests_per_s{0};           ///< arriving at the sender
 };
 
 /// CBOR. A report of 600 targets has about 20 KB; usual ones fit into one packet.
 std::string encode_report(const peer_report& report);
 /// Fails with `malformed`.
-result<peer_report> decode_report(std::string_view bytes);
+result<peer_report> decode_report(const nlohmann::json& message);
 
 } // namespace rml::gateway
--- a/src/gateway/registration.cpp
+++ b/src/gateway/registration.cpp
@@ -111,8 +111,8 @@
 {
     const auto sent = steady_clock::now();
     if (!this->entry_written) {
-        const daemon_entry own{this->configured.listen.caller, this->configured.listen.peer,
-                               this->started_ms};
+        const daemon_entry own{this->configured.listen.caller, this->configured.listen.peer, this->started_ms,
+                               this->configured.failure_domain, this->configured.cpu_share};
         store_commit change;
         change.puts.push_back({own_keys::daemons_prefix + this->configured.daemon.str(),
                                encode_daemon_entry(own), this->lease});
--- a/src/gateway/store_mirror.cpp
+++ b/src/gateway/store_mirror.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace rml::gateway {
 
@@ -33,6 +34,11 @@
 constexpr milliseconds longest_retry{800};
 /// Without an answer for this long the store counts as unreachable: one watch and one retry have failed.
 constexpr milliseconds unreachable_after{2200};
+/// Without a notice for this long a daemon follows the store itself: two notices and some of the third's way
+/// were lost.
+constexpr milliseconds feed_silence{700};
+/// Oldest knowledge that a notice may carry: the wait of one watch, and a lost packet.
+constexpr milliseconds oldest_feed{1200};
 constexpr milliseconds hang_detection = watch_wait + watch_slack + first_retry + usual_read;
 
 bool starts_with(const std::string& text, const std::string& prefix)
@@ -46,7 +52,9 @@
 {
     return json{{"caller", to_string(entry.caller)},
                 {"peer", to_string(entry.peer)},
-                {"started_ms", entry.started_ms}}
+                {"started_ms", entry.started_ms},
+                {"failure_domain", entry.failure_domain.str()},
+                {"cores", entry.cores}}
         .dump();
 }
 
@@ -60,19 +68,24 @@
     std::vector<field_problem> problems;
     object_reader reader(value(document), "daemon", problems);
     std::uint64_t started = 0;
+    std::string failure_domain;
     reader.required("caller", out.caller);
     reader.required("peer", out.peer);
     reader.required("started_ms", started);
+    // The version before does not say these two.
+    reader.optional("failure_domain", failure_domain);
+    reader.optional("cores", out.cores);
     if (!problems.empty()) {
         return failure{failure_kind::malformed, to_string(problems.front())};
     }
     out.started_ms = static_cast<std::int64_t>(started);
+    out.failure_domain = failure_domain_id(failure_domain);
     return out;
 }
 
 store_mirror::store_mirror(boost::asio::io_context& owner, const platform_ports& platform, fleet_state& state,
                            const gateway_settings& settings)
-    : context(owner), ports(platform), fleet(state), configured(settings),
+    : context(owner), ports(platform), fleet(state), configured(settings), feed_timer(owner),
       removals(settings.registry_heartbeat)
 {
 }
@@ -92,6 +105,10 @@
     auto retry = first_retry;
     bool whole = false;
     while (!this->stopped) {
+        if (whole && this->is_fed(steady_clock::now())) {
+            this->wait_while_fed(yield);
+            continue;
+        }
         const bool good = whole ? this->watch_once(yield) : this->read_all(yield);
         if (good) {
             retry = first_retry;
@@ -104,6 +121,55 @@
     }
 }
 
+bool store_mirror::is_fed(time_point now) const
+{
+    return now < this->fed_until && !(this->needs_changes_at_once && this->needs_changes_at_once());
+}
+
+void store_mirror::wait_while_fed(yield_context yield)
+{
+    this->feed_timer.expires_at(this->fed_until);
+    boost::system::error_code ignored; // the caller looks at the state again, however the wait ended
+    this->feed_timer.async_wait(yield[ignored]);
+}
+
+std::optional<change_notice> store_mirror::compose_notice(time_point now) const
+{
+    const auto age = std::chrono::duration_cast<milliseconds>(now - this->contact);
+    if (!this->has_read || age > oldest_feed) {
+        return std::nullopt;
+    }
+    return change_notice{this->fleet.self, this->seen_revision, this->seen_revision, age, {}};
+}
+
+void store_mirror::take_notice(const change_notice& notice)
+{
+    const auto now = steady_clock::now();
+    if (!this->has_read || notice.revision < this->seen_revision || notice.age > oldest_feed) {
+        return;
+    }
+    if (notice.after > this->seen_revision) {
+        // A notice was lost, or a change is too large for one.
+        this->fed_until = {};
+        this->feed_timer.cancel();
+        return;
+    }
+    this->removals.on_answer(now - notice.age - this->contact, now);
+    this->note_contact(std::max(this->contact, now - notice.age));
+    const auto before = std::exchange(this->seen_revision, notice.revision);
+    bool changed = false;
+    for (const auto& event : notice.events) {
+        if (event.revision > before) {
+            this->apply(event, now);
+            changed = true;
+        }
+    }
+    this->fed_until = now + feed_silence;
+    if (changed && this->on_change) {
+        this->on_change();
+    }
+}
+
 bool store_mirror::read_all(yield_context yield)
 {
     const auto sent = steady_clock::now();
@@ -114,6 +180,9 @@
         return false;
     }
     this->note_contact(now);
+    if (this->has_read && value(whole).revision < this->seen_revision) {
+        return true; // notices have told more meanwhile
+    }
     std::set<std::string> present;
     for (const auto& item : value(whole).items) {
         present.insert(item.key);
@@ -159,11 +228,20 @@
         return false;
     }
     this->note_contact(now);
-    for (const auto& event : value(changes).events) {
+    // Notices may have told a part of it meanwhile.
+    auto& events = value(changes).events;
+    const auto before = this->seen_revision;
+    events.erase(std::remove_if(events.begin(), events.end(),
+                                [&](const store_event& event) { return event.revision <= before; }),
+                 events.end());
+    for (const auto& event : events) {
         this->apply(event, now);
     }
-    this->seen_revision = std::max(this->seen_revision, value(changes).revision);
-    if (!value(changes).events.empty()) {
+    this->seen_revision = std::max(before, value(changes).revision);
+    if (!events.empty()) {
+        if (this->on_store_changes) {
+            this->on_store_changes(split_changes(before, this->seen_revision, events));
+        }
         if (this->on_change) {
             this->on_change();
         }
@@ -283,8 +361,7 @@
             {{"daemon", name}, context_field(error(decoded))});
         return;
     }
-    const auto& entry = value(decoded);
-    this->fleet.update_peer(daemon, entry.caller, entry.peer, entry.started_ms);
+    this->fleet.update_peer(daemon, value(decoded));
 }
 
 } // namespace rml::gateway
--- a/src/gateway/store_mirror.hpp
+++ b/src/gateway/store_mirror.hpp
@@ -4,11 +4,13 @@
 
 #include "base/time.hpp"
 #include "decision/removal_doubt.hpp"
+#include "gateway/change_notice.hpp"
 #include "gateway/fleet_state.hpp"
 #include "gateway/ports.hpp"
 #include "gateway/settings.hpp"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -24,14 +26,6 @@
 constexpr const char* manager = "rml/manager";
 } // namespace own_keys
 
-/// The entry of a daemon in the store.
-struct daemon_entry
-{
-    endpoint caller;
-    endpoint peer;
-    std::int64_t started_ms{0};
-};
-
 std::string encode_daemon_entry(const daemon_entry& entry);
 /// Fails with `malformed`.
 result<daemon_entry> decode_daemon_entry(std::string_view bytes);
@@ -63,13 +57,26 @@
     std::uint64_t revision() const { return this->seen_revision; }
     const std::optional<manager_record>& manager() const { return this->current_manager; }
 
-    /// The holder of the group management needs each change at once; the others gather changes for a while.
+    /// Takes what another daemon passes on. While that goes on and nothing is missing, the store is not
+    /// asked.
+    void take_notice(const change_notice& notice);
+    /// A notice for the other daemons that only says how far this one knows the store; nothing when it has
+    /// not heard of the store lately.
+    std::optional<change_notice> compose_notice(time_point now) const;
+
+    /// The holder of the group management needs each change at once and follows the store itself; the others
+    /// gather changes for a while.
     std::function<bool()> needs_changes_at_once;
+    /// Called with each batch of changes that this daemon read from the store, for passing them on.
+    std::function<void(const std::vector<change_notice>&)> on_store_changes;
     /// Called after each batch of changes.
     std::function<void()> on_change;
 
 private:
     void run(yield_context yield);
+    /// Whether another daemon passes all changes on.
+    bool is_fed(time_point now) const;
+    void wait_while_fed(yield_context yield);
     bool read_all(yield_context yield);
     bool watch_once(yield_context yield);
     void apply(const store_event& event, time_point now);
@@ -88,6 +95,8 @@
     std::uint64_t seen_revision{0};
     time_point contact{};
     bool was_reachable{true};
+    time_point fed_until{}; ///< the last notice holds until then
+    boost::asio::steady_timer feed_timer;
     removal_doubt removals;
     std::optional<manager_record> current_manager;
 };
--- /dev/null
+++ b/tests/decision/entry_choice_test.cpp
@@ -0,0 +1,175 @@
+#include "decision/entry_choice.hpp"
+
+#include "decision/target_choice.hpp"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <cstdint>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+
+using namespace rml;
+
+namespace {
+
+entry_candidate candidate(const std::string& domain, int number, double cores)
+{
+    return {daemon_id(domain + "-" + std::to_string(number)), failure_domain_id(domain), cores, true};
+}
+
+/// Four failure domains with two large machines and twenty small ones each.
+std::vector<entry_candidate> large_fleet()
+{
+    std::vector<entry_candidate> out;
+    for (const std::string domain : {"a", "b", "c", "d"}) {
+        for (int i = 0; i < 22; ++i) {
+            out.push_back(candidate(domain, i, i < 2 ? 0.5 : 0.12));
+        }
+    }
+    return out;
+}
+
+/// Plays requests that arrive at `daemons` daemons at random and take a second, over targets with 25 places.
+/// Each daemon knows its own requests at once and those of the others as of the last round of reports.
+/// Returns the share of requests that found their target full.
+double share_at_full_targets(std::size_t daemons, int ms_between_reports)
+{
+    constexpr std::size_t targets = 16;
+    constexpr std::uint32_t places = 25;
+    constexpr int requests_per_s = 300;
+    constexpr int service_ms = 1000;
+    constexpr int played_ms = 20000;
+    std::mt19937_64 random(7);
+    std::vector<std::vector<std::uint32_t>> own(daemons, std::vector<std::uint32_t>(targets, 0));
+    auto told = own;
+    std::vector<std::vector<std::pair<std::size_t, std::size_t>>> ends(played_ms + service_ms + 1);
+    std::vector<std::uint32_t> running(targets, 0);
+    int sent = 0;
+    int full = 0;
+    double due = 0;
+    for (int ms = 0; ms < played_ms; ++ms) {
+        for (const auto& [daemon, target] : ends[static_cast<std::size_t>(ms)]) {
+            --own[daemon][target];
+            --running[target];
+        }
+        // Each daemon reports at its own time within the interval.
+        for (std::size_t daemon = 0; daemon < daemons; ++daemon) {
+            const auto offset = static_cast<int>(daemon * 37) % ms_between_reports;
+            if (ms % ms_between_reports == offset) {
+                told[daemon] = own[daemon];
+            }
+        }
+        for (due += requests_per_s / 1000.0; due >= 1; due -= 1) {
+            const auto daemon = random() % daemons;
+            std::vector<target_candidate> choices(targets);
+            for (std::size_t target = 0; target < targets; ++target) {
+                choices[target].instance = instance_id("t" + std::to_string(target));
+                choices[target].slots = places;
+                choices[target].own = own[daemon][target];
+                for (std::size_t other = 0; other < daemons; ++other) {
+                    choices[target].others += other == daemon ? 0 : told[other][target];
+                }
+            }
+            const auto chosen = choose_target(choices, random());
+            ++sent;
+            if (!chosen) {
+                ++full;
+                continue;
+            }
+            full += running[*chosen] >= places ? 1 : 0;
+            ++own[daemon][*chosen];
+            ++running[*chosen];
+            ends[static_cast<std::size_t>(ms + service_ms)].emplace_back(daemon, *chosen);
+        }
+    }
+    return static_cast<double>(full) / sent;
+}
+
+} // namespace
+
+TEST_CASE("callers are told of as few daemons as carry the load", "[entry_choice]")
+{
+    const auto fleet = large_fleet();
+    const auto of = [&](double requests_per_s) {
+        std::vector<entry_candidate> out;
+        for (const auto index : choose_entries(fleet, requests_per_s)) {
+            out.push_back(fleet[index]);
+        }
+        return out;
+    };
+
+    SECTION("of the large machines in all failure domains, while these suffice")
+    {
+        const auto chosen = of(500);
+        CHECK(chosen.size() == 8);
+        std::map<failure_domain_id, int> per_domain;
+        for (const auto& entry : chosen) {
+            CHECK(entry.cores == 0.5);
+            ++per_domain[entry.failure_domain];
+        }
+        CHECK(per_domain.size() == 4);
+        CHECK(per_domain[failure_domain_id("a")] == 2);
+    }
+    SECTION("of more than before when small ones join, since each of them takes an equal part")
+    {
+        // Guards against a large machine's worth of requests that is sent to a small one.
+        const auto chosen = of(1200);
+        const auto smallest = std::min_element(
+            chosen.begin(), chosen.end(), [](const auto& a, const auto& b) { return a.cores < b.cores; });
+        CHECK(1200.0 / static_cast<double>(chosen.size()) <= 250 * smallest->cores);
+    }
+    SECTION("of all when nothing less is enough")
+    {
+        CHECK(of(100000).size() == fleet.size());
+    }
+    SECTION("and the same ones at every daemon")
+    {
+        // Guards against callers that change their daemon with each answer.
+        auto shuffled = fleet;
+        std::shuffle(shuffled.begin(), shuffled.end(), std::mt19937_64(3));
+        std::set<daemon_id> first;
+        std::set<daemon_id> second;
+        for (const auto index : choose_entries(fleet, 800)) {
+            first.insert(fleet[index].daemon);
+        }
+        for (const auto index : choose_entries(shuffled, 800)) {
+            second.insert(shuffled[index].daemon);
+        }
+        CHECK(first == second);
+    }
+}
+
+TEST_CASE("a small site names nearly all of its daemons", "[entry_choice]")
+{
+    std::vector<entry_candidate> site;
+    for (const std::string domain : {"a", "b", "c"}) {
+        site.push_back(candidate(domain, 0, 0.25));
+        site.push_back(candidate(domain, 1, 0.25));
+    }
+    CHECK(choose_entries(site, 0).size() == 6);
+
+    SECTION("those that do not reach the store only when the others do not suffice")
+    {
+        // Guards against callers that are sent to a daemon with an old configuration.
+        site.push_back(candidate("a", 2, 0.25));
+        site[0].store_reachable = false;
+        const auto chosen = choose_entries(site, 0);
+        CHECK(chosen.size() == 6);
+        CHECK(std::find(chosen.begin(), chosen.end(), std::size_t{0}) == chosen.end());
+        CHECK(choose_entries(site, 1e6).size() == site.size());
+    }
+    SECTION("none when there is none")
+    {
+        CHECK(choose_entries({}, 100).empty());
+    }
+}
+
+TEST_CASE("few daemons that hear of each other soon fill the targets evenly", "[entry_choice]")
+{
+    // Plays 300 requests a second over 400 places, three quarters of which are taken. Guards against targets
+    // with three times as many requests as others, which 89 daemons with reports of 0.74 s made of them.
+    CHECK(share_at_full_targets(89, 740) > 0.02);
+    CHECK(share_at_full_targets(8, 100) < 0.005);
+}
--- /dev/null
+++ b/tests/gateway/change_notice_test.cpp
@@ -0,0 +1,110 @@
+#include "gateway/change_notice.hpp"
+
+#include "base/bounded_cbor.hpp"
+#include "decision/random_source.hpp"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <rapidcheck.h>
+
+using namespace rml;
+using gateway::change_notice;
+using gateway::store_event;
+
+namespace {
+
+result<change_notice> decode(std::string_view bytes)
+{
+    const auto message = decode_bounded_cbor(bytes);
+    return gateway::is_notice(message) ? gateway::decode_notice(message)
+                                       : failure{failure_kind::malformed, "not a notice"};
+}
+
+store_event event(std::uint64_t revision, std::size_t bytes)
+{
+    return {"targets/i" + std::to_string(revision), std::string(bytes, 'x'), revision};
+}
+
+} // namespace
+
+TEST_CASE("changes are split into notices that follow each other", "[gateway][change_notice]")
+{
+    SECTION("without a gap while each of them fits")
+    {
+        std::vector<store_event> events;
+        for (std::uint64_t revision = 11; revision < 41; ++revision) {
+            events.push_back(event(revision, 400));
+        }
+        const auto notices = gateway::split_changes(10, 45, events);
+        CHECK(notices.size() > 1);
+        std::uint64_t known = 10;
+        std::size_t told = 0;
+        for (const auto& notice : notices) {
+            CHECK(notice.after == known);
+            known = notice.revision;
+            told += notice.events.size();
+            CHECK(gateway::encode_notice(notice).size() < 6000);
+        }
+        CHECK(known == 45);
+        CHECK(told == events.size());
+    }
+    SECTION("and a change that is too large leaves a gap, so that it is read from the store")
+    {
+        // Guards against a configuration that the receivers take for known although no notice held it.
+        const auto notices =
+            gateway::split_changes(10, 13, {event(11, 400), event(12, 50000), event(13, 400)});
+        REQUIRE(notices.size() == 2);
+        CHECK(notices[0].revision == 11);
+        CHECK(notices[1].after == 12);
+        CHECK(notices[1].events.size() == 1);
+    }
+    SECTION("changes of one revision stay together")
+    {
+        auto second = event(11, 2500);
+        second.key += "b";
+        const auto notices = gateway::split_changes(9, 11, {event(10, 2500), event(11, 1000), second});
+        REQUIRE(notices.size() == 2);
+        CHECK(notices[1].events.size() == 2);
+    }
+    SECTION("without changes one notice says how far the store is known")
+    {
+        const auto notices = gateway::split_changes(10, 12, {});
+        REQUIRE(notices.size() == 1);
+        CHECK(notices[0].after == 10);
+        CHECK(notices[0].revision == 12);
+    }
+}
+
+TEST_CASE("notices survive the wire and any damage to it", "[gateway][change_notice]")
+{
+    // Guards against a datagram that takes a daemon down, and against values that are no text.
+    const bool held = rc::check("round trip, then damage", [] {
+        random_source random;
+        change_notice notice;
+        notice.daemon = daemon_id("d" + std::to_string(random.below(100)));
+        notice.after = random.bits();
+        notice.revision = random.bits();
+        notice.age = milliseconds(random.below(2000));
+        for (std::size_t i = random.below(10); i > 0; --i) {
+            store_event entry{"targets/" + std::to_string(i), std::nullopt, random.bits()};
+            if (random.one_in(2)) {
+                entry.value = std::string(random.below(50), static_cast<char>(random.bits()));
+            }
+            notice.events.push_back(std::move(entry));
+        }
+        const auto bytes = gateway::encode_notice(notice);
+        const auto back = decode(bytes);
+        RC_ASSERT(succeeded(back));
+        RC_ASSERT(gateway::encode_notice(value(back)) == bytes);
+        for (int i = 0; i < 40; ++i) {
+            auto damaged = bytes;
+            if (random.one_in(3)) {
+                damaged.resize(random.below(damaged.size()));
+            } else {
+                damaged[random.below(damaged.size())] = static_cast<char>(random.bits());
+            }
+            (void)decode(damaged); // a failure or a notice, never an exception
+        }
+    });
+    CHECK(held);
+}
--- a/tests/gateway/fleet_state_test.cpp
+++ b/tests/gateway/fleet_state_test.cpp
@@ -1,13 +1,16 @@
 #include "gateway/fleet_state.hpp"
 
 #include "decode.hpp"
-#include "gateway/pages.hpp"
+#include "gateway/entry_list.hpp"
 
 #include <catch2/catch.hpp>
 
 using namespace rml;
+using gateway::daemon_entry;
+using gateway::entry_daemons;
 using gateway::fleet_state;
 using gateway::group_phase;
+using gateway::own_state;
 using gateway::target_entry;
 
 namespace {
@@ -168,27 +171,34 @@
 TEST_CASE("daemons are known from the store and heard from each other", "[gateway][fleet_state]")
 {
     fleet_state fleet(daemon_id("d0"));
-    const endpoint own{"10.0.0.1", 1};
+    const daemon_entry entry{{"10.0.0.1", 1}, {"10.0.0.1", 5}, 1, failure_domain_id("a"), 0.25};
+    const auto named = [&](bool own_ready, time_point now) {
+        // More than two daemons carry, so that all that take requests are named.
+        return entry_daemons(fleet, own_state{entry, own_ready, true, 1000}, now).size();
+    };
     for (const std::string name : {"d0", "d1", "d2"}) {
-        fleet.update_peer(daemon_id(name), {"10.0.0.9", static_cast<std::uint16_t>(name[1])}, {"10.0.0.9", 5},
-                          1);
+        fleet.update_peer(daemon_id(name), daemon_entry{{"10.0.0.9", static_cast<std::uint16_t>(name[1])},
+                                                        {"10.0.0.9", 5},
+                                                        1,
+                                                        failure_domain_id("a"),
+                                                        0.25});
     }
     REQUIRE(fleet.take_report(report("d1", 1, true), start));
     REQUIRE(fleet.take_report(report("d2", 1, true), start));
 
     SECTION("callers are told those that are ready")
     {
-        CHECK(entry_addresses(fleet, own, true, start).size() == 3);
+        CHECK(named(true, start) == 3);
         REQUIRE(fleet.take_report(report("d2", 2, false), start));
-        CHECK(entry_addresses(fleet, own, true, start).size() == 2);
+        CHECK(named(true, start) == 2);
     }
     SECTION("a daemon that fell silent is not named, unless no other is left")
     {
         // Guards against callers that are sent to a machine without power.
         const auto later = start + seconds(3);
         REQUIRE(fleet.take_report(report("d1", 2, true), later));
-        CHECK(entry_addresses(fleet, own, true, later).size() == 2);
-        CHECK(entry_addresses(fleet, own, false, later + seconds(9)).size() == 2);
+        CHECK(named(true, later) == 2);
+        CHECK(named(false, later + seconds(9)) == 2);
     }
     SECTION("requests of the others count while they are heard")
     {
@@ -209,7 +219,7 @@
         for (const std::string name : {"d0", "d1", "d2"}) {
             fleet_state other{daemon_id(name)};
             for (const std::string peer : {"d0", "d1", "d2"}) {
-                other.update_peer(daemon_id(peer), own, own, 1);
+                other.update_peer(daemon_id(peer), entry);
             }
             const auto share = other.share_for(instance_id("e0"), start);
             CHECK(share.daemons == 3);
--- a/tests/gateway/peer_report_test.cpp
+++ b/tests/gateway/peer_report_test.cpp
@@ -1,5 +1,6 @@
 #include "gateway/peer_report.hpp"
 
+#include "base/bounded_cbor.hpp"
 #include "decision/random_source.hpp"
 
 #include <catch2/catch.hpp>
@@ -11,6 +12,11 @@
 
 namespace {
 
+result<peer_report> decode(std::string_view bytes)
+{
+    return gateway::decode_report(decode_bounded_cbor(bytes));
+}
+
 peer_report sample(random_source& random)
 {
     peer_report out;
@@ -21,6 +27,7 @@
     out.ready = random.one_in(2);
     out.store_reachable = random.one_in(2);
     out.manages = random.one_in(2);
+    out.requests_per_s = static_cast<double>(random.below(1000)) / 8;
     for (std::size_t i = random.below(20); i > 0; --i) {
         out.in_flight[instance_id("i" + std::to_string(i))] = static_cast<std::uint32_t>(random.below(1000));
         out.suspects.emplace_back("s" + std::to_string(i));
@@ -41,11 +48,11 @@
     const bool held = rc::check("fields added since are missing", [] {
         random_source random;
         auto document = nlohmann::json::from_cbor(encode_report(sample(random)));
-        for (const char* added : {"a", "p", "m", "o"}) {
+        for (const char* added : {"a", "p", "m", "o", "q"}) {
             document.erase(added);
         }
         const auto bytes = nlohmann::json::to_cbor(document);
-        const auto back = gateway::decode_report(std::string(bytes.begin(), bytes.end()));
+        const auto back = decode(std::string(bytes.begin(), bytes.end()));
         RC_ASSERT(succeeded(back));
         RC_ASSERT(value(back).answering.empty());
         RC_ASSERT(value(back).slow.empty());
@@ -62,7 +69,7 @@
         random_source random;
         const auto report = sample(random);
         auto bytes = encode_report(report);
-        const auto back = gateway::decode_report(bytes);
+        const auto back = decode(bytes);
         RC_ASSERT(succeeded(back));
         RC_ASSERT(encode_report(value(back)) == bytes);
         for (int i = 0; i < 40; ++i) {
@@ -72,7 +79,7 @@
             } else {
                 damaged[random.below(damaged.size())] = static_cast<char>(random.bits());
             }
-            (void)gateway::decode_report(damaged); // a failure or a report, never an exception
+            (void)decode(damaged); // a failure or a report, never an exception
         }
     });
     CHECK(held);
