Let large machines manage, and do not take own pauses for lost engines

Meanwhile the other daemons tried for the right to manage, 298 times in vain, because their watches paused for a second although notices told of later changes.

Ruled out: the engines themselves; other daemons had answers from the same groups all the time.

Candidates for the management come in the order of their processor share. Probes that time out while the manager itself stood still are no evidence and are repeated (decision pause_watch, taken out of progress_monitor). A notice that tells of later changes ends the pause between two watches. The right to manage has a lease of its own, taken by candidates only; the entries of daemons are kept for 6 s, so that each daemon renews every 2 s instead of every 0.5 s. The manager's key names the lease: one that was written under an earlier lease ends with that one.

--- /dev/null
+++ b/src/decision/pause_watch.cpp
@@ -0,0 +1,27 @@
+#include "decision/pause_watch.hpp"
+
+namespace rml {
+
+namespace {
+
+/// A tick that comes later than this after the one before says that this process was paused or starved. Ticks
+/// come every 50 ms.
+constexpr milliseconds longest_tick_gap{200};
+
+} // namespace
+
+bool pause_watch::tick(time_point now)
+{
+    const bool late = this->last_tick != time_point{} && now - this->last_tick > longest_tick_gap;
+    this->last_pause = late ? now : this->last_pause;
+    this->last_tick = now;
+    return late;
+}
+
+bool pause_watch::paused_since(time_point since, time_point now) const
+{
+    const bool tick_is_due = this->last_tick != time_point{} && now - this->last_tick > longest_tick_gap;
+    return tick_is_due || (this->last_pause != time_point{} && this->last_pause >= since);
+}
+
+} // namespace rml
--- a/src/decision/progress_monitor.cpp
+++ b/src/decision/progress_monitor.cpp
@@ -2,14 +2,6 @@
 
 namespace rml {
 
-namespace {
-
-/// A tick that comes later than this after the one before says that this process was paused or starved. Ticks
-/// come every 50 ms.
-constexpr milliseconds longest_tick_gap{200};
-
-} // namespace
-
 void progress_monitor::begin(const instance_id& target, time_point now)
 {
     auto& found = this->targets[target];
@@ -76,12 +68,11 @@
 
 void progress_monitor::tick(time_point now)
 {
-    if (this->last_tick != time_point{} && now - this->last_tick > longest_tick_gap) {
+    if (this->pauses.tick(now)) {
         for (auto& [target, content] : this->targets) {
             content.last = now;
         }
     }
-    this->last_tick = now;
 }
 
 } // namespace rml
--- a/src/decision/progress_monitor.hpp
+++ b/src/decision/progress_monitor.hpp
@@ -4,6 +4,7 @@
 
 #include "base/ids.hpp"
 #include "base/time.hpp"
+#include "decision/pause_watch.hpp"
 
 #include <cstdint>
 #include <unordered_map>
@@ -47,7 +48,7 @@
         time_point progress{};      ///< bytes arrived
     };
     std::unordered_map<instance_id, state> targets;
-    time_point last_tick{};
+    pause_watch pauses;
 };
 
 } // namespace rml
--- a/src/gateway/group_formation.cpp
+++ b/src/gateway/group_formation.cpp
@@ -113,13 +113,14 @@
     what.model = plan.model;
     what.members = plan.members;
     bool all = true;
+    const auto asked = steady_clock::now();
     std::vector<std::function<void(yield_context)>> tasks;
     for (const auto& member : plan.members) {
         const auto* state = this->fleet.find_target(member);
         if (state == nullptr) {
             return false;
         }
-        tasks.emplace_back([this, &all, &what, entry = state->entry](yield_context inner) {
+        tasks.emplace_back([this, &all, &what, asked, entry = state->entry](yield_context inner) {
             for (int attempt = 0; attempt < join_tries; ++attempt) {
                 const auto answer = this->order(entry, what, inner);
                 if (succeeded(answer)) {
@@ -146,7 +147,10 @@
                 http::pause(open_retry, inner);
             }
             all = false;
-            this->mark_lost(entry.instance, "does not answer the order to join", steady_clock::now());
+            const auto now = steady_clock::now();
+            if (!this->pauses.paused_since(asked, now)) {
+                this->mark_lost(entry.instance, "does not answer the order to join", now);
+            }
         });
     }
     this->run_all(std::move(tasks), yield);
--- a/src/gateway/group_manager.cpp
+++ b/src/gateway/group_manager.cpp
@@ -112,6 +112,7 @@
 void group_manager::tick()
 {
     const auto now = steady_clock::now();
+    this->pauses.tick(now);
     if (!this->active(now) || !this->fleet.config()) {
         return;
     }
--- a/src/gateway/group_probes.cpp
+++ b/src/gateway/group_probes.cpp
@@ -119,8 +119,12 @@
 {
     result<engine_report> answer = failure{failure_kind::timeout, "not asked"};
     std::vector<std::function<void(yield_context)>> tasks;
+    const auto asked = steady_clock::now();
     this->add_probes(member, answer, tasks);
     this->run_all(std::move(tasks), yield);
+    if (failed(answer) && this->pauses.paused_since(asked, steady_clock::now())) {
+        return; // asked again after the interval
+    }
     if (failed(answer)) {
         this->mark_lost(member.instance, "no report: " + error(answer).context, steady_clock::now());
     } else if (const auto& now_in = value(answer).membership; !now_in ||
@@ -197,19 +201,29 @@
             this->add_probes(*entry, answer, tasks);
         }
     }
+    const auto asked = steady_clock::now();
     this->run_all(std::move(tasks), yield);
     const auto now = steady_clock::now();
+    const bool paused = this->pauses.paused_since(asked, now);
     bool all_answer = true;
     double slowness = 1;
     for (const auto& [member, answer] : answers) {
         if (failed(answer)) {
             all_answer = false;
-            this->mark_lost(member, "no report: " + error(answer).context, now);
+            if (!paused) {
+                this->mark_lost(member, "no report: " + error(answer).context, now);
+            }
         } else {
             slowness = std::max(slowness, value(answer).pace);
         }
     }
     this->fleet.update_slowness(head, slowness, now);
+    if (paused && !all_answer) {
+        log(log_level::info, "group probed again", {{"head", head.str()}, {"reason", "this process paused"}});
+        this->probed[head] = now;
+        return start_coroutine(this->context,
+                               [this, head](yield_context again) { this->probe_group(head, again); });
+    }
     if (all_answer && this->standstill.stands_still(head, slowness, now) &&
         this->fleet.suspected(head, now) && this->endings.count({group->group, group->epoch}) == 0) {
         this->end_group(*group, false, now, "stands still though all members answer");
--- a/src/gateway/registration.cpp
+++ b/src/gateway/registration.cpp
@@ -5,24 +5,31 @@
 #include "gateway/coroutine.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace rml::gateway {
 
 namespace {
 
-/// Lifetime of a daemon's lease: the time for which groups go unmanaged after the holder's death. Three
+/// Lifetime of the right to manage: the time for which groups go unmanaged after the holder's death. Three
 /// renewals fit into it.
-constexpr milliseconds lease_lifetime{1500};
+constexpr milliseconds right_lifetime{1500};
+/// Lifetime of a daemon's entry. The others notice its death by its silence, so the entry may stay longer;
+/// each renewal of each daemon is a call.
+constexpr milliseconds entry_lifetime{6000};
 constexpr int renewals_per_lease = 3;
-/// A third of the lease, so that a renewal that gets no answer can be repeated in time.
+/// A third of the shorter lease, so that a renewal that gets no answer can be repeated in time.
 constexpr milliseconds store_timeout{500};
-/// After a failed call; short against the lease.
+/// After a failed call for the right; short against its lease.
 constexpr milliseconds retry_pause{200};
+/// After failed calls for the entry: at first as above, later so rarely that a large fleet stays far below
+/// the store's rate when it is away.
+constexpr milliseconds longest_entry_retry{1600};
 /// A holder stops giving orders this long before its lease ends, for orders that are under way.
 constexpr milliseconds order_margin{300};
 /// Candidates for the management wait one after the other, so that one write usually decides.
 constexpr milliseconds candidate_step{120};
-constexpr std::size_t longest_candidate_queue = 8;
+constexpr std::size_t longest_candidate_queue = 24;
 
 } // namespace
 
@@ -30,26 +37,36 @@
                            store_mirror& store, fleet_state& state, const gateway_settings& settings,
                            std::int64_t life)
     : context(owner), ports(platform), mirror(store), fleet(state), configured(settings), started_ms(life),
-      identity(settings.daemon.str() + "@" + std::to_string(life)), timer(owner)
+      entry_timer(owner), right_timer(owner)
 {
 }
 
 void registration::start()
 {
-    start_coroutine(this->context, [this](yield_context yield) { this->run(yield); });
+    start_coroutine(this->context, [this](yield_context yield) { this->keep_registered(yield); });
+    start_coroutine(this->context, [this](yield_context yield) { this->keep_right(yield); });
 }
 
 bool registration::manages(time_point now) const
 {
-    return this->managed_since != 0 && now + order_margin < this->lease_until;
+    return this->managed_since != 0 && now + order_margin < this->right_lease.until;
+}
+
+std::string registration::right_identity(std::uint64_t lease) const
+{
+    // A key that was written under an earlier lease ends with that one, so it gives no right under this one.
+    return this->configured.daemon.str() + "@" + std::to_string(this->started_ms) + "/" +
+           std::to_string(lease);
 }
 
 void registration::notify()
 {
     const auto& holder = this->mirror.manager();
-    if (holder && holder->holder == this->identity) {
+    const bool own =
+        holder && this->right_lease.id != 0 && holder->holder == this->right_identity(this->right_lease.id);
+    if (own) {
         // Also after a commit whose answer was lost.
-        if (this->managed_since == 0 && this->lease != 0) {
+        if (this->managed_since == 0) {
             this->managed_since = holder->revision;
             log(log_level::info, "group management taken over",
                 {{"revision", static_cast<std::int64_t>(holder->revision)}});
@@ -57,131 +74,198 @@
     } else if (this->managed_since != 0 && (holder ? holder->revision > this->managed_since
                                                    : this->mirror.revision() >= this->managed_since)) {
         log(log_level::warning, "group management lost", {{"holder", holder ? holder->holder : ""}});
-        this->managed_since = 0;
+        this->drop_right();
     }
     if (!holder != this->vacant_since.has_value()) {
         this->vacant_since = holder ? std::nullopt : std::optional(steady_clock::now());
-        this->timer.cancel();
+        this->right_timer.cancel();
     }
 }
 
 milliseconds registration::candidate_delay() const
 {
+    // Large machines first: the holder gives all orders and tells all daemons of the store's changes.
     const auto now = steady_clock::now();
-    const auto rank = this->fleet.share_for(instance_id(own_keys::manager), now).rank;
-    return candidate_step * static_cast<int>(std::min(rank, longest_candidate_queue));
-}
-
-void registration::run(yield_context yield)
-{
-    while (!this->leaving) {
-        const bool good =
-            this->mirror.complete() && (this->lease == 0 ? this->ensure_lease(yield) : this->renew(yield));
-        if (good && this->vacant_since && !this->leaving) {
-            this->try_to_manage(yield);
-        }
-        const auto now = steady_clock::now();
-        auto wake = now + (good ? this->lifetime / renewals_per_lease : retry_pause);
-        if (this->vacant_since && good) {
-            wake = std::min(wake, std::max(now + retry_pause, *this->vacant_since + this->candidate_delay()));
-        }
-        this->timer.expires_at(wake);
-        boost::system::error_code ignored;
-        this->timer.async_wait(yield[ignored]);
+    const auto own = std::pair(this->configured.cpu_share,
+                               rendezvous_weight(own_keys::manager, this->configured.daemon.str()));
+    std::size_t rank = 0;
+    for (const auto& [daemon, peer] : this->fleet.peers()) {
+        const auto other = std::pair(peer.entry.cores, rendezvous_weight(own_keys::manager, daemon.str()));
+        const bool there = peer.registered || this->fleet.live(peer, now);
+        rank += daemon != this->fleet.self && there && other > own ? 1U : 0U;
     }
+    return candidate_step * static_cast<int>(std::min(rank, longest_candidate_queue));
 }
 
-bool registration::ensure_lease(yield_context yield)
+result<registration::held_lease> registration::create_lease(milliseconds lifetime, yield_context yield)
 {
-    const auto wanted = std::max(lease_lifetime, this->configured.store.shortest_lease);
+    const auto wanted = std::max(lifetime, this->configured.store.shortest_lease);
     const auto sent = steady_clock::now();
     const auto created = this->ports.store->create_lease(wanted, sent + store_timeout, yield);
     if (failed(created)) {
         log(log_level::debug, "no lease", {context_field(error(created))});
-        return false;
+        return error(created);
     }
-    this->lease = value(created).id;
-    this->lifetime = value(created).lifetime;
-    this->lease_until = sent + this->lifetime;
-    this->entry_written = false;
-    return this->renew(yield);
+    return held_lease{value(created).id, value(created).lifetime, sent + value(created).lifetime};
 }
 
-bool registration::renew(yield_context yield)
+bool registration::renew(held_lease& lease, yield_context yield)
 {
     const auto sent = steady_clock::now();
-    if (!this->entry_written) {
-        const daemon_entry own{this->configured.listen.caller, this->configured.listen.peer, this->started_ms,
-                               this->configured.failure_domain, this->configured.cpu_share};
-        store_commit change;
-        change.puts.push_back({own_keys::daemons_prefix + this->configured.daemon.str(),
-                               encode_daemon_entry(own), this->lease});
-        const auto written = this->ports.store->commit(change, sent + store_timeout, yield);
-        if (failed(written)) {
-            log(log_level::info, "daemon entry not written", {context_field(error(written))});
-            if (error(written).kind == failure_kind::lapsed) {
-                this->drop_lease();
-            }
-            return false;
-        }
-        this->entry_written = true;
-        return true;
+    const auto id = lease.id;
+    const auto renewed = this->ports.store->renew_lease(id, sent + store_timeout, yield);
+    if (lease.id != id) {
+        return false; // given up meanwhile
     }
-    const auto renewed = this->ports.store->renew_lease(this->lease, sent + store_timeout, yield);
     if (succeeded(renewed)) {
-        this->lease_until = sent + this->lifetime;
+        lease.until = sent + lease.lifetime;
         return true;
     }
     if (error(renewed).kind == failure_kind::lapsed) {
         log(log_level::warning, "lease lapsed", {context_field(error(renewed))});
-        this->drop_lease();
+        lease = {};
     }
     return false;
 }
 
-void registration::drop_lease()
+void registration::keep_registered(yield_context yield)
+{
+    auto retry = retry_pause;
+    while (!this->leaving) {
+        const bool good = this->mirror.complete() && this->register_daemon(yield);
+        // Before the store was read for the first time nothing has failed.
+        retry = good || !this->mirror.complete() ? retry_pause : std::min(retry * 2, longest_entry_retry);
+        this->entry_timer.expires_after(good ? this->entry_lease.lifetime / renewals_per_lease : retry);
+        boost::system::error_code ignored;
+        this->entry_timer.async_wait(yield[ignored]);
+    }
+}
+
+bool registration::register_daemon(yield_context yield)
+{
+    if (this->entry_lease.id == 0) {
+        const auto created = this->create_lease(entry_lifetime, yield);
+        if (failed(created)) {
+            return false;
+        }
+        this->entry_lease = value(created);
+        this->entry_written = false;
+    }
+    return this->entry_written ? this->renew(this->entry_lease, yield) : this->write_entry(yield);
+}
+
+bool registration::write_entry(yield_context yield)
+{
+    const daemon_entry own{this->configured.listen.caller, this->configured.listen.peer, this->started_ms,
+                           this->configured.failure_domain, this->configured.cpu_share};
+    store_commit change;
+    change.puts.push_back({own_keys::daemons_prefix + this->configured.daemon.str(), encode_daemon_entry(own),
+                           this->entry_lease.id});
+    const auto written = this->ports.store->commit(change, steady_clock::now() + store_timeout, yield);
+    if (failed(written)) {
+        log(log_level::info, "daemon entry not written", {context_field(error(written))});
+        if (error(written).kind == failure_kind::lapsed) {
+            this->entry_lease = {};
+        }
+        return false;
+    }
+    this->entry_written = true;
+    return true;
+}
+
+void registration::drop_right()
 {
-    this->lease = 0;
-    this->entry_written = false;
     this->managed_since = 0;
+    this->right_lease = {};
 }
 
-void registration::try_to_manage(yield_context yield)
+void registration::keep_right(yield_context yield)
 {
-    const auto now = steady_clock::now();
-    if (this->managed_since != 0 || this->mirror.manager() ||
-        now < *this->vacant_since + this->candidate_delay()) {
-        return;
+    while (!this->leaving) {
+        const auto now = steady_clock::now();
+        auto wake = time_point::max();
+        if (this->managed_since != 0) {
+            if (now >= this->right_lease.until) {
+                log(log_level::warning, "group management lost", {{"holder", "lease not renewed"}});
+                this->drop_right();
+                continue;
+            }
+            const bool renewed = this->renew(this->right_lease, yield);
+            if (this->right_lease.id == 0) {
+                this->drop_right();
+                continue;
+            }
+            wake = now + (renewed ? this->right_lease.lifetime / renewals_per_lease : retry_pause);
+        } else if (this->vacant_since && this->mirror.complete()) {
+            wake = *this->vacant_since + this->candidate_delay();
+            if (now >= wake) {
+                if (this->take_right(yield)) {
+                    continue;
+                }
+                wake = steady_clock::now() + retry_pause;
+            }
+        }
+        this->right_timer.expires_at(wake);
+        boost::system::error_code ignored;
+        this->right_timer.async_wait(yield[ignored]);
+    }
+}
+
+bool registration::take_right(yield_context yield)
+{
+    // A lease of a try before is used again: its commit may have taken effect although its answer was lost.
+    if (steady_clock::now() + this->right_lease.lifetime / 2 >= this->right_lease.until) {
+        const auto created = this->create_lease(right_lifetime, yield);
+        if (failed(created) || this->mirror.manager() || this->leaving) {
+            return false; // a lease that is not used lapses soon
+        }
+        this->right_lease = value(created);
     }
     store_commit change;
     change.expected.push_back({own_keys::manager, 0});
-    change.puts.push_back({own_keys::manager, this->identity, this->lease});
-    const auto written = this->ports.store->commit(change, now + store_timeout, yield);
+    change.puts.push_back(
+        {own_keys::manager, this->right_identity(this->right_lease.id), this->right_lease.id});
+    const auto written = this->ports.store->commit(change, steady_clock::now() + store_timeout, yield);
     if (failed(written)) {
         // After a lost answer the mirror shows whether the commit took effect.
         log(log_level::info, "group management not taken", {context_field(error(written))});
-        return;
+        if (error(written).kind == failure_kind::lapsed) {
+            this->right_lease = {};
+        }
+        return this->managed_since != 0;
+    }
+    if (this->leaving) {
+        this->end(this->right_lease, yield);
+        return false;
     }
-    if (this->lease != 0) {
+    if (this->managed_since == 0) {
         this->managed_since = value(written);
         log(log_level::info, "group management taken over",
             {{"revision", static_cast<std::int64_t>(this->managed_since)}});
     }
+    return true;
 }
 
-void registration::leave(yield_context yield)
+void registration::end(held_lease& lease, yield_context yield)
 {
-    this->leaving = true;
-    this->managed_since = 0;
-    this->timer.cancel();
-    if (this->lease == 0) {
+    if (lease.id == 0) {
         return;
     }
-    const auto ended = this->ports.store->end_lease(this->lease, steady_clock::now() + store_timeout, yield);
+    const auto id = std::exchange(lease, held_lease{}).id;
+    const auto ended = this->ports.store->end_lease(id, steady_clock::now() + store_timeout, yield);
     if (failed(ended)) {
         log(log_level::info, "lease not ended, it lapses", {context_field(error(ended))});
     }
-    this->lease = 0;
+}
+
+void registration::leave(yield_context yield)
+{
+    this->leaving = true;
+    this->managed_since = 0;
+    this->entry_timer.cancel();
+    this->right_timer.cancel();
+    this->end(this->right_lease, yield);
+    this->end(this->entry_lease, yield);
 }
 
 } // namespace rml::gateway
--- a/src/gateway/registration.hpp
+++ b/src/gateway/registration.hpp
@@ -1,5 +1,5 @@
-/// This daemon's lease in the platform's store: its own entry, and the right to manage groups, which one
-/// daemon holds at a time. Both end with the lease when the daemon dies.
+/// This daemon's leases in the platform's store: a long one for its entry, and a short one for the right to
+/// manage groups, which one daemon holds at a time. Both end when the daemon dies.
 #pragma once
 
 #include "gateway/management_right.hpp"
@@ -21,7 +21,7 @@
                  fleet_state& fleet, const gateway_settings& configured, std::int64_t started_ms);
 
     void start();
-    /// Ends the lease, so that the others need not wait for it to lapse.
+    /// Ends the leases, so that the others need not wait for it to lapse.
     void leave(yield_context yield);
     /// The mirror has seen changes.
     void notify();
@@ -30,12 +30,27 @@
     std::uint64_t management_revision() const override { return this->managed_since; }
 
 private:
-    void run(yield_context yield);
-    bool ensure_lease(yield_context yield);
-    bool renew(yield_context yield);
-    void try_to_manage(yield_context yield);
+    /// A lease of the store. `until` is counted from before the call, so that it never ends later there.
+    struct held_lease
+    {
+        std::uint64_t id{0}; ///< 0: none
+        milliseconds lifetime{0};
+        time_point until{};
+    };
+
+    void keep_registered(yield_context yield);
+    bool register_daemon(yield_context yield);
+    bool write_entry(yield_context yield);
+    void keep_right(yield_context yield);
+    bool take_right(yield_context yield);
+    void drop_right();
+    result<held_lease> create_lease(milliseconds lifetime, yield_context yield);
+    /// Drops the lease when the store says that it has ended.
+    bool renew(held_lease& lease, yield_context yield);
+    void end(held_lease& lease, yield_context yield);
+    /// Value of the manager's key while it is held under that lease.
+    std::string right_identity(std::uint64_t lease) const;
     milliseconds candidate_delay() const;
-    void drop_lease();
 
     boost::asio::io_context& context;
     const platform_ports& ports;
@@ -43,12 +58,11 @@
     fleet_state& fleet;
     const gateway_settings& configured;
     std::int64_t started_ms;
-    std::string identity; ///< daemon and its life
-    boost::asio::steady_timer timer;
-    std::uint64_t lease{0};
-    milliseconds lifetime{0};
-    time_point lease_until{};
+    boost::asio::steady_timer entry_timer;
+    boost::asio::steady_timer right_timer;
+    held_lease entry_lease;
     bool entry_written{false};
+    held_lease right_lease;
     std::uint64_t managed_since{0}; ///< 0: does not manage
     std::optional<time_point> vacant_since;
     bool leaving{false};
--- a/src/gateway/store_mirror.cpp
+++ b/src/gateway/store_mirror.cpp
@@ -248,7 +248,10 @@
         const bool at_once = !this->needs_changes_at_once || this->needs_changes_at_once();
         const auto& bounds = this->configured.bounds;
         const auto known_within = std::min(bounds.drain, bounds.config_apply);
-        http::pause(at_once ? manager_pause : gathering_pause(known_within, hang_detection), yield);
+        this->feed_timer.expires_after(at_once ? manager_pause
+                                               : gathering_pause(known_within, hang_detection));
+        boost::system::error_code ignored; // ends early when a notice tells of later changes
+        this->feed_timer.async_wait(yield[ignored]);
     }
     return true;
 }
