Go on ordering a head that has no other member to be told

After two orders without an answer a member other than the head is told to leave. When none can be reached, nobody was told and the head got no orders any more, not even the fence, whose first order took effect ten seconds later, just when late orders had opened the ended group again.

A member is told only when one is there and the head has not left; else the head goes on being given orders. The test fails on the code before.

--- a/src/gateway/group_ending.cpp
+++ b/src/gateway/group_ending.cpp
@@ -53,24 +53,24 @@
     }
 }
 
-void group_manager::tell_a_member(const run_key& key, ending& state, time_point now)
+const target_state* group_manager::member_to_tell(const run_key& key, const ending& state)
 {
-    const target_state* told = nullptr;
     for (const auto& member : state.members) {
         const auto* candidate = this->fleet.find_target(member);
         if (candidate != nullptr && member != state.head.instance && !this->is_lost(candidate->entry) &&
             candidate->entry.membership && candidate->entry.membership->group == key.first &&
             candidate->entry.membership->epoch == key.second) {
-            told = candidate;
-            break;
+            return candidate;
         }
     }
-    state.next_order = now + ending_retry;
-    if (told == nullptr) {
-        return;
-    }
+    return nullptr;
+}
+
+void group_manager::tell_a_member(const run_key& key, ending& state, const target_entry& member)
+{
+    state.next_order = steady_clock::now() + ending_retry;
     state.order_pending = true;
-    start_coroutine(this->context, [this, key, engine = told->entry](yield_context yield) {
+    start_coroutine(this->context, [this, key, engine = member](yield_context yield) {
         const auto answer = this->order(engine, leave_order(key), yield);
         const auto found = this->endings.find(key);
         if (found == this->endings.end()) {
@@ -130,8 +130,13 @@
     }
     // An engine that left makes the group stand still, and after the time for that the head is broken. This
     // holds wherever the head is.
-    if (!state.member_told && (state.head.instance.empty() || state.unanswered >= unanswered_limit)) {
-        return this->tell_a_member(key, state, now);
+    // A head that has left only lacks its fence, and one without other members is the only one to ask: both
+    // go on being given orders.
+    const bool out_of_reach = state.head.instance.empty() || state.unanswered >= unanswered_limit;
+    if (!state.left && !state.member_told && out_of_reach) {
+        if (const auto* member = this->member_to_tell(key, state); member != nullptr) {
+            return this->tell_a_member(key, state, member->entry);
+        }
     }
     if (state.broken_at && now >= *state.broken_at) {
         return this->confirm_out_of_reach(key, state);
--- a/src/gateway/group_manager.hpp
+++ b/src/gateway/group_manager.hpp
@@ -136,7 +136,10 @@
                    bool graceful, time_point now, const std::string& reason);
     void end_group(const served_group& group, bool graceful, time_point now, const std::string& reason);
     void release_members(const run_key& key, const ending& state);
-    void tell_a_member(const run_key& key, ending& state, time_point now);
+    /// A member other than the head that is still in the group and can be reached, or null.
+    const target_state* member_to_tell(const run_key& key, const ending& state);
+    /// Has the member leave, so that the group stands still wherever its head is.
+    void tell_a_member(const run_key& key, ending& state, const target_entry& member);
     void confirm_out_of_reach(const run_key& key, ending& state);
     void progress_ending(const run_key& key, ending& state, time_point now);
     void take_end_answer(const run_key& key, ending& state, group_action action,
--- a/tests/gateway/group_manager_test.cpp
+++ b/tests/gateway/group_manager_test.cpp
@@ -442,3 +442,25 @@
     site.run_for(milliseconds(1000));
     CHECK(first_break(site).empty());
 }
+
+TEST_CASE("a head without reachable members goes on being given orders", "[gateway][group_manager]")
+{
+    // Guards against an ending that gives no orders any more: after two orders without an answer a member was
+    // to be told instead, and there was none. The fence of such a group took effect ten seconds later, when
+    // late orders had opened the group again. Found by a hunt (late-orders, seed 1021092797389).
+    site_standin::site_options options;
+    options.fabrics = 1;
+    options.engines_per_fabric = 3; // one spare, with which the head serves again
+    managed_site site(options);
+    REQUIRE(site.run_until([&] { return site.group_count() == 1; }));
+    const auto group = site.fleet.groups().front();
+    auto& head = site.engine(group.head);
+    head.faults.late_orders = 6;
+    head.faults.late_by = milliseconds(60000);
+    site.engine(group.members.back()).faults.dark = true;
+    site.manager.on_suspect(group.head);
+    REQUIRE(site.run_until([&] { return site.group_count() == 0; }));
+    REQUIRE(site.run_until([&] { return site.group_count() == 1; }));
+    CHECK(site.fleet.groups().front().head != group.members.back());
+    CHECK(first_break(site).empty());
+}
