Add failing tests for members with old registry entries

Engines that are cut off from the store join a group while their entries still show none. The group manager then counts them as free and orders them to join another group while their head is open. A new manager does the same, because it has no records of earlier orders.

The stand-in engine gets two faults: an entry that is not updated any more, and orders of one kind that are executed late.

--- a/tests/gateway/group_manager_test.cpp
+++ b/tests/gateway/group_manager_test.cpp
@@ -470,3 +470,80 @@
     CHECK(site.fleet.groups().front().head != group.members.back());
     CHECK(first_violation(site).empty());
 }
+
+TEST_CASE("members whose entries are older than their order to join are not reused while their group is open",
+          "[gateway][group_manager]")
+{
+    // Engines cut off from the store join a group, but their entries show none until they expire.
+    site_standin::site_options options;
+    options.fabrics = 1;
+    options.engines_per_fabric = 3; // one spare
+    managed_site site(options);
+    const instance_id head("e00");
+    for (const auto* name : {"e01", "e02"}) {
+        site.engine(instance_id(name)).faults.entry_frozen = true;
+    }
+    site.engine(head).faults.late_operation = "close";
+    site.engine(head).faults.order_delay = milliseconds(60000);
+    REQUIRE(site.run_until([&] {
+        const auto* state = site.fleet.find_target(head);
+        return state != nullptr && state->entry.membership &&
+               state->entry.membership->phase == gateway::group_phase::open;
+    }));
+    site.run_for(milliseconds(1500));
+    CHECK(first_violation(site).empty());
+}
+
+TEST_CASE("a new manager does not reuse engines that are members of an open group unknown to the registry",
+          "[gateway][group_manager]")
+{
+    // A new manager has no records of orders, and the entries of engines cut off from the store are old.
+    site_standin::site_options options;
+    options.fabrics = 1;
+    options.engines_per_fabric = 3; // one spare
+    managed_site site(options);
+    site.lease.held = false;
+    const std::vector<instance_id> members{instance_id("e00"), instance_id("e01")};
+    REQUIRE(site.run_until([&] { return site.fleet.targets().size() == 5; }));
+
+    const auto send = [&](const instance_id& engine, gateway::group_action action) {
+        std::optional<result<gateway::order_verdict>> answer;
+        boost::asio::spawn(site.context, [&](gateway::yield_context yield) {
+            const gateway::group_order what{action, group_id("g1"), 1, model_id("planner"), members};
+            answer = site.ports.engines->order(site.fleet.find_target(engine)->entry, what,
+                                               steady_clock::now() + seconds(1), yield);
+        });
+        REQUIRE(site.run_until([&] { return answer.has_value(); }));
+        REQUIRE(succeeded(*answer));
+        CHECK(value(*answer) == gateway::order_verdict::started);
+    };
+    const auto form_group = [&] {
+        send(members[0], gateway::group_action::join);
+        send(members[1], gateway::group_action::join);
+        site.run_for(site.site->fleet.timing.load * 2);
+        send(members[0], gateway::group_action::open);
+    };
+    for (const auto* name : {"e00", "e01", "e02"}) {
+        const instance_id engine(name);
+        send(engine, gateway::group_action::stage);
+        REQUIRE(site.run_until([&] { return !site.fleet.find_target(engine)->entry.staged.empty(); }));
+    }
+
+    SECTION("because only the head is registered as a member")
+    {
+        site.engine(members[1]).faults.entry_frozen = true;
+        form_group();
+    }
+    SECTION("because neither the head nor another member is registered as such")
+    {
+        site.engine(members[0]).faults.entry_frozen = true;
+        site.engine(members[1]).faults.entry_frozen = true;
+        form_group();
+    }
+    site.engine(members[0]).faults.late_operation = "close";
+    site.engine(members[0]).faults.order_delay = milliseconds(60000);
+    site.lease.held = true;
+    site.lease.revision = 90;
+    site.run_for(milliseconds(1500));
+    CHECK(first_violation(site).empty());
+}
