Keep ordering a head that answers probes until its late orders are fenced

Cause: the count of unanswered orders of an ending group was never reset, so a head that left two orders unanswered and answered others in between counted as unreachable. A member was told to leave, and after the stall time a probe that showed the head outside the group released the members without a fence. Late copies of the orders to join and to open then restored the ended group.

Change: an answer resets the count. A head that answers the probe keeps receiving orders until it has joined the fence group, unless it has seen a newer epoch or no order went unanswered. The probe is repeated after another stall time, so a head that falls silent later does not hold its members.

--- a/src/gateway/group_ending.cpp
+++ b/src/gateway/group_ending.cpp
@@ -112,8 +112,11 @@
             const bool serves =
                 membership && membership->group == key.first && membership->epoch == key.second &&
                 (membership->phase == group_phase::open || membership->phase == group_phase::closing);
-            current.members_free = !serves;
-            current.head_broken_at.reset();
+            const bool moved_on = membership && membership->epoch > key.second;
+            // Late orders could make the head serve again, so it receives orders until it has joined the
+            // fence.
+            current.members_free = moved_on || (!serves && !current.needs_fence);
+            current.head_broken_at = steady_clock::now() + this->configured.bounds.stall + stall_margin;
             current.unanswered_orders = 0;
             current.graceful = false;
         } else {
@@ -218,6 +221,7 @@
         }
         return;
     }
+    state.unanswered_orders = 0;
     const auto verdict = value(answer);
     const bool accepted = verdict == order_verdict::started || verdict == order_verdict::already;
     if (action == group_action::close) {
