Reuse an engine only with evidence that its previous group has ended

Cause: the manager knew the members of a group only while it formed it. Then it read memberships from the registry, and an engine whose entry shows no group counted as free. Entries of engines that are cut off from the store stay as they are for three heartbeats, so members of a group that had just opened were ordered to join another one at the moment their own group began to end. A new manager trusts such entries from its first plan on.

Change: group_assignments holds the group that each engine may belong to, from the orders sent and from the engines' own reports, until there is evidence that the group cannot serve: never opened, head left, moved on, fenced, replaced or stalled. availability_of decides by it alone. Before an engine of unknown history joins, the manager asks it for its group. The log names the evidence at each release and the previous group of each member at each formation.

--- /dev/null
+++ b/src/decision/group_assignments.cpp
@@ -0,0 +1,124 @@
+#include "decision/group_assignments.hpp"
+
+#include <algorithm>
+
+namespace rml {
+
+std::string_view to_string(release_evidence evidence)
+{
+    switch (evidence) {
+    case release_evidence::never_opened:
+        return "never opened";
+    case release_evidence::head_left:
+        return "head left";
+    case release_evidence::head_moved_on:
+        return "head moved on";
+    case release_evidence::head_fenced:
+        return "head fenced";
+    case release_evidence::head_replaced:
+        return "head replaced";
+    case release_evidence::head_stalled:
+        return "head stalled";
+    }
+    return "unknown";
+}
+
+void group_assignments::assign(const engine_life& engine, const membership& in)
+{
+    auto& entry = this->records[engine.instance];
+    const bool same_life = entry.started_ms == engine.started_ms;
+    if (same_life && entry.current && entry.current->group.second > in.group.second) {
+        return;
+    }
+    entry = {engine.started_ms, in, std::nullopt};
+}
+
+void group_assignments::confirm_free(const engine_life& engine)
+{
+    this->records[engine.instance] = {engine.started_ms, std::nullopt, std::nullopt};
+}
+
+void group_assignments::release(const group_key& group, release_evidence evidence, time_point now)
+{
+    this->releases[group] = {evidence, now};
+    for (auto& [instance, entry] : this->records) {
+        if (entry.current && entry.current->group == group) {
+            entry.current.reset();
+            entry.previous = {group.first, evidence};
+        }
+    }
+}
+
+const group_assignments::membership* group_assignments::find(const engine_life& engine) const
+{
+    const auto found = this->records.find(engine.instance);
+    return found != this->records.end() && found->second.started_ms == engine.started_ms &&
+                   found->second.current
+               ? &*found->second.current
+               : nullptr;
+}
+
+bool group_assignments::knows(const engine_life& engine) const
+{
+    const auto found = this->records.find(engine.instance);
+    return found != this->records.end() && found->second.started_ms == engine.started_ms;
+}
+
+std::string group_assignments::describe(const engine_life& engine) const
+{
+    if (!this->knows(engine)) {
+        return "unknown";
+    }
+    const auto& entry = this->records.at(engine.instance);
+    if (entry.current) {
+        return entry.current->group.first.str();
+    }
+    return entry.previous
+               ? entry.previous->first.str() + " (" + std::string(to_string(entry.previous->second)) + ")"
+               : "none";
+}
+
+std::optional<release_evidence> group_assignments::released(const group_key& group) const
+{
+    const auto found = this->releases.find(group);
+    return found == this->releases.end() ? std::nullopt : std::optional(found->second.evidence);
+}
+
+std::vector<instance_id> group_assignments::members_of(const group_key& group) const
+{
+    std::vector<std::pair<std::uint32_t, instance_id>> ranked;
+    for (const auto& [instance, entry] : this->records) {
+        if (entry.current && entry.current->group == group) {
+            ranked.emplace_back(entry.current->rank, instance);
+        }
+    }
+    std::sort(ranked.begin(), ranked.end());
+    std::vector<instance_id> out;
+    out.reserve(ranked.size());
+    for (auto& [rank, instance] : ranked) {
+        out.push_back(std::move(instance));
+    }
+    return out;
+}
+
+void group_assignments::forget_if(const std::function<bool(const instance_id&)>& removed)
+{
+    for (auto entry = this->records.begin(); entry != this->records.end();) {
+        entry = removed(entry->first) ? this->records.erase(entry) : std::next(entry);
+    }
+}
+
+void group_assignments::forget_released_before(time_point time)
+{
+    for (auto entry = this->releases.begin(); entry != this->releases.end();) {
+        entry = entry->second.at <= time ? this->releases.erase(entry) : std::next(entry);
+    }
+}
+
+void group_assignments::clear()
+{
+    this->records.clear();
+    this->releases.clear();
+}
+
+} // namespace rml
--- /dev/null
+++ b/src/decision/group_assignments.hpp
@@ -0,0 +1,93 @@
+/// Groups that engines may belong to, from the orders sent to them and from their own reports. The registry
+/// entry of an engine that is cut off from the store is old until it expires, so an entry without a group
+/// does not prove that its engine is in none.
+#pragma once
+
+#include "base/ids.hpp"
+#include "base/time.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace rml {
+
+using group_key = std::pair<group_id, std::uint64_t>; ///< group and epoch
+
+/// Why the head of a group no longer serves, so that its members may join other groups.
+enum class release_evidence
+{
+    never_opened,  ///< no order to open the group was sent
+    head_left,     ///< the head has accepted the order to leave
+    head_moved_on, ///< the head has seen a newer epoch, or another instance answers at its address
+    head_fenced,   ///< the head has left and refuses late orders by a newer epoch
+    head_replaced, ///< the head's process has restarted
+    head_stalled,  ///< the head does not answer; a member left, and the stall time has passed since
+};
+
+std::string_view to_string(release_evidence evidence);
+
+/// Identifies one life of an engine.
+struct engine_life
+{
+    instance_id instance;
+    std::int64_t started_ms{0};
+};
+
+class group_assignments
+{
+public:
+    struct membership
+    {
+        group_key group;
+        std::uint32_t rank{0}; ///< 0 is the head
+    };
+
+    /// Records that the engine is in the group or has been ordered to join it. Does nothing if the same life
+    /// of the engine is known in a group with a newer epoch.
+    void assign(const engine_life& engine, const membership& in);
+    /// Records that the engine has reported to be in no group that may serve.
+    void confirm_free(const engine_life& engine);
+    /// Records that the group no longer serves and cannot serve again.
+    void release(const group_key& group, release_evidence evidence, time_point now);
+
+    /// Group that this life of the engine may belong to, or null if none is known.
+    const membership* find(const engine_life& engine) const;
+    /// Whether anything is known about this life of the engine.
+    bool knows(const engine_life& engine) const;
+    /// The engine's last group with the evidence of its release, for logs.
+    std::string describe(const engine_life& engine) const;
+    /// Evidence that the group does not serve; none if it may serve or its release was forgotten.
+    std::optional<release_evidence> released(const group_key& group) const;
+    /// Engines that may belong to the group, by rank.
+    std::vector<instance_id> members_of(const group_key& group) const;
+
+    /// Forgets engines whose entry was removed: their next entry is newer than what is known here.
+    void forget_if(const std::function<bool(const instance_id&)>& removed);
+    /// Forgets groups that were released at `time` or earlier.
+    void forget_released_before(time_point time);
+    void clear();
+
+private:
+    struct record
+    {
+        std::int64_t started_ms{0};
+        std::optional<membership> current;
+        std::optional<std::pair<group_id, release_evidence>> previous;
+    };
+    struct release_record
+    {
+        release_evidence evidence{release_evidence::head_left};
+        time_point at{};
+    };
+
+    std::map<instance_id, record> records;
+    std::map<group_key, release_record> releases;
+};
+
+} // namespace rml
--- a/src/gateway/group_ending.cpp
+++ b/src/gateway/group_ending.cpp
@@ -34,6 +34,11 @@
     state.since = now;
     state.head = head;
     state.members = std::move(members);
+    for (auto& member : this->assignments.members_of(key)) {
+        if (std::find(state.members.begin(), state.members.end(), member) == state.members.end()) {
+            state.members.push_back(std::move(member));
+        }
+    }
     state.needs_fence = this->unanswered_groups.count(key) != 0;
     this->endings.emplace(key, state);
     this->ended.add();
@@ -59,9 +64,10 @@
 {
     for (const auto& member : state.members) {
         const auto* candidate = this->fleet.find_target(member);
-        if (candidate != nullptr && member != state.head.instance && !this->is_lost(candidate->entry) &&
-            candidate->entry.membership && candidate->entry.membership->group == key.first &&
-            candidate->entry.membership->epoch == key.second) {
+        if (candidate == nullptr || member == state.head.instance || this->is_lost(candidate->entry)) {
+            continue;
+        }
+        if (const auto in = this->membership_of(candidate->entry); in && in->group == key) {
             return candidate;
         }
     }
@@ -92,8 +98,7 @@
 void group_manager::confirm_head_unreachable(const group_key& key, ending& state)
 {
     if (state.head.instance.empty()) {
-        state.members_free = true; // no known address, and the group has stalled for long enough
-        return;
+        return this->release(key, state, release_evidence::head_stalled); // no known address
     }
     // A head without work may not have noticed that the member left, so a head that answers must leave first.
     state.order_pending = true;
@@ -107,30 +112,29 @@
         }
         auto& current = found->second;
         current.order_pending = false;
-        if (succeeded(answer)) {
-            const auto& membership = value(answer).membership;
-            const bool serves =
-                membership && membership->group == key.first && membership->epoch == key.second &&
-                (membership->phase == group_phase::open || membership->phase == group_phase::closing);
-            const bool moved_on = membership && membership->epoch > key.second;
-            // Late orders could make the head serve again, so it receives orders until it has joined the
-            // fence.
-            current.members_free = moved_on || (!serves && !current.needs_fence);
-            current.head_broken_at = steady_clock::now() + this->configured.bounds.stall + stall_margin;
-            current.unanswered_orders = 0;
-            current.graceful = false;
-        } else {
-            current.members_free = true;
+        if (failed(answer)) {
+            return this->release(key, current, release_evidence::head_stalled);
         }
-        if (current.members_free) {
-            this->release_members(key, current);
+        const auto& membership = value(answer).membership;
+        if (membership && membership->epoch > key.second) {
+            return this->release(key, current, release_evidence::head_moved_on);
         }
+        const bool serves =
+            membership && membership->group == key.first && membership->epoch == key.second &&
+            (membership->phase == group_phase::open || membership->phase == group_phase::closing);
+        if (!serves && !current.needs_fence) {
+            return this->release(key, current, release_evidence::head_left);
+        }
+        // Late orders could make the head serve again, so it receives orders until it has joined the fence.
+        current.head_broken_at = steady_clock::now() + this->configured.bounds.stall + stall_margin;
+        current.unanswered_orders = 0;
+        current.graceful = false;
     });
 }
 
 void group_manager::advance_ending(const group_key& key, ending& state, time_point now)
 {
-    if (state.members_free || state.order_pending || now < state.next_order) {
+    if (state.released || state.order_pending || now < state.next_order) {
         return;
     }
     // When a member leaves, the group stalls, and its head stops serving after the stall time even if it
@@ -151,8 +155,7 @@
     }
     const auto* head = this->fleet.find_target(state.head.instance);
     if (head != nullptr && head->entry.started_ms != state.head.started_ms) {
-        state.members_free = true; // the head has restarted and is not in the group
-        return;
+        return this->release(key, state, release_evidence::head_replaced);
     }
     if (state.graceful && state.head_closed && now - state.since < detail::graceful_end && head != nullptr &&
         head->entry.membership && head->entry.membership->phase == group_phase::closing) {
@@ -192,7 +195,7 @@
         what.action = group_action::join;
         what.epoch = fence_epoch(key);
         what.group = group_id(std::string(fence_group_prefix) + std::to_string(what.epoch));
-        what.model = head != nullptr ? head->entry.model : state.head.model;
+        what.model = head != nullptr && !head->entry.model.empty() ? head->entry.model : state.head.model;
         what.members = {state.head.instance};
         return what;
     }
@@ -231,31 +234,40 @@
         // An engine that has seen a newer epoch, or another incarnation at its address, is not in this group.
         state.head_left =
             accepted || verdict == order_verdict::stale || verdict == order_verdict::wrong_incarnation;
-        state.members_free = state.head_left && (!state.needs_fence || !accepted || state.head.model.empty());
         state.next_order = state.head_left ? time_point{} : state.next_order;
+        if (state.head_left && !accepted) {
+            this->release(key, state, release_evidence::head_moved_on);
+        } else if (state.head_left && (!state.needs_fence || state.head.model.empty())) {
+            this->release(key, state, release_evidence::head_left);
+        }
     } else {
-        state.members_free = true;
         if (!accepted && verdict != order_verdict::stale) {
             log(log_level::warning, "head refused the newer epoch",
                 {{"head", state.head.instance.str()}, {"verdict", std::string(to_string(verdict))}});
         }
+        this->release(key, state, release_evidence::head_fenced);
     }
-    if (state.head_left && !state.members_free) {
+    if (state.head_left && !state.released) {
         this->advance_ending(key, state, steady_clock::now());
     }
-    if (state.members_free) {
-        this->release_members(key, state);
+    if (state.released) {
         this->tick();
     }
 }
 
-void group_manager::release_members(const group_key& key, const ending& state)
+void group_manager::release(const group_key& key, ending& state, release_evidence evidence)
 {
+    log(log_level::info, "group cannot serve any more; its members may join other groups",
+        {{"group", key.first.str()}, {"evidence", std::string(to_string(evidence))}});
     // A later manager would take members that still report an ended group for a group without a head.
     for (const auto& member : state.members) {
         const auto* target = this->fleet.find_target(member);
-        if (target == nullptr || member == state.head.instance || this->is_lost(target->entry) ||
-            !target->entry.membership || target->entry.membership->group != key.first) {
+        const bool head_has_left =
+            member == state.head.instance && evidence != release_evidence::never_opened;
+        if (target == nullptr || head_has_left || this->is_lost(target->entry)) {
+            continue;
+        }
+        if (const auto in = this->membership_of(target->entry); !in || in->group != key) {
             continue;
         }
         start_coroutine(this->context, [this, key, engine = target->entry](yield_context yield) {
@@ -266,6 +278,8 @@
             }
         });
     }
+    state.released = evidence;
+    this->assignments.release(key, evidence, steady_clock::now());
 }
 
 } // namespace rml::gateway
--- a/src/gateway/group_formation.cpp
+++ b/src/gateway/group_formation.cpp
@@ -13,6 +13,8 @@
 
 /// Attempts per order to join. With a third of the orders unanswered, one join in a hundred still fails.
 constexpr int max_join_attempts = 4;
+/// Attempts per question for an engine's group. One packet may be lost.
+constexpr int max_report_attempts = 2;
 /// A head refuses to open until it has noticed that it is ready, so this order needs more attempts.
 constexpr int max_open_attempts = 8;
 constexpr milliseconds order_retry_delay{100};
@@ -50,6 +52,9 @@
     created.expected = wanted.expected;
     created.loads = wanted.loads;
     created.started = now;
+    if (const auto* head = this->fleet.find_target(created.members.front()); head != nullptr) {
+        created.head = head->entry;
+    }
     this->formations[created.group] = created;
     if (const auto kept = this->reservations.find(created.fabric);
         kept != this->reservations.end() && kept->second.model == created.model) {
@@ -62,15 +67,35 @@
          {"model", created.model.str()},
          {"fabric", created.fabric.str()},
          {"members", text_of(created.members)},
+         {"previous_groups", this->previous_groups(created.members)},
          {"loads", static_cast<std::int64_t>(created.loads)},
          {"expected_ms", created.expected.count()}});
     start_coroutine(this->context,
                     [this, created](yield_context yield) { this->run_formation(created, yield); });
 }
 
+std::string group_manager::previous_groups(const std::vector<instance_id>& members)
+{
+    std::string out;
+    for (const auto& member : members) {
+        if (const auto* state = this->fleet.find_target(member); state != nullptr) {
+            out += (out.empty() ? "" : ",") +
+                   this->assignments.describe({state->entry.instance, state->entry.started_ms});
+        }
+    }
+    return out;
+}
+
 void group_manager::run_formation(formation plan, yield_context yield)
 {
     const auto revision = this->lease_revision;
+    if (!this->confirm_free(plan, yield)) {
+        if (revision == this->lease_revision) {
+            this->formations.erase(plan.group); // no order was sent
+            this->tick();
+        }
+        return;
+    }
     std::string reason;
     if (!this->join_members(plan, yield)) {
         reason = "a member did not accept the order to join";
@@ -106,6 +131,75 @@
     }
 }
 
+bool group_manager::confirm_free(const formation& plan, yield_context yield)
+{
+    struct question
+    {
+        target_entry engine;
+        result<engine_report> answer;
+    };
+    std::vector<question> questions;
+    for (const auto& member : plan.members) {
+        const auto* state = this->fleet.find_target(member);
+        if (state == nullptr) {
+            return false;
+        }
+        if (!this->assignments.knows({member, state->entry.started_ms})) {
+            questions.push_back({state->entry, failure{failure_kind::timeout, "no probe sent"}});
+        }
+    }
+    std::vector<std::function<void(yield_context)>> tasks;
+    for (auto& asked : questions) {
+        tasks.emplace_back([this, &asked](yield_context inner) {
+            for (int attempt = 0; attempt < max_report_attempts && failed(asked.answer); ++attempt) {
+                this->probes_sent.add();
+                asked.answer = this->ports.engines->report(
+                    asked.engine, steady_clock::now() + detail::probe_timeout, inner);
+            }
+        });
+    }
+    const auto revision = this->lease_revision;
+    const auto sent = steady_clock::now();
+    this->run_all(std::move(tasks), yield);
+    const auto now = steady_clock::now();
+    if (revision != this->lease_revision) {
+        return false; // the records belong to a later manager lease
+    }
+    bool all_free = true;
+    for (const auto& [engine, answer] : questions) {
+        if (failed(answer)) {
+            all_free = false;
+            if (!this->pauses.paused_since(sent, now)) {
+                this->mark_lost(engine.instance, "no report: " + error(answer).context, now);
+            }
+        } else {
+            all_free = this->record_report(engine, value(answer)) && all_free;
+        }
+    }
+    return all_free;
+}
+
+bool group_manager::record_report(const target_entry& engine, const engine_report& report)
+{
+    const engine_life life{engine.instance, engine.started_ms};
+    const auto& in = report.membership;
+    const group_key key = in ? group_key(in->group, in->epoch) : group_key();
+    const auto end = this->endings.find(key);
+    const bool ended =
+        this->assignments.released(key) || (end != this->endings.end() && end->second.released);
+    if (!in || is_fence_group(in->group) || ended) {
+        this->assignments.confirm_free(life);
+        return true;
+    }
+    this->assignments.assign(life, {key, in->rank});
+    if (end != this->endings.end()) {
+        end->second.members.push_back(engine.instance);
+    }
+    log(log_level::info, "engine is in a group that its entry does not show",
+        {{"engine", engine.instance.str()}, {"group", in->group.str()}});
+    return false;
+}
+
 bool group_manager::join_members(const formation& plan, yield_context yield)
 {
     group_order what;
@@ -115,6 +209,12 @@
     what.model = plan.model;
     what.members = plan.members;
     bool all = true;
+    for (std::uint32_t rank = 0; rank < plan.members.size(); ++rank) {
+        if (const auto* state = this->fleet.find_target(plan.members[rank]); state != nullptr) {
+            this->assignments.assign({plan.members[rank], state->entry.started_ms},
+                                     {{plan.group, plan.epoch}, rank});
+        }
+    }
     const auto sent = steady_clock::now();
     std::vector<std::function<void(yield_context)>> tasks;
     for (const auto& member : plan.members) {
@@ -204,7 +304,7 @@
     return false;
 }
 
-bool group_manager::open_head(const formation& plan, yield_context yield)
+bool group_manager::open_head(formation& plan, yield_context yield)
 {
     group_order what;
     what.action = group_action::open;
@@ -216,6 +316,7 @@
             return false;
         }
         const auto entry = head->entry;
+        plan.open_sent = true;
         const auto answer = this->order(entry, what, yield);
         if (succeeded(answer) &&
             (value(answer) == order_verdict::started || value(answer) == order_verdict::already)) {
@@ -237,10 +338,13 @@
     this->abandoned.add();
     log(log_level::warning, "formation abandoned; ending group",
         {{"group", plan.group.str()}, {"reason", reason}});
-    // The head may execute the order to open late, so it must leave before it can join another group.
-    if (const auto* head = this->fleet.find_target(plan.members.front()); head != nullptr) {
-        this->end_group({plan.group, plan.epoch}, head->entry, {plan.members.front()}, false,
-                        steady_clock::now(), reason);
+    const group_key key(plan.group, plan.epoch);
+    auto head = plan.head;
+    head.model = plan.model;
+    this->end_group(key, head, plan.members, false, steady_clock::now(), reason);
+    if (!plan.open_sent) {
+        // Otherwise the head may execute the order to open late, so it has to leave first.
+        this->release(key, this->endings.at(key), release_evidence::never_opened);
     }
 }
 
--- a/src/gateway/group_manager.cpp
+++ b/src/gateway/group_manager.cpp
@@ -62,7 +62,7 @@
 {
     auto out = this->lost();
     for (const auto& [key, state] : this->endings) {
-        if (!state.members_free && !state.head.instance.empty()) {
+        if (!state.released && !state.head.instance.empty()) {
             out.push_back(state.head.instance);
         }
     }
@@ -96,6 +96,7 @@
 {
     this->formations.clear();
     this->endings.clear();
+    this->assignments.clear();
     this->unanswered_groups.clear();
     this->lost_engines.clear();
     this->stagings.clear();
@@ -129,6 +130,9 @@
 void group_manager::remove_expired_records(time_point now)
 {
     this->remove_expired_probes(now);
+    this->assignments.forget_if(
+        [&](const instance_id& engine) { return this->fleet.find_entry(engine) == nullptr; });
+    this->assignments.forget_released_before(now - max_order_delay);
     for (auto entry = this->lost_engines.begin(); entry != this->lost_engines.end();) {
         const auto* engine = this->fleet.find_entry(entry->first);
         const bool other_life = engine == nullptr || engine->started_ms != entry->second.started_ms;
@@ -151,10 +155,16 @@
 
 void group_manager::review_groups(time_point now)
 {
-    std::map<group_key, std::vector<const target_entry*>> by_group;
+    std::map<group_key, group_members> by_group;
     const auto add = [&](const target_entry& entry) {
+        std::optional<group_key> shown;
         if (entry.membership && !is_fence_group(entry.membership->group)) {
-            by_group[{entry.membership->group, entry.membership->epoch}].push_back(&entry);
+            shown = group_key(entry.membership->group, entry.membership->epoch);
+            by_group[*shown].registered.push_back(&entry);
+        }
+        if (const auto in = this->membership_of(entry);
+            in && in->group != shown && !is_fence_group(in->group.first)) {
+            by_group[in->group].assigned.push_back(&entry);
         }
     };
     for (const auto& [instance, entry] : this->fleet.absent_members()) {
@@ -165,7 +175,7 @@
     }
     for (auto entry = this->endings.begin(); entry != this->endings.end();) {
         const auto& state = entry->second;
-        const bool past = state.members_free || now - state.since > max_order_delay;
+        const bool past = state.released || now - state.since > max_order_delay;
         entry = by_group.count(entry->first) == 0 && !state.order_pending && past ? this->endings.erase(entry)
                                                                                   : std::next(entry);
     }
@@ -177,8 +187,7 @@
     }
 }
 
-void group_manager::review_group(const group_key& key, const std::vector<const target_entry*>& members,
-                                 time_point now)
+void group_manager::review_group(const group_key& key, const group_members& members, time_point now)
 {
     if (const auto forming = this->formations.find(key.first);
         forming != this->formations.end() && forming->second.epoch == key.second) {
@@ -189,10 +198,17 @@
     }
     const target_entry* head = nullptr;
     std::vector<instance_id> names;
-    for (const auto* member : members) {
+    for (const auto* member : members.registered) {
         head = member->membership->rank == 0 ? member : head;
         names.push_back(member->instance);
     }
+    for (const auto* member : members.assigned) {
+        names.push_back(member->instance);
+        if (head == nullptr && this->membership_of(*member)->rank == 0) {
+            return this->end_group(key, *member, names, true, now,
+                                   "entry of the head does not show the group");
+        }
+    }
     if (head == nullptr) {
         // The head may still serve and be cut off from the store only.
         const auto* removed = this->fleet.removed_head(key.first, key.second);
@@ -214,7 +230,7 @@
     if (model == nullptr) {
         return this->end_group(key, *head, names, true, now, "model is no longer served");
     }
-    for (const auto* member : members) {
+    for (const auto* member : members.registered) {
         if (this->is_lost(*member)) {
             return this->end_group(key, *head, names, false, now, "member lost");
         }
@@ -222,7 +238,7 @@
             return this->end_group(key, *head, names, true, now, "member is draining");
         }
     }
-    if (members.size() < model->group_size) {
+    if (members.registered.size() < model->group_size) {
         this->end_group(key, *head, names, true, now, "member not registered");
     }
 }
@@ -240,37 +256,32 @@
             return availability::busy;
         }
     }
+    const auto in = this->membership_of(entry);
     for (const auto& [key, end] : this->endings) {
         // A member that reports no membership any more is busy as well: the head may still serve.
         const bool concerned =
             end.head.instance == entry.instance ||
             std::find(end.members.begin(), end.members.end(), entry.instance) != end.members.end();
-        const bool elsewhere =
-            entry.membership && group_key(entry.membership->group, entry.membership->epoch) != key;
-        if (concerned && !elsewhere && !end.members_free) {
+        const bool elsewhere = in && in->group != key;
+        if (concerned && !elsewhere && !end.released) {
             return availability::busy;
         }
     }
-    if (!entry.membership || is_fence_group(entry.membership->group)) {
+    if (!in || is_fence_group(in->group.first)) {
         return availability::free;
     }
-    const group_key key{entry.membership->group, entry.membership->epoch};
-    if (const auto end = this->endings.find(key); end != this->endings.end()) {
-        // The engine may have been unregistered when the ending of its group began.
-        return end->second.members_free ? availability::free : availability::busy;
-    }
-    const auto head =
-        std::find_if(this->fleet.targets().begin(), this->fleet.targets().end(), [&](const auto& other) {
-            const auto& membership = other.second.entry.membership;
-            return membership && membership->rank == 0 &&
-                   group_key(membership->group, membership->epoch) == key;
-        });
-    if (head == this->fleet.targets().end()) {
-        return availability::busy;
+    const auto end = this->endings.find(in->group);
+    return end != this->endings.end() && end->second.released ? availability::free : availability::busy;
+}
+
+std::optional<group_assignments::membership> group_manager::membership_of(const target_entry& engine) const
+{
+    const auto* known = this->assignments.find({engine.instance, engine.started_ms});
+    const auto& shown = engine.membership;
+    if (shown && (known == nullptr || known->group.second <= shown->epoch)) {
+        return group_assignments::membership{{shown->group, shown->epoch}, shown->rank};
     }
-    const auto phase = head->second.entry.membership->phase;
-    return phase == group_phase::open || phase == group_phase::closing ? availability::busy
-                                                                       : availability::free;
+    return known != nullptr ? std::optional(*known) : std::nullopt;
 }
 
 std::uint32_t group_manager::loads_allowed(const engine_profile& profile) const
--- a/src/gateway/group_manager.hpp
+++ b/src/gateway/group_manager.hpp
@@ -2,11 +2,13 @@
 /// derives its state from what the engines report, so a new manager needs nothing from the previous one.
 ///
 /// Safety: an engine joins another group only when the head of its previous group is known not to serve.
+/// `group_assignments` holds the evidence; the registry alone does not show to which group an engine belongs.
 /// Epochs grow with each group and with each manager, so an engine refuses orders that are older than the
 /// newest epoch it has seen.
 #pragma once
 
 #include "base/metrics.hpp"
+#include "decision/group_assignments.hpp"
 #include "decision/group_stall.hpp"
 #include "decision/pause_detector.hpp"
 #include "decision/replica_planner.hpp"
@@ -70,8 +72,6 @@
     std::function<void()> on_ending;
 
 private:
-    using group_key = std::pair<group_id, std::uint64_t>; ///< group and epoch
-
     struct formation
     {
         group_id group;
@@ -83,7 +83,8 @@
         milliseconds expected{0};
         std::uint32_t loads{0};
         time_point started{};
-        bool opened{false}; ///< the head has accepted the order to open
+        target_entry head; ///< as registered when the formation began
+        bool open_sent{false};
     };
     struct lost_engine
     {
@@ -97,10 +98,11 @@
         bool graceful{false}; ///< the head finishes its requests first
         time_point since{};
         bool order_pending{false};
-        bool head_closed{false};  ///< the head has accepted the order to close
-        bool head_left{false};    ///< the head has left the group
-        bool needs_fence{false};  ///< late orders may be in flight; a newer epoch makes the head refuse them
-        bool members_free{false}; ///< the head does not serve, so the members can join other groups
+        bool head_closed{false}; ///< the head has accepted the order to close
+        bool head_left{false};   ///< the head has left the group
+        bool needs_fence{false}; ///< late orders may be in flight; a newer epoch makes the head refuse them
+        /// Why the head does not serve; its members can then join other groups.
+        std::optional<release_evidence> released;
         time_point next_order{};
         std::uint32_t unanswered_orders{0};
         target_entry head; ///< as last registered; no instance if it was never seen
@@ -128,17 +130,25 @@
         free,
     };
 
+    /// Engines that may belong to a group.
+    struct group_members
+    {
+        std::vector<const target_entry*> registered; ///< their entries show the group
+        std::vector<const target_entry*> assigned;   ///< their entries do not show it yet
+    };
+
     /// Whether this daemon holds the manager lease. Resets the state when the lease was acquired anew.
     bool check_manager_lease(time_point now);
     /// True while the lease is held and the orders of the previous manager have had time to arrive.
     bool may_send_orders(time_point now);
     void reset();
     void review_groups(time_point now);
-    void review_group(const group_key& key, const std::vector<const target_entry*>& members, time_point now);
+    void review_group(const group_key& key, const group_members& members, time_point now);
     void end_group(const group_key& key, const target_entry& head, std::vector<instance_id> members,
                    bool graceful, time_point now, const std::string& reason);
     void end_group(const served_group& group, bool graceful, time_point now, const std::string& reason);
-    void release_members(const group_key& key, const ending& state);
+    /// Records that the group cannot serve any more, and orders its members to leave.
+    void release(const group_key& key, ending& state, release_evidence evidence);
     /// A member other than the head that still reports the group and is not lost, or null.
     const target_state* find_reachable_member(const group_key& key, const ending& state);
     /// Orders the member to leave, which stalls the group even if its head cannot be reached.
@@ -151,16 +161,27 @@
     void probe_lost(time_point now);
     void plan(time_point now);
     void plan_service(const service& of, time_point now);
+    /// Whether the engine may be ordered to join a group. A free engine whose membership is unknown to this
+    /// manager is asked for it before the order (`confirm_free`).
     availability availability_of(const target_state& engine) const;
+    /// The newest group in which the engine is known to be, by its entry or by the records of this manager.
+    std::optional<group_assignments::membership> membership_of(const target_entry& engine) const;
     std::uint32_t loads_allowed(const engine_profile& profile) const;
     std::vector<planner_model> planner_models(const engine_profile& profile) const;
 
     void retire(const planned_retirement& wanted, time_point now);
     void start_formation(const service& of, const planned_group& wanted, time_point now);
     void run_formation(formation plan, yield_context yield);
+    /// Asks members of unknown history for their group. Returns false if one does not answer or may be in a
+    /// group that serves.
+    bool confirm_free(const formation& plan, yield_context yield);
+    /// Records the engine's own report. Returns whether it is in no group that may serve.
+    bool record_report(const target_entry& engine, const engine_report& report);
+    /// Last group of each member and why it no longer serves, for logs.
+    std::string previous_groups(const std::vector<instance_id>& members);
     bool join_members(const formation& plan, yield_context yield);
     bool wait_until_ready(const formation& plan, yield_context yield);
-    bool open_head(const formation& plan, yield_context yield);
+    bool open_head(formation& plan, yield_context yield);
     void abandon(const formation& plan, const std::string& reason);
     void start_staging(const planned_stage& wanted, const served_model& model, time_point now);
     void probe_all_groups(time_point now);
@@ -210,6 +231,7 @@
     bool first_start{false};
     std::map<group_id, formation> formations;
     std::map<group_key, ending> endings;
+    group_assignments assignments;
     std::set<group_key> unanswered_groups; ///< groups with an order of unknown outcome
     std::map<instance_id, lost_engine> lost_engines;
     std::map<instance_id, staging> stagings;
--- /dev/null
+++ b/tests/decision/group_assignments_test.cpp
@@ -0,0 +1,66 @@
+#include "decision/group_assignments.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace rml;
+
+TEST_CASE("an engine stays assigned to a group until the group is released", "[group_assignments]")
+{
+    const engine_life engine{instance_id("e1"), 100};
+    const group_key first{group_id("g2"), 2};
+    const group_key second{group_id("g4"), 4};
+    group_assignments assignments;
+    CHECK_FALSE(assignments.knows(engine));
+    assignments.assign(engine, {first, 1});
+    REQUIRE(assignments.find(engine) != nullptr);
+    CHECK(assignments.find(engine)->group == first);
+
+    SECTION("a release frees its members and names the evidence")
+    {
+        assignments.release(first, release_evidence::head_left, time_point{});
+        CHECK(assignments.find(engine) == nullptr);
+        CHECK(assignments.knows(engine));
+        CHECK(assignments.released(first) == release_evidence::head_left);
+        CHECK(assignments.describe(engine) == "g2 (head left)");
+
+        SECTION("until the release is forgotten")
+        {
+            assignments.forget_released_before(time_point{});
+            CHECK_FALSE(assignments.released(first));
+            CHECK(assignments.knows(engine));
+        }
+    }
+    SECTION("the release of another group changes nothing")
+    {
+        assignments.release(second, release_evidence::never_opened, time_point{});
+        CHECK(assignments.find(engine) != nullptr);
+    }
+    SECTION("a later group replaces the earlier one, but not the reverse")
+    {
+        assignments.assign(engine, {second, 0});
+        assignments.assign(engine, {first, 1});
+        CHECK(assignments.find(engine)->group == second);
+        CHECK(assignments.members_of(first).empty());
+    }
+    SECTION("members are listed by rank")
+    {
+        assignments.assign({instance_id("e0"), 7}, {first, 2});
+        assignments.assign({instance_id("e9"), 7}, {first, 0});
+        CHECK(assignments.members_of(first) ==
+              std::vector<instance_id>{instance_id("e9"), instance_id("e1"), instance_id("e0")});
+    }
+    SECTION("another life of the engine is in no known group")
+    {
+        const engine_life restarted{engine.instance, 200};
+        CHECK_FALSE(assignments.knows(restarted));
+        CHECK(assignments.find(restarted) == nullptr);
+        assignments.assign(restarted, {first, 0});
+        CHECK(assignments.find(restarted) != nullptr);
+        CHECK(assignments.find(engine) == nullptr);
+    }
+    SECTION("an engine without an entry is forgotten")
+    {
+        assignments.forget_if([](const instance_id&) { return true; });
+        CHECK_FALSE(assignments.knows(engine));
+    }
+}
