Reject answers without a request id on kept connections

An engine that wrote an additional answer without a request id on a kept connection ("not executed", a 421 or 409 as to an order or a status read, or a signed 200) had it taken for the answer to the next request. Callers were told 503 "not run" for a request that the engine ran, a request that may run once ran at a second engine, or the caller got the 409 or the body of an earlier request.

Cause: a missing id counted as the id of the current request. Bytes that are already there when a connection is taken from the pool were detected; those that arrive after the next request was sent were not.

A connection that has carried an earlier exchange now needs the id in the answer. Otherwise the outcome is unknown: 502 for a request that may run once, a retry within the budget for others. An answer without an id stays valid as the first one on a connection, where no other answer was due.

The new tests play a target that writes the surplus answer with the first answer, on the idle connection, after the head of the next request and after the next request, with one and with two targets.

--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -351,6 +351,7 @@
     const bool once = !this->chosen_route->idempotent();
     auto bound = this->owner.connections.take_idle(
         target.address, std::nullopt, once ? non_idempotent_idle_limit : limits::target_idle_time);
+    this->connection_kept = bound.connection != nullptr;
     if (!bound.connection) {
         auto opened = this->owner.connections.open(
             target.address, std::min(this->deadline, now + connect_timeout), this->yield);
@@ -427,10 +428,16 @@
 bool request_run::is_valid_answer(const http::response& head)
 {
     const auto& names = this->owner.ports.headers;
-    if (http::find_header(head.headers, names.request_id).value_or(this->request_id) != this->request_id) {
+    const auto answered_id = http::find_header(head.headers, names.request_id);
+    if (answered_id && *answered_id != this->request_id) {
         this->reason = "answer names another request id";
         return false;
     }
+    // A target may write an additional answer to an earlier request, order or status read.
+    if (!answered_id && this->connection_kept) {
+        this->reason = "answer on a kept connection names no request id";
+        return false;
+    }
     if (http::find_header(head.headers, "content-encoding")) {
         this->reason = "answer has an unsupported content encoding";
         return false;
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -83,6 +83,7 @@
 
     admission_queue* queued_in{nullptr};
     http::client_connection* current{nullptr}; ///< connection of the attempt in progress
+    bool connection_kept{false};               ///< `current` has carried an earlier exchange
     bool caller_disconnected{false};
     bool reroute_requested{false};
     int refusal_status{0};    ///< status of the last target that did not run the request
--- /dev/null
+++ b/tests/gateway/forwarder_test.cpp
@@ -0,0 +1,309 @@
+#include "gateway/forwarder.hpp"
+
+#include "target/raw_server.hpp"
+
+#include <boost/asio/spawn.hpp>
+#include <boost/coroutine/attributes.hpp>
+#include <catch2/catch.hpp>
+#include <map>
+#include <set>
+
+using namespace rml;
+using namespace rml::test;
+
+namespace {
+
+constexpr std::size_t stack_bytes = 256 * 1024;
+constexpr milliseconds caller_timeout{4000};
+const std::set<int> not_run_statuses{408, 421, 429, 503};
+
+/// Records the answer that the caller would get.
+class recorded_answer final : public http::response_writer
+{
+public:
+    status send(const http::response& whole) override
+    {
+        this->answer = whole;
+        return success();
+    }
+    status start(const http::response& head) override { return this->send(head); }
+    status write(std::string_view chunk) override
+    {
+        this->answer.body += chunk;
+        return success();
+    }
+    status finish() override { return success(); }
+    void abort() override { this->aborted = true; }
+    bool started() const override { return this->answer.status != 0; }
+
+    http::response answer{0, {}, {}};
+    bool aborted{false};
+};
+
+/// Counts the runs of each request over all targets.
+class run_record
+{
+public:
+    void add(const http::request& message)
+    {
+        const std::scoped_lock lock(this->mutex);
+        ++this->runs[id_of(message)];
+    }
+    int runs_of(const std::string& id)
+    {
+        const std::scoped_lock lock(this->mutex);
+        return this->runs[id];
+    }
+    static std::string id_of(const http::request& message)
+    {
+        return http::find_header(message.headers, "x-id").value_or("");
+    }
+
+private:
+    std::mutex mutex;
+    std::map<std::string, int> runs;
+};
+
+std::string id_line(const std::string& id)
+{
+    return id.empty() ? "" : "x-id: " + id + "\r\n";
+}
+
+std::string refusal(const std::string& id, const std::string& status_line = "503 Unavailable")
+{
+    return whole_answer(status_line, id_line(id) + "x-not-executed: 1\r\n", "busy");
+}
+
+std::string real_answer(const std::string& id)
+{
+    return whole_answer("200 OK", id_line(id) + "x-signature: s\r\n", "answer to " + id);
+}
+
+/// A forwarder with the service "shop" and a route to it for each kind of request.
+class forwarding_site
+{
+public:
+    forwarding_site()
+    {
+        this->ports.headers = {"x-id",       "x-deadline", "x-account", "x-expect",    "x-urgency",
+                               "last-event", "x-model",    "x-counts",  "x-signature", "x-not-executed"};
+        this->settings.daemon = daemon_id("d0");
+        this->settings.bounds.retry_slack = 100;
+        std::vector<gateway::route> routes;
+        const auto add = [&](const std::string& prefix, gateway::route_kind kind, bool resumable) {
+            gateway::route out;
+            out.name = prefix;
+            out.host = "site.example";
+            out.prefix = prefix;
+            out.kind = kind;
+            out.resumable = resumable;
+            out.timeout = caller_timeout;
+            out.objective = seconds(1);
+            out.max_attempts = 3;
+            out.services.push_back({service_id("shop"), 1});
+            routes.push_back(out);
+        };
+        add("/orders/", gateway::route_kind::once, false);
+        add("/stock/", gateway::route_kind::repeatable, false);
+        add("/streams/", gateway::route_kind::stream, false);
+        gateway::service shop;
+        shop.name = service_id("shop");
+        this->fleet.update_config(std::make_shared<const gateway::site_config>(
+            1, routes, std::vector<gateway::service>{shop}, gateway::caller_limits{},
+            std::unordered_map<std::string, gateway::client_account>{}));
+    }
+    ~forwarding_site() { this->connections.clear(); }
+    forwarding_site(const forwarding_site&) = delete;
+    forwarding_site& operator=(const forwarding_site&) = delete;
+
+    recorded_answer& send(const std::string& path, const std::string& id, std::string body = "two planks")
+    {
+        this->answers.push_back(std::make_unique<recorded_answer>());
+        auto& writer = *this->answers.back();
+        const http::request message{
+            "POST", path, {{"host", "site.example"}, {"x-id", id}, {"x-deadline", "3000"}}, std::move(body)};
+        boost::asio::spawn(
+            this->context,
+            [&](gateway::yield_context yield) { this->requests.handle(message, writer, yield); },
+            boost::coroutines::attributes(stack_bytes));
+        this->context.run();
+        this->context.restart();
+        return writer;
+    }
+    void add_target(const std::string& name, const endpoint& address)
+    {
+        gateway::target_entry entry;
+        entry.instance = instance_id(name);
+        entry.service = service_id("shop");
+        entry.address = address;
+        entry.slots = 4;
+        entry.started_ms = 1;
+        this->fleet.update_target(entry, steady_clock::now());
+    }
+
+    boost::asio::io_context context;
+    gateway::platform_ports ports;
+    gateway::fleet_state fleet{daemon_id("d0")};
+    gateway::gateway_settings settings;
+    target::connection_pool connections{context};
+    metric_registry metrics;
+    gateway::forwarder requests{context, ports, fleet, connections, settings, metrics};
+
+private:
+    std::vector<std::unique_ptr<recorded_answer>> answers;
+};
+
+/// When the surplus answer is written, relative to the next request, B, on the same connection.
+enum class surplus_time
+{
+    with_first_answer,
+    on_idle_connection,
+    after_head_of_next,
+    after_next_request,
+};
+
+std::string to_string(surplus_time time)
+{
+    switch (time) {
+    case surplus_time::with_first_answer:
+        return "with the first answer";
+    case surplus_time::on_idle_connection:
+        return "on the idle connection";
+    case surplus_time::after_head_of_next:
+        return "after the head of the next request";
+    case surplus_time::after_next_request:
+        return "after the next request";
+    }
+    return "";
+}
+
+struct next_request_result
+{
+    http::response answer;
+    int runs{0};
+};
+
+/// Sends the requests A and B to a target that answers A with `first` and later writes `surplus`. The target
+/// runs B. With `other_target` there is a second target, which B may be sent to.
+next_request_result send_after_surplus(const std::string& path, const std::string& first,
+                                       const std::string& surplus, surplus_time time, bool other_target)
+{
+    run_record record;
+    std::atomic<bool> written{false};
+    std::atomic<int> first_connection{0};
+    raw_server faulty([&](const http::request& message, raw_connection& connection) {
+        const auto id = run_record::id_of(message);
+        if (id == "A") {
+            first_connection = connection.number;
+            connection.send(first + (time == surplus_time::with_first_answer ? surplus : ""));
+            if (time == surplus_time::on_idle_connection) {
+                std::this_thread::sleep_for(milliseconds(5)); // later than the end of A
+                connection.send(surplus);
+                written = true;
+            }
+            if (time == surplus_time::after_head_of_next && connection.wait_bytes()) {
+                connection.send(surplus);
+            }
+            return true;
+        }
+        record.add(message);
+        if (time == surplus_time::after_next_request && connection.number == first_connection) {
+            connection.send(surplus);
+        }
+        connection.send(real_answer(id));
+        return true;
+    });
+    raw_server sound([&](const http::request& message, raw_connection& connection) {
+        record.add(message);
+        connection.send(real_answer(run_record::id_of(message)));
+        return true;
+    });
+    forwarding_site site;
+    site.add_target("faulty", faulty.address());
+    site.send(path, "A");
+    while (time == surplus_time::on_idle_connection && !written) {
+        std::this_thread::sleep_for(milliseconds(1));
+    }
+    site.fleet.find_target(instance_id("faulty"))->suspected_until = {}; // so that B goes there first
+    if (other_target) {
+        site.add_target("sound", sound.address());
+        site.fleet.suspect(instance_id("sound"), steady_clock::now() + seconds(10));
+    }
+    const auto answer = site.send(path, "B", std::string(200 * 1024, 'b')).answer;
+    return {answer, record.runs_of("B")};
+}
+
+/// Checks that the caller of B learns nothing wrong, and that B ran at most once if it may run only once.
+void check_next_request(const std::string& first, const std::string& surplus, bool answered)
+{
+    for (const auto time : {surplus_time::with_first_answer, surplus_time::on_idle_connection,
+                            surplus_time::after_head_of_next, surplus_time::after_next_request}) {
+        for (const bool other_target : {false, true}) {
+            INFO(to_string(time) << (other_target ? ", two targets" : ", one target"));
+            const auto once = send_after_surplus("/orders/1", first, surplus, time, other_target);
+            CHECK(once.runs <= 1);
+            CHECK(not_run_statuses.count(once.answer.status) == 0);
+            CHECK((once.answer.status == 502 || once.answer.body == "answer to B"));
+            const auto repeatable = send_after_surplus("/stock/1", first, surplus, time, other_target);
+            CHECK((repeatable.answer.status == 502 || repeatable.answer.body == "answer to B"));
+            if (answered) {
+                CHECK(once.answer.status == 200);
+            }
+            if (answered || other_target) {
+                CHECK(repeatable.answer.status == 200);
+            }
+        }
+    }
+}
+
+} // namespace
+
+// Guards against "not run" for a request that runs, against its second run, and against a wrong answer.
+TEST_CASE("a surplus answer without a request id is not taken for the next answer", "[gateway][forwarder]")
+{
+    const auto first = real_answer("A");
+
+    SECTION("a refusal")
+    {
+        check_next_request(first, refusal(""), false);
+    }
+    SECTION("a refusal for another instance")
+    {
+        check_next_request(first, refusal("", "421 Misdirected Request"), false);
+    }
+    SECTION("a status 421 of a report, which has neither an id nor the header")
+    {
+        check_next_request(first, whole_answer("421 Misdirected Request", "", ""), false);
+    }
+    SECTION("the status 409 of an order")
+    {
+        check_next_request(first, whole_answer("409 Conflict", "", "not now"), false);
+    }
+    SECTION("a signed answer")
+    {
+        check_next_request(first, whole_answer("200 OK", "x-signature: s\r\n", "answer to A"), false);
+    }
+    SECTION("an answer without an id is valid on a new connection, where no other was due")
+    {
+        raw_server target([](const http::request&, raw_connection& connection) {
+            connection.send(whole_answer("200 OK", "x-signature: s\r\n", "answer"));
+            return true;
+        });
+        forwarding_site site;
+        site.add_target("t", target.address());
+        CHECK(site.send("/orders/1", "A").answer.body == "answer");
+    }
+}
+
+TEST_CASE("a surplus answer with the id of an earlier request is not taken for the next answer",
+          "[gateway][forwarder]")
+{
+    SECTION("a refusal after the answer")
+    {
+        check_next_request(real_answer("A"), refusal("A"), false);
+    }
+    SECTION("the same answer once more")
+    {
+        check_next_request(real_answer("A"), real_answer("A"), false);
+    }
+}
--- a/tests/target/raw_server.hpp
+++ b/tests/target/raw_server.hpp
@@ -44,6 +44,10 @@
         }
     }
 
+    /// Waits until a part of the next request has arrived. Returns false when the client has closed the
+    /// connection.
+    bool wait_bytes() { return !this->buffer.empty() || this->receive(); }
+
     /// Reads one request. Returns false when the client has closed the connection.
     bool read(http::request& out)
     {
