Close a connection after a refusal of the target

An engine that wrote a refusal once more with the id of the next request on a kept connection had it taken for the answer to that request: callers were told 503 "not run" for a request that the engine ran, or the request ran at a second engine. When the repetition had the id of the refused request, the next request that may run only once failed with 502 although the engine ran it to its end.

Cause: the connection of a refused request went back to the pool, and an id alone does not prove which request a refusal belongs to.

The connection of a refused request is now closed, so no later request can meet a repetition of the refusal. Reading the rest of the refusal, which only served the reuse of the connection, is removed. The price is a new connection per refusal.

The new test repeats a refusal (503, 429, 421) as it was, without an id and with the id of the next request, and writes the real answer after the refusal, each at four times and with one and two targets.

--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -387,7 +387,8 @@
     this->owner.fleet.in_flight.end(target.instance, this->answer_begun);
     this->owner.report_scarce_slots(target.instance, steady_clock::now());
     this->current = nullptr;
-    if (end == attempt_end::answered || end == attempt_end::not_run) {
+    // A refusal may be written once more with the id of the next request, so its connection is not reused.
+    if (end == attempt_end::answered) {
         this->owner.connections.give_back(target.address, std::move(bound));
     }
     return end;
@@ -467,11 +468,6 @@
         this->may_have_run = this->may_have_run_before;
         this->refusal_status = received.status;
         this->reason = "target refused with " + std::to_string(received.status);
-        const auto limit = std::min(this->deadline, steady_clock::now() + connect_timeout);
-        // Reads the rest of the refusal so that the connection can be reused.
-        for (auto part = connection.read_body_part(limit, this->yield); succeeded(part) && value(part);
-             part = connection.read_body_part(limit, this->yield)) {
-        }
         return attempt_end::not_run;
     }
     if (this->chosen_route->kind == route_kind::stream && received.status == 200) {
--- a/tests/gateway/forwarder_test.cpp
+++ b/tests/gateway/forwarder_test.cpp
@@ -307,3 +307,28 @@
         check_next_request(real_answer("A"), real_answer("A"), false);
     }
 }
+
+// Guards against "not run" for a request that runs: a repeated refusal may carry the id of that request.
+TEST_CASE("a connection on which a target refused carries no further request", "[gateway][forwarder]")
+{
+    SECTION("the refusal is repeated as it was")
+    {
+        check_next_request(refusal("A"), refusal("A"), true);
+    }
+    SECTION("the refusal is repeated without an id")
+    {
+        check_next_request(refusal("A"), refusal(""), true);
+    }
+    SECTION("the refusal is repeated with the id of the next request")
+    {
+        for (const std::string status :
+             {"503 Unavailable", "429 Too Many Requests", "421 Misdirected Request"}) {
+            INFO(status);
+            check_next_request(refusal("A", status), refusal("B", status), true);
+        }
+    }
+    SECTION("the answer to the refused request follows")
+    {
+        check_next_request(refusal("A"), real_answer("A"), true);
+    }
+}
