Close the connection of a refused generation

An engine that wrote its refusal of a generation once more with the id of the next one on a kept connection had that generation reported as not run, although the engine ran it.

A repetition with the earlier id or without an id was already rejected, with the outcome unknown.

The connection is now closed after a refusal, and the rest of the refusal is no longer read.

--- a/src/target/engine_client.cpp
+++ b/src/target/engine_client.cpp
@@ -198,11 +198,9 @@
         this->report.end = generate_end::refused;
         this->report.reason = {head.status == 429 ? failure_kind::rate_limited : failure_kind::unavailable,
                                "engine refused"};
-        this->drain_body();
     }
 
-    /// Reads the rest of the body, so that the connection can be reused. The end of the report is already
-    /// set.
+    /// Reads the rest of the body, so that the connection can be reused.
     void drain_body()
     {
         const auto limit = std::min(this->deadline, steady_clock::now() + limits::status_timeout);
@@ -211,7 +209,7 @@
             if (failed(part) || !value(part)) {
                 return;
             }
-            if (!value(part)->empty() && this->report.end == generate_end::completed) {
+            if (!value(part)->empty()) {
                 this->connection.close(); // unexpected bytes after [DONE]
                 return;
             }
@@ -402,7 +400,12 @@
     }
     auto& bound = value(acquired);
     auto report = generate_call(*bound.connection, target, request, sink, deadline, yield).run();
-    if (report.end == generate_end::completed || report.end == generate_end::refused) {
+    if (report.end == generate_end::refused) {
+        // An engine may write a refusal once more with the id of the next request, so its connection is not
+        // reused.
+        return report;
+    }
+    if (report.end == generate_end::completed) {
         this->connections.give_back(target.address, std::move(bound));
     } else if (report.reason.kind != failure_kind::connection_broken ||
                report.end == generate_end::sink_closed) {
