End a stream at the head of another answer

A refusal that a target wrote within the body of a stream without a length was passed on to the caller as an event, and the stream ended as complete.

Cause: a body that ends with its connection has no framing that the surplus bytes break, and events without an id are passed on unchecked. Within a chunked body the refusal already ended the stream.

An event that begins with "HTTP/" now counts as malformed, so that the stream is aborted, or continues at another target if it may.

The new test writes the refusal with three ids between chunks, after the last chunk, and between and after the events of a body without a length.

Not covered: a refusal written within an event, where no line begins it.

--- a/src/gateway/event_framer.cpp
+++ b/src/gateway/event_framer.cpp
@@ -35,6 +35,13 @@
     return std::optional<std::uint64_t>{};
 }
 
+/// True for the head of another HTTP answer, which a faulty target may write into a body that has no length.
+bool is_answer_head(std::string_view event)
+{
+    constexpr std::string_view status_line_start = "HTTP/";
+    return event.substr(0, status_line_start.size()) == status_line_start;
+}
+
 /// Length of the first event including its empty line, or 0 when the event is incomplete.
 std::size_t first_event_length(std::string_view bytes)
 {
@@ -53,7 +60,11 @@
     this->pending += bytes;
     std::size_t complete = 0;
     while (const auto length = first_event_length(std::string_view(this->pending).substr(complete))) {
-        const auto found = find_id(std::string_view(this->pending).substr(complete, length));
+        const auto event = std::string_view(this->pending).substr(complete, length);
+        if (is_answer_head(event)) {
+            return failure{failure_kind::malformed, "head of another answer in place of an event"};
+        }
+        const auto found = find_id(event);
         if (failed(found)) {
             return error(found);
         }
--- a/src/gateway/event_framer.hpp
+++ b/src/gateway/event_framer.hpp
@@ -21,8 +21,8 @@
     void restart() { this->pending.clear(); }
 
     /// Appends received bytes and returns the bytes of all events that are now complete, unchanged. Fails
-    /// with `malformed` when an event id is not the successor of the previous one, and with `too_large` for
-    /// an event above limits::event_bytes.
+    /// with `malformed` when an event id is not the successor of the previous one or the head of another
+    /// answer is in place of an event, and with `too_large` for an event above limits::event_bytes.
     result<std::string> append(std::string_view bytes);
 
     /// True when bytes of an incomplete event are buffered.
--- a/tests/gateway/forwarder_test.cpp
+++ b/tests/gateway/forwarder_test.cpp
@@ -332,3 +332,48 @@
         check_next_request(refusal("A"), real_answer("A"), true);
     }
 }
+
+// Guards against bytes of another answer in a stream, and against a stream that looks complete without its
+// rest.
+TEST_CASE("a refusal written within a streamed answer reaches no caller", "[gateway][forwarder]")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nx-id: A\r\nx-signature: s\r\n";
+    const std::string first = "id: 1\ndata: a\n\n";
+    const std::string second = "id: 2\ndata: b\n\n";
+    const auto send_stream = [](const std::string& answer) {
+        std::atomic<int> requests{0};
+        raw_server target([&](const http::request&, raw_connection& connection) {
+            ++requests;
+            connection.send(answer);
+            return false;
+        });
+        forwarding_site site;
+        site.add_target("t", target.address());
+        auto& got = site.send("/streams/1", "A");
+        CHECK(requests == 1);
+        CHECK(got.answer.body.find("HTTP/") == std::string::npos);
+        CHECK((got.answer.status == 200 || got.answer.status == 502));
+        return got.aborted || got.answer.status == 502;
+    };
+
+    for (const std::string id : {"A", "", "other"}) {
+        SECTION("between chunks, with the id '" + id + "'")
+        {
+            CHECK(send_stream(head + "transfer-encoding: chunked\r\n\r\n" + chunk(first) + refusal(id) +
+                              chunk(second) + last_chunk));
+        }
+        SECTION("between events of an answer that ends with its connection, with the id '" + id + "'")
+        {
+            CHECK(send_stream(head + "\r\n" + first + refusal(id) + second));
+        }
+        SECTION("after the last event of such an answer, with the id '" + id + "'")
+        {
+            CHECK(send_stream(head + "\r\n" + first + second + refusal(id)));
+        }
+        SECTION("after the last chunk, where it belongs to no answer, with the id '" + id + "'")
+        {
+            CHECK_FALSE(send_stream(head + "transfer-encoding: chunked\r\n\r\n" + chunk(first + second) +
+                                    last_chunk + refusal(id)));
+        }
+    }
+}
