Do not skip stream events that arrived with malformed bytes

A resumable stream whose target wrote events and malformed bytes in one read continued at the next target after events that the caller had not received.

Cause: the framer recorded the id of each event it read, but returned none of the events of a read that also held malformed bytes.

The id is now recorded only when the events are returned. The new section of the framer's test failed before the change:

tests/gateway/event_framer_test.cpp:70: FAILED: REQUIRE( succeeded(rest) ) with expansion: false

--- a/src/gateway/event_framer.cpp
+++ b/src/gateway/event_framer.cpp
@@ -59,6 +59,7 @@
 {
     this->pending += bytes;
     std::size_t complete = 0;
+    auto newest = this->last; // recorded only when the events are returned
     while (const auto length = first_event_length(std::string_view(this->pending).substr(complete))) {
         const auto event = std::string_view(this->pending).substr(complete, length);
         if (is_answer_head(event)) {
@@ -69,17 +70,18 @@
             return error(found);
         }
         if (const auto& id = value(found); id) {
-            if (this->last && *id != *this->last + 1) {
-                return failure{failure_kind::malformed, "event " + std::to_string(*id) + " after event " +
-                                                            std::to_string(*this->last)};
+            if (newest && *id != *newest + 1) {
+                return failure{failure_kind::malformed,
+                               "event " + std::to_string(*id) + " after event " + std::to_string(*newest)};
             }
-            this->last = id;
+            newest = id;
         }
         complete += length;
     }
     if (this->pending.size() - complete > limits::event_bytes) {
         return failure{failure_kind::too_large, "event"};
     }
+    this->last = newest;
     std::string out = this->pending.substr(0, complete);
     this->pending.erase(0, complete);
     return out;
--- a/tests/gateway/event_framer_test.cpp
+++ b/tests/gateway/event_framer_test.cpp
@@ -56,6 +56,21 @@
     {
         CHECK(failed(framer.append("id: x\ndata: a\n\n")));
     }
+    SECTION("the head of another answer in place of an event is rejected")
+    {
+        REQUIRE(succeeded(framer.append(event(1))));
+        CHECK(failed(framer.append(event(2) + "HTTP/1.1 503 Unavailable\r\n\r\n")));
+
+        SECTION("and the event before it, which was not returned, is still due from the next target")
+        {
+            // Guards against a stream that continues without the events that arrived with malformed bytes.
+            CHECK(framer.last_id() == 1U);
+            framer.restart();
+            const auto rest = framer.append(event(2));
+            REQUIRE(succeeded(rest));
+            CHECK(value(rest) == event(2));
+        }
+    }
     SECTION("events without ids are accepted")
     {
         const auto complete = framer.append("data: a\r\n\r\n");
