--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -351,6 +351,7 @@
     const bool once = !this->chosen_route->idempotent();
     auto bound = this->owner.connections.take_idle(
         target.address, std::nullopt, once ? non_idempotent_idle_limit : limits::target_idle_time);
+    this->connection_kept = bound.connection != nullptr;
     if (!bound.connection) {
         auto opened = this->owner.connections.open(
             target.address, std::min(this->deadline, now + connect_timeout), this->yield);
@@ -386,7 +387,8 @@
     this->owner.fleet.in_flight.end(target.instance, this->answer_begun);
     this->owner.report_scarce_slots(target.instance, steady_clock::now());
     this->current = nullptr;
-    if (end == attempt_end::answered || end == attempt_end::not_run) {
+    // A refusal may be written once more with the id of the next request, so its connection is not reused.
+    if (end == attempt_end::answered) {
         this->owner.connections.give_back(target.address, std::move(bound));
     }
     return end;
@@ -427,10 +429,16 @@
 bool request_run::is_valid_answer(const http::response& head)
 {
     const auto& names = this->owner.ports.headers;
-    if (http::find_header(head.headers, names.request_id).value_or(this->request_id) != this->request_id) {
+    const auto answered_id = http::find_header(head.headers, names.request_id);
+    if (answered_id && *answered_id != this->request_id) {
         this->reason = "answer names another request id";
         return false;
     }
+    // A target may write an additional answer to an earlier request, order or status read.
+    if (!answered_id && this->connection_kept) {
+        this->reason = "answer on a kept connection names no request id";
+        return false;
+    }
     if (http::find_header(head.headers, "content-encoding")) {
         this->reason = "answer has an unsupported content encoding";
         return false;
@@ -460,11 +468,6 @@
         this->may_have_run = this->may_have_run_before;
         this->refusal_status = received.status;
         this->reason = "target refused with " + std::to_string(received.status);
-        const auto limit = std::min(this->deadline, steady_clock::now() + connect_timeout);
-        // Reads the rest of the refusal so that the connection can be reused.
-        for (auto part = connection.read_body_part(limit, this->yield); succeeded(part) && value(part);
-             part = connection.read_body_part(limit, this->yield)) {
-        }
         return attempt_end::not_run;
     }
     if (this->chosen_route->kind == route_kind::stream && received.status == 200) {
