Bound the memory for lines between the chunks of an answer

A target, store or daemon that sends a chunk size, a chunk extension or trailers without end made the process that reads the answer keep every byte until the deadline of the call.

The receive buffer of a client connection now holds at most limits::http_header_bytes, and a full buffer fails the answer with too_large.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -29,7 +29,8 @@
         code == asio::error::network_unreachable) {
         return {failure_kind::connection_refused, context};
     }
-    if (code == bhttp::error::body_limit || code == bhttp::error::header_limit) {
+    if (code == bhttp::error::body_limit || code == bhttp::error::header_limit ||
+        code == bhttp::error::buffer_overflow) {
         return {failure_kind::too_large, context};
     }
     if (code.category() == bhttp::make_error_code(bhttp::error::bad_line_ending).category() &&
@@ -113,7 +114,8 @@
     explicit state(const asio::any_io_executor& executor) : socket(executor) {}
 
     asio::ip::tcp::socket socket;
-    beast::flat_buffer buffer;
+    /// The parser needs a head, a chunk header or the trailers as a whole, and limits only the size of a head.
+    beast::flat_buffer buffer{limits::http_header_bytes};
     std::optional<bhttp::response_parser<bhttp::buffer_body>> parser;
     std::string host;
     std::size_t body_limit{limits::http_body_bytes};
--- a/tests/target/raw_server.hpp
+++ b/tests/target/raw_server.hpp
@@ -2,12 +2,14 @@
 #pragma once
 
 #include "base/endpoint.hpp"
+#include "base/time.hpp"
 #include "http/message.hpp"
 
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -34,6 +36,18 @@
         boost::asio::write(this->socket, boost::asio::buffer(bytes), ignored);
     }
 
+    /// Sends the bytes again and again, until the client closes the connection or `limit` bytes are sent.
+    void send_repeatedly(const std::string& bytes, std::uint64_t limit, milliseconds pause = milliseconds(0))
+    {
+        boost::system::error_code code;
+        for (std::uint64_t sent = 0; !code && sent < limit; sent += bytes.size()) {
+            boost::asio::write(this->socket, boost::asio::buffer(bytes), code);
+            if (pause.count() > 0) {
+                std::this_thread::sleep_for(pause);
+            }
+        }
+    }
+
     /// Blocks until the client closes the connection.
     void wait_closed()
     {
