Skip interim responses in the HTTP client

An interim response (1xx) from a target was taken for the final one. The gateway's check of answers asks only a 2xx for a signature, so a caller got the 1xx as the answer to its request and no final answer after it.

The client now reads heads until the final one. All heads of one answer share limits::http_header_bytes, so interim responses without end fail with too_large. A 101 that no request asked for is malformed.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -3,6 +3,7 @@
 #include "base/limits.hpp"
 #include "http/executor.hpp"
 
+#include <algorithm>
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -59,6 +60,13 @@
     return out;
 }
 
+/// True for a response that precedes the final one.
+bool is_interim(unsigned status)
+{
+    return bhttp::to_status_class(status) == bhttp::status_class::informational &&
+           bhttp::int_to_status(status) != bhttp::status::switching_protocols;
+}
+
 /// Closes the socket when the deadline passes during one operation. The timer runs on the executor of the
 /// calling coroutine and not on that of the socket, because different coroutines use the connection one after
 /// another.
@@ -114,7 +122,8 @@
     explicit state(const asio::any_io_executor& executor) : socket(executor) {}
 
     asio::ip::tcp::socket socket;
-    /// The parser needs a head, a chunk header or the trailers as a whole, and limits only the size of a head.
+    /// The parser needs a head, a chunk header or the trailers as a whole, and limits only the size of a
+    /// head.
     beast::flat_buffer buffer{limits::http_header_bytes};
     std::optional<bhttp::response_parser<bhttp::buffer_body>> parser;
     std::string host;
@@ -170,22 +179,32 @@
 
 result<response> client_connection::read_head(time_point deadline, yield_context yield)
 {
-    auto& parser = this->inner->parser.emplace();
-    parser.header_limit(static_cast<std::uint32_t>(limits::http_header_bytes));
-    parser.body_limit(this->inner->body_limit);
-    boost::system::error_code code;
-    {
-        const deadline_guard guard(this->inner->socket, deadline, yield);
-        bhttp::async_read_header(this->inner->socket, this->inner->buffer, parser, yield[code]);
-        code = guard.code_or_timeout(code);
-    }
-    if (code) {
+    auto allowed_bytes = limits::http_header_bytes; // for the interim responses and the final head together
+    do {
+        auto& parser = this->inner->parser.emplace();
+        parser.header_limit(static_cast<std::uint32_t>(allowed_bytes));
+        parser.body_limit(this->inner->body_limit);
+        boost::system::error_code code;
+        {
+            const deadline_guard guard(this->inner->socket, deadline, yield);
+            const auto read =
+                bhttp::async_read_header(this->inner->socket, this->inner->buffer, parser, yield[code]);
+            allowed_bytes -= std::min(allowed_bytes, read);
+            code = guard.code_or_timeout(code);
+        }
+        if (code) {
+            this->inner->broken = true;
+            return failure_of(code, "read response head");
+        }
+    } while (is_interim(this->inner->parser->get().result_int()));
+    const auto& received = this->inner->parser->get();
+    if (received.result() == bhttp::status::switching_protocols) {
         this->inner->broken = true;
-        return failure_of(code, "read response head");
+        return failure{failure_kind::malformed, "read response head: protocol switch without a request"};
     }
     response head;
-    head.status = static_cast<int>(parser.get().result_int());
-    for (const auto& field : parser.get()) {
+    head.status = static_cast<int>(received.result_int());
+    for (const auto& field : received) {
         head.headers.push_back({std::string(field.name_string()), std::string(field.value())});
     }
     return head;
--- a/tests/http/endless_answer_test.cpp
+++ b/tests/http/endless_answer_test.cpp
@@ -25,6 +25,7 @@
 
 const std::string chunked_head =
     "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+const std::string interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
 
 struct endless_answer {
   std::string name;
@@ -36,6 +37,7 @@
     {"a status line", "HTTP/1.1 200 ", "x"},
     {"a header line", "HTTP/1.1 200 OK\r\nx-long: ", "x"},
     {"header lines", "HTTP/1.1 200 OK\r\n", "x-more: 1\r\n"},
+    {"interim answers", "", interim},
 };
 const std::vector<endless_answer> endless_bodies{
     {"a body with a length",
@@ -157,6 +159,32 @@
   }
 }
 
+// Guards against an interim answer that is taken for the answer to the request.
+TEST_CASE("interim answers are skipped", "[http][endless]") {
+  std::string before_answer;
+  const raw_server server(
+      [&](const http::request &, raw_connection &connection) {
+        connection.send(before_answer + whole_answer("200 OK", "", "here"));
+        return true;
+      });
+
+  SECTION("a few interim answers come before the answer") {
+    before_answer = "HTTP/1.1 100 Continue\r\n\r\n" + times(3, interim);
+    const auto seen = exchange_with(server, long_limit);
+    REQUIRE(succeeded(seen.answer));
+    CHECK(value(seen.answer).status == 200);
+    CHECK(value(seen.answer).body == "here");
+    CHECK(seen.reusable);
+  }
+  SECTION("a change of protocol that was not asked for is no answer") {
+    before_answer = "HTTP/1.1 101 Switching Protocols\r\nupgrade: "
+                    "x\r\nconnection: upgrade\r\n\r\n";
+    const auto seen = exchange_with(server, long_limit);
+    CHECK(kind_of(seen.answer) == to_string(failure_kind::malformed));
+    CHECK_FALSE(seen.reusable);
+  }
+}
+
 TEST_CASE(
     "a connection that receives bytes after a complete answer is not reused",
     "[http][endless]") {
