Check the deadline before each read of an HTTP client connection

When bytes arrive faster than they are read, each read completes before the timer of its deadline is handled. The timer then closes the socket without failing the read, and the next read reports a broken connection in place of a timeout. Clients repeat a message after a broken idle connection, but not after a timeout. A read that begins after the deadline even succeeds when its bytes have already arrived.

Each read now fails with a timeout when the deadline has passed.

On the unchanged client, the new tests fail with "connection_broken" == "timeout" for a chunked answer that arrives faster than it is read, and with a body part that is read after the deadline.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -129,6 +129,17 @@
     std::string host;
     std::size_t body_limit{limits::http_body_bytes};
     bool broken{false};
+
+    /// Fails after the deadline. When the peer sends faster than this process reads, each read completes
+    /// before the timer of its deadline_guard is handled, so the guard alone does not end the reads.
+    status check_deadline(time_point deadline, const char* context)
+    {
+        if (steady_clock::now() < deadline) {
+            return success();
+        }
+        this->broken = true;
+        return failure{failure_kind::timeout, context};
+    }
 };
 
 client_connection::client_connection(std::unique_ptr<state> initial) : inner(std::move(initial)) {}
@@ -181,6 +192,10 @@
 {
     auto allowed_bytes = limits::http_header_bytes; // for the interim responses and the final head together
     do {
+        if (const auto in_time = this->inner->check_deadline(deadline, "read response head");
+            failed(in_time)) {
+            return error(in_time);
+        }
         auto& parser = this->inner->parser.emplace();
         parser.header_limit(static_cast<std::uint32_t>(allowed_bytes));
         parser.body_limit(this->inner->body_limit);
@@ -216,6 +231,9 @@
     if (parser.is_done()) {
         return std::optional<std::string>{};
     }
+    if (const auto in_time = this->inner->check_deadline(deadline, "read response body"); failed(in_time)) {
+        return error(in_time);
+    }
     std::string part(body_part_bytes, '\0');
     parser.get().body().data = part.data();
     parser.get().body().size = part.size();
