--- a/tests/adapter/store_client_test.cpp
+++ b/tests/adapter/store_client_test.cpp
@@ -193,3 +193,35 @@
     CHECK(second);
     connections.clear();
 }
+
+TEST_CASE("a write that was sent over a broken idle connection is not reported as not sent",
+          "[adapter][store_client]")
+{
+    test::raw_server* running = nullptr;
+    test::raw_server store([&](const http::request& message, test::raw_connection& connection) {
+        if (message.method == "POST") {
+            running->refuse_connections();
+            return false;
+        }
+        connection.send(
+            test::whole_answer("200 OK", "", R"({"items":[],"truncated":false,"storeRevision":7})"));
+        return true;
+    });
+    running = &store;
+    boost::asio::io_context context;
+    target::connection_pool connections(context);
+    const auto client = site_wire::create_store_client(connections, store.address());
+    result<std::uint64_t> written = failure{failure_kind::unavailable, "not started"};
+    boost::asio::spawn(
+        context,
+        [&](yield_context yield) {
+            REQUIRE(succeeded(client->read("", steady_clock::now() + call_limit, yield)));
+            written = client->commit({}, steady_clock::now() + call_limit, yield);
+        },
+        boost::coroutines::attributes(256 * 1024));
+    context.run();
+    CHECK(store.accepted() == 1);
+    REQUIRE(failed(written));
+    CHECK(error(written).kind == failure_kind::outcome_unknown);
+    connections.clear();
+}
--- a/tests/target/raw_server.hpp
+++ b/tests/target/raw_server.hpp
@@ -133,9 +133,7 @@
 
     ~raw_server()
     {
-        this->stopped = true;
-        // close() does not wake a blocking accept; shutdown() does.
-        ::shutdown(this->acceptor.native_handle(), SHUT_RDWR);
+        this->refuse_connections();
         this->accept_thread.join();
         {
             const std::scoped_lock lock(this->mutex);
@@ -150,6 +148,14 @@
     raw_server(const raw_server&) = delete;
     raw_server& operator=(const raw_server&) = delete;
 
+    /// Refuses further connections; the open ones stay.
+    void refuse_connections()
+    {
+        this->stopped = true;
+        // close() does not wake a blocking accept; shutdown() does.
+        ::shutdown(this->acceptor.native_handle(), SHUT_RDWR);
+    }
+
     endpoint address() const { return {"127.0.0.1", this->acceptor.local_endpoint().port()}; }
     int accepted() const { return this->count; }
 
