Test answers without end through the gateway

A target answers an order with a status line, header lines, interim responses, a body, chunks, a chunk size or trailers without end, fast or slowly. The caller gets 502 or 504, and no second target gets the order.

--- a/tests/process/gateway_test.cpp
+++ b/tests/process/gateway_test.cpp
@@ -1,8 +1,10 @@
 #include "http/client.hpp"
 #include "process/child_process.hpp"
 #include "standin/site.hpp"
+#include "target/raw_server.hpp"
 #include "wire_names.hpp"
 
+#include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
 #include <catch2/catch.hpp>
 #include <cstdlib>
@@ -228,6 +230,59 @@
             CHECK(site.get(0, "/stock/" + std::to_string(i)).body == "GET /stock/" + std::to_string(i) + " ");
         }
     }
+    SECTION("an answer without end is no success, and its request is not reported as not run")
+    {
+        const std::string signed_head =
+            std::string("HTTP/1.1 200 OK\r\n") + site_wire::header_signature + ": seal\r\n";
+        const std::string chunked_head = signed_head + "transfer-encoding: chunked\r\n\r\n";
+        struct endless_answer
+        {
+            std::string start;
+            std::string repeated;
+            milliseconds pause{0};
+        };
+        const std::vector<endless_answer> cases{
+            {"HTTP/1.1 200 ", std::string(64, 'x')},
+            {signed_head, "x-more: 1\r\n"},
+            {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+            {signed_head + "\r\n", std::string(4096, 'x')},
+            {chunked_head, test::chunk(std::string(4096, 'x'))},
+            {chunked_head, std::string(64, '0')},
+            {chunked_head + test::chunk("x") + "0\r\n", "x-more: 1\r\n"},
+            {signed_head + "\r\n", "x", milliseconds(20)},
+            {chunked_head + test::chunk("x") + "1;", "x", milliseconds(20)},
+        };
+        auto entry = json::parse(site.on_site([&] {
+            for (auto& instance : site.site->services) {
+                instance->faults.shed = 1000000; // only the endless answers are left
+            }
+            return site.site->store->find(std::string(site_wire::prefix_targets) + "p0").value();
+        }));
+        for (std::size_t i = 0; i < cases.size(); ++i) {
+            INFO(i);
+            const auto& each = cases[i];
+            std::atomic<int> orders{0};
+            test::raw_server target([&](const http::request& message, test::raw_connection& connection) {
+                orders += message.method == "POST" ? 1 : 0;
+                connection.send(each.start);
+                connection.send_repeatedly(each.repeated, std::uint64_t(1) << 30U, each.pause);
+                return false;
+            });
+            entry["address"] = to_string(target.address());
+            const auto key = site_wire::prefix_targets + std::string("endless") + std::to_string(i);
+            site.on_site([&] { site.site->store->put(key, entry.dump()); });
+            http::response answer;
+            REQUIRE(site.eventually([&] {
+                auto order = site.request("POST", "/orders/10", "screws");
+                order.headers[2].value = "1000";
+                answer = site.send(0, order);
+                return orders > 0;
+            }));
+            CHECK((answer.status == 502 || answer.status == 504));
+            CHECK(orders == 1);
+            site.on_site([&] { site.site->store->remove(key); });
+        }
+    }
     SECTION("a stream is whole, also when its engine breaks off within an event")
     {
         CHECK(site.stream(0, 12).body == gateway_site::events(12));
