--- a/tests/adapter/store_client_test.cpp
+++ b/tests/adapter/store_client_test.cpp
@@ -225,3 +225,50 @@
     CHECK(error(written).kind == failure_kind::outcome_unknown);
     connections.clear();
 }
+
+TEST_CASE("a write whose answer is malformed is not reported as without effect", "[adapter][store_client]")
+{
+    std::string answer;
+    test::raw_server store([&](const http::request&, test::raw_connection& connection) {
+        connection.send(answer);
+        return true;
+    });
+    boost::asio::io_context context;
+    target::connection_pool connections(context);
+    const auto client = site_wire::create_store_client(connections, store.address());
+    const auto check = [&] {
+        boost::asio::spawn(
+            context,
+            [&](yield_context yield) {
+                const auto deadline = steady_clock::now() + call_limit;
+                const auto written = client->commit({}, deadline, yield);
+                REQUIRE(failed(written));
+                CHECK(error(written).kind == failure_kind::outcome_unknown);
+                const auto created = client->create_lease(call_limit, deadline, yield);
+                REQUIRE(failed(created));
+                CHECK(error(created).kind == failure_kind::outcome_unknown);
+                const auto read = client->read("", deadline, yield);
+                REQUIRE(failed(read));
+                CHECK(error(read).kind == failure_kind::malformed);
+            },
+            boost::coroutines::attributes(256 * 1024));
+        context.run();
+        connections.clear();
+    };
+
+    SECTION("its body is no document")
+    {
+        answer = test::whole_answer("200 OK", "", "x");
+        check();
+    }
+    SECTION("its document is another one")
+    {
+        answer = test::whole_answer("200 OK", "", "[]");
+        check();
+    }
+    SECTION("its status is none of the store's")
+    {
+        answer = test::whole_answer("500 Internal Server Error", "", "");
+        check();
+    }
+}
