--- a/tests/adapter/endless_answer_test.cpp
+++ b/tests/adapter/endless_answer_test.cpp
@@ -32,15 +32,6 @@
     {chunked_head + "0\r\n", "x-more: 1\r\n"},
 };
 
-std::string times(std::size_t count, const std::string& bytes)
-{
-    std::string out;
-    for (std::size_t i = 0; i < count; ++i) {
-        out += bytes;
-    }
-    return out;
-}
-
 template <class T>
 std::string kind_of(const result<T>& answer)
 {
@@ -57,7 +48,7 @@
         test::raw_server server([&](const http::request&, test::raw_connection& connection) {
             connection.send(each.start);
             if (fast) {
-                connection.send_repeatedly(times(4096, each.repeated), flood_bytes);
+                connection.send_repeatedly(test::times(4096, each.repeated), flood_bytes);
             } else {
                 connection.send_repeatedly(each.repeated, drip_bytes * each.repeated.size(), drip_interval);
             }
--- a/tests/http/endless_answer_test.cpp
+++ b/tests/http/endless_answer_test.cpp
@@ -81,15 +81,6 @@
     return failed(answer) ? std::string(to_string(error(answer).kind)) : "success";
 }
 
-std::string times(std::size_t count, const std::string& bytes)
-{
-    std::string out;
-    for (std::size_t i = 0; i < count; ++i) {
-        out += bytes;
-    }
-    return out;
-}
-
 void check_flood(const std::vector<endless_answer>& answers)
 {
     for (const auto& each : answers) {
--- a/tests/target/raw_server.hpp
+++ b/tests/target/raw_server.hpp
@@ -210,6 +210,16 @@
     boost::asio::ip::tcp::acceptor acceptor;
 };
 
+/// The bytes `count` times in a row.
+inline std::string times(std::size_t count, const std::string& bytes)
+{
+    std::string out;
+    for (std::size_t i = 0; i < count; ++i) {
+        out += bytes;
+    }
+    return out;
+}
+
 /// One chunk of a chunked body.
 inline std::string chunk(const std::string& data)
 {
