--- a/tests/target/raw_server.hpp
+++ b/tests/target/raw_server.hpp
@@ -2,12 +2,14 @@
 #pragma once
 
 #include "base/endpoint.hpp"
+#include "base/time.hpp"
 #include "http/message.hpp"
 
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -34,6 +36,18 @@
         boost::asio::write(this->socket, boost::asio::buffer(bytes), ignored);
     }
 
+    /// Sends the bytes again and again, until the client closes the connection or `limit` bytes are sent.
+    void send_repeatedly(const std::string& bytes, std::uint64_t limit, milliseconds pause = milliseconds(0))
+    {
+        boost::system::error_code code;
+        for (std::uint64_t sent = 0; !code && sent < limit; sent += bytes.size()) {
+            boost::asio::write(this->socket, boost::asio::buffer(bytes), code);
+            if (pause.count() > 0) {
+                std::this_thread::sleep_for(pause);
+            }
+        }
+    }
+
     /// Blocks until the client closes the connection.
     void wait_closed()
     {
@@ -123,9 +137,7 @@
 
     ~raw_server()
     {
-        this->stopped = true;
-        // close() does not wake a blocking accept; shutdown() does.
-        ::shutdown(this->acceptor.native_handle(), SHUT_RDWR);
+        this->refuse_connections();
         this->accept_thread.join();
         {
             const std::scoped_lock lock(this->mutex);
@@ -140,6 +152,14 @@
     raw_server(const raw_server&) = delete;
     raw_server& operator=(const raw_server&) = delete;
 
+    /// Refuses further connections; the open ones stay.
+    void refuse_connections()
+    {
+        this->stopped = true;
+        // close() does not wake a blocking accept; shutdown() does.
+        ::shutdown(this->acceptor.native_handle(), SHUT_RDWR);
+    }
+
     endpoint address() const { return {"127.0.0.1", this->acceptor.local_endpoint().port()}; }
     int accepted() const { return this->count; }
 
@@ -194,6 +214,16 @@
     boost::asio::ip::tcp::acceptor acceptor;
 };
 
+/// The bytes `count` times in a row.
+inline std::string times(std::size_t count, const std::string& bytes)
+{
+    std::string out;
+    for (std::size_t i = 0; i < count; ++i) {
+        out += bytes;
+    }
+    return out;
+}
+
 /// One chunk of a chunked body.
 inline std::string chunk(const std::string& data)
 {
