Refuse CBOR strings of indefinite length

What users would see: a daemon ends with SIGSEGV after one datagram on its peer port (65507 bytes of 0x7f or 0x5f), or after reading such a value.

Cause: the parser recurses once per string of indefinite length inside another one and reports no parser event meanwhile, so the depth limit does not apply.

Change: both CBOR readers scan the heads of all items first, without recursion, and refuse strings of indefinite length. No encoder of this project writes them.

--- a/src/base/bounded_cbor.cpp
+++ b/src/base/bounded_cbor.cpp
@@ -1,5 +1,7 @@
 #include "base/bounded_cbor.hpp"
 
+#include <algorithm>
+#include <cstdint>
 #include <nlohmann/json.hpp>
 
 namespace rml {
@@ -41,8 +43,46 @@
 
 } // namespace
 
+bool has_indefinite_string(std::string_view bytes)
+{
+    // Every item starts with a head: three bits for its type and five for the form of its argument, which
+    // follows in 0, 1, 2, 4 or 8 bytes. The content of a string is skipped.
+    constexpr unsigned form_bits = 5;
+    constexpr unsigned byte_string = 2;
+    constexpr unsigned text_string = 3;
+    constexpr unsigned one_byte_argument = 24;
+    constexpr unsigned eight_byte_argument = 27;
+    constexpr unsigned indefinite = 31;
+    while (!bytes.empty()) {
+        const auto head = static_cast<unsigned char>(bytes.front());
+        bytes.remove_prefix(1);
+        const unsigned type = head >> form_bits;
+        const unsigned form = head & ((1U << form_bits) - 1U);
+        const bool string = type == byte_string || type == text_string;
+        if (string && form == indefinite) {
+            return true;
+        }
+        std::uint64_t argument = form;
+        if (form >= one_byte_argument && form <= eight_byte_argument) {
+            argument = 0;
+            for (auto left = std::size_t{1} << (form - one_byte_argument); left > 0 && !bytes.empty();
+                 --left) {
+                argument = (argument << 8U) | static_cast<unsigned char>(bytes.front());
+                bytes.remove_prefix(1);
+            }
+        }
+        if (string) {
+            bytes.remove_prefix(static_cast<std::size_t>(std::min<std::uint64_t>(argument, bytes.size())));
+        }
+    }
+    return false;
+}
+
 nlohmann::json decode_bounded_cbor(std::string_view bytes)
 {
+    if (has_indefinite_string(bytes)) {
+        return json(json::value_t::discarded);
+    }
     depth_checker checker;
     if (!json::sax_parse(bytes.begin(), bytes.end(), &checker, json::input_format_t::cbor)) {
         return json(json::value_t::discarded);
--- a/src/base/bounded_cbor.hpp
+++ b/src/base/bounded_cbor.hpp
@@ -10,8 +10,13 @@
 /// Maximum nesting depth. The deepest document of this project has 5 levels.
 constexpr int max_cbor_depth = 32;
 
+/// Whether the bytes contain a text or byte string of indefinite length. nlohmann-json recurses for each such
+/// string inside another one and reports no parser event meanwhile, so no depth limit applies.
+bool has_indefinite_string(std::string_view bytes);
+
 /// Decodes one complete document; byte strings are permitted. Returns a discarded value when the bytes are
-/// malformed or nested deeper than max_cbor_depth; every access to it throws a nlohmann::json::exception.
+/// malformed, nested deeper than max_cbor_depth or contain a string of indefinite length; every access to it
+/// throws a nlohmann::json::exception.
 nlohmann::json decode_bounded_cbor(std::string_view bytes);
 
 } // namespace rml
--- a/src/base/json_reader.cpp
+++ b/src/base/json_reader.cpp
@@ -1,5 +1,7 @@
 #include "base/json_reader.hpp"
 
+#include "base/bounded_cbor.hpp"
+
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -180,6 +182,9 @@
 
 result<nlohmann::json> parse_cbor(std::string_view bytes)
 {
+    if (has_indefinite_string(bytes)) {
+        return failure{failure_kind::malformed, "string of indefinite length"};
+    }
     return parse(bytes, nlohmann::json::input_format_t::cbor);
 }
 
--- a/src/base/json_reader.hpp
+++ b/src/base/json_reader.hpp
@@ -32,7 +32,8 @@
 /// deeper than max_json_depth.
 result<nlohmann::json> parse_json(std::string_view text);
 
-/// Parses CBOR under the same rules. Byte strings and tags are refused as malformed.
+/// Parses CBOR under the same rules. Byte strings, strings of indefinite length and tags are refused as
+/// malformed.
 result<nlohmann::json> parse_cbor(std::string_view bytes);
 
 /// Serializes CBOR.
