--- a/src/base/json_reader.cpp
+++ b/src/base/json_reader.cpp
@@ -11,8 +11,6 @@
 namespace {
 
 constexpr std::size_t excerpt_bytes = 80;
-/// 2^53: doubles, and so all JSON readers, represent integers up to this value exactly.
-constexpr double largest_exact_integer = 9007199254740992.0;
 
 /// Builds the document; aborts parsing at a duplicate key, a byte string or nesting above max_json_depth.
 class document_builder final : public nlohmann::json_sax<nlohmann::json>
--- a/src/base/json_reader.hpp
+++ b/src/base/json_reader.hpp
@@ -25,6 +25,8 @@
 /// Maximum nesting depth of a document. The CBOR parser recurses once per level, so unbounded nesting could
 /// exhaust the stack.
 constexpr std::size_t max_json_depth = 32;
+/// 2^53: doubles, and so all JSON readers, represent integers up to this value exactly.
+constexpr double largest_exact_integer = 9007199254740992.0;
 /// Maximum length of an identifier. Identifiers become parts of store keys.
 constexpr std::size_t max_id_bytes = 64;
 
--- a/tests/adapter/decode_test.cpp
+++ b/tests/adapter/decode_test.cpp
@@ -47,8 +47,115 @@
         "tenants":[{"name":"branch","apiKeys":["k1","k2"],"priority":1}]})");
 }
 
+std::string nested(const std::string& open, const std::string& close = "")
+{
+    constexpr int levels = 100000;
+    std::string text;
+    for (int i = 0; i < levels; ++i) {
+        text += open;
+    }
+    text += close.empty() ? "" : "1";
+    for (int i = 0; i < levels; ++i) {
+        text += close;
+    }
+    return text;
+}
+
+/// Text of the document with the value at the path replaced by text, which need not be JSON.
+std::string with(json document, const char* path, const std::string& text)
+{
+    const std::string mark = "replaced here";
+    document[json::json_pointer(path)] = mark;
+    auto out = document.dump();
+    return out.replace(out.find('"' + mark + '"'), mark.size() + 2, text);
+}
+
+const std::vector<std::string> too_deep{nested("["), nested("[", "]"), nested("{\"a\":"),
+                                        nested("{\"a\":", "}"), nested("[{\"a\":", "}]")};
+/// Texts that are no whole number from 0 which a double holds exactly.
+const std::vector<std::string> not_whole{"1e999",
+                                         "-1e999",
+                                         "1e308",
+                                         "1e19",
+                                         "18446744073709551615",
+                                         "18446744073709551616",
+                                         "-1",
+                                         "-9223372036854775808",
+                                         "0.5",
+                                         "2.5",
+                                         "1e-300",
+                                         "NaN",
+                                         "Infinity",
+                                         "\"NaN\"",
+                                         "\"1\"",
+                                         "null",
+                                         "true",
+                                         "[1]",
+                                         "1" + std::string(400000, '0')};
+
 } // namespace
 
+TEST_CASE("documents nested too deeply are refused before they exhaust the stack", "[adapter][decode]")
+{
+    const auto decoder = site_wire::create_decoder();
+    for (const auto& deep : too_deep) {
+        CAPTURE(deep.substr(0, 5), deep.size());
+        CHECK(failed(decoder->decode_target("i-1", deep)));
+        CHECK(failed(decoder->decode_config(deep)));
+        CHECK(failed(site_wire::decode_report(deep)));
+
+        // Also in a field that is otherwise ignored.
+        CHECK(failed(decoder->decode_target("i-1", with(registry_entry(), "/colour", deep))));
+        CHECK(failed(decoder->decode_config(with(configuration(), "/colour", deep))));
+        CHECK(failed(site_wire::decode_report(with(json::object(), "/colour", deep))));
+    }
+}
+
+TEST_CASE("numbers that do not fit their field make the document malformed", "[adapter][decode]")
+{
+    // Guards against undefined conversions, and against entries that state half a slot.
+    const auto decoder = site_wire::create_decoder();
+    for (const auto& number : not_whole) {
+        CAPTURE(number.substr(0, 30));
+        for (const auto* path : {"/slots", "/sequence", "/born", "/group/epoch", "/group/rank"}) {
+            CAPTURE(path);
+            CHECK(failed(decoder->decode_target("i-1", with(registry_entry(), path, number))));
+        }
+        for (const auto* path : {"/version", "/services/0/engine/slots", "/services/0/engine/stride",
+                                 "/services/0/engine/models/0/size", "/limits/maxBodyBytes"}) {
+            CAPTURE(path);
+            CHECK(failed(decoder->decode_config(with(configuration(), path, number))));
+        }
+        CHECK(failed(site_wire::decode_report(with(json::object(), "/active", number))));
+    }
+    SECTION("times and rates may be fractions, but not endless")
+    {
+        for (const auto* number : {"1e308", "1e19", "-1", "1e999"}) {
+            CAPTURE(number);
+            CHECK(failed(decoder->decode_target("i-1", with(registry_entry(), "/coldRemainingMs", number))));
+            for (const auto* path :
+                 {"/routes/0/timeoutMs", "/routes/0/trafficSplit/0/weight", "/services/0/coldStartS",
+                  "/services/0/coldPerS", "/services/0/engine/formMs", "/services/0/engine/step_ms",
+                  "/services/0/engine/per_seq_ms", "/services/0/engine/read_per_s",
+                  "/services/0/engine/models/0/pace"}) {
+                CAPTURE(path);
+                CHECK(failed(decoder->decode_config(with(configuration(), path, number))));
+            }
+            CHECK(failed(site_wire::decode_report(with(json::object(), "/pace", number))));
+        }
+        CHECK(succeeded(decoder->decode_target("i-1", with(registry_entry(), "/coldRemainingMs", "0.5"))));
+        CHECK(succeeded(decoder->decode_config(with(configuration(), "/services/0/engine/formMs", "2.5"))));
+    }
+    SECTION("whole numbers are read exactly, however they are written")
+    {
+        for (const auto* number : {"9007199254740992", "9007199254740992.0", "9007199254740992e0"}) {
+            const auto entry = decoder->decode_target("i-1", with(registry_entry(), "/group/epoch", number));
+            REQUIRE(succeeded(entry));
+            CHECK(value(entry).membership->epoch == 9007199254740992U);
+        }
+    }
+}
+
 TEST_CASE("registry entries are decoded, and malformed ones are rejected", "[adapter][decode]")
 {
     const auto decoder = site_wire::create_decoder();
