Refuse registry entries with an unusable address or key

What callers would see: requests may be routed to an entry of another writer with port 0, or with a key of control characters, which become part of a header line of the request.

Cause: port 0, an address with a NUL byte and any key were accepted. The address parser reads only up to a NUL byte, and so does the JSON parser.

Change: such entries are malformed; the JSON reader refuses NUL bytes.

The new test of the store mirror with odd entries passes; it was not run on the unchanged code.

--- a/src/base/endpoint.cpp
+++ b/src/base/endpoint.cpp
@@ -23,6 +23,9 @@
         code != std::errc() || end != last || port.empty()) {
         return bad;
     }
+    if (host.find('\0') != std::string_view::npos) {
+        return bad; // make_address() reads only up to it
+    }
     boost::system::error_code code;
     const auto address = boost::asio::ip::make_address(std::string(host), code);
     if (code) {
--- a/src/base/json_reader.cpp
+++ b/src/base/json_reader.cpp
@@ -175,6 +175,9 @@
 
 result<nlohmann::json> parse_json(std::string_view text)
 {
+    if (text.find('\0') != std::string_view::npos) {
+        return failure{failure_kind::malformed, "NUL byte"}; // the parser takes it for the end of the text
+    }
     return parse(text, nlohmann::json::input_format_t::json);
 }
 
--- a/tests/adapter/decode_test.cpp
+++ b/tests/adapter/decode_test.cpp
@@ -156,6 +156,72 @@
     }
 }
 
+TEST_CASE("entries with an unusable address or key name no target", "[adapter][decode]")
+{
+    // Guards against requests to port 0, and against keys that would end a header line of a request.
+    const auto decoder = site_wire::create_decoder();
+    const auto address = [&](const std::string& text) {
+        auto entry = registry_entry();
+        entry["address"] = text;
+        return decoder->decode_target("i-1", entry.dump());
+    };
+    for (const std::string text : {"10.0.0.9:0",
+                                   "10.0.0.9:65536",
+                                   "10.0.0.9:99999999999",
+                                   "10.0.0.9:-1",
+                                   "10.0.0.9:",
+                                   ":80",
+                                   "10.0.0.9",
+                                   "",
+                                   ":",
+                                   "10.0.0.9:80 ",
+                                   " 10.0.0.9:80",
+                                   "10.0.0.9 :80",
+                                   "10.0.0.9:+80",
+                                   "10.0.0.9:8e1",
+                                   "10.0.0.9:80\n",
+                                   "\x01:80",
+                                   "[]:80",
+                                   "[10.0.0.9:80",
+                                   "10.0.0.256:80",
+                                   "host:80"}) {
+        CAPTURE(text);
+        CHECK(failed(address(text)));
+    }
+    CHECK(failed(address(std::string("10.0.0.9\0:80", 12))));
+    CHECK(failed(address(std::string("10.0.0.9\0x:80", 13))));
+    CHECK(failed(address(std::string(1024 * 1024, '1') + ":80")));
+    CHECK(succeeded(address("[::1]:80")));
+    CHECK(succeeded(address("10.0.0.9:65535")));
+
+    const auto bytes = registry_entry().dump();
+    for (const std::string key : {"", "a\r\nb", "a\tb", " ", "a b", "\x7f"}) {
+        CAPTURE(key);
+        CHECK(failed(decoder->decode_target(key, bytes)));
+    }
+    CHECK(failed(decoder->decode_target(std::string("a\0b", 3), bytes)));
+    CHECK(succeeded(decoder->decode_target("a/b", bytes)));
+    CHECK(succeeded(decoder->decode_target(std::string(200, '~'), bytes)));
+}
+
+TEST_CASE("entries that are no object or no text are refused", "[adapter][decode]")
+{
+    const auto decoder = site_wire::create_decoder();
+    for (const std::string& bytes :
+         {std::string(), std::string(" "), std::string("1"), std::string("null"), std::string("\"x\""),
+          std::string("[]"), std::string("{}"), std::string("{"), std::string("\xff\xfe"),
+          std::string(1024 * 1024, '\0'), registry_entry().dump() + std::string(1, '\0'),
+          registry_entry().dump() + "{}", with(registry_entry(), "/service", "\"\xff\""),
+          with(registry_entry(), "/service", "\"\\ud800\""),
+          R"({"slots":1,)" + registry_entry().dump().substr(1)}) {
+        CAPTURE(bytes.substr(0, 40));
+        CHECK(failed(decoder->decode_target("i-1", bytes)));
+        CHECK(failed(decoder->decode_config(bytes)));
+    }
+    CHECK(succeeded(decoder->decode_target(
+        "i-1", with(registry_entry(), "/zone", '"' + std::string(1024 * 1024, 'z') + '"'))));
+}
+
 TEST_CASE("registry entries are decoded, and malformed ones are rejected", "[adapter][decode]")
 {
     const auto decoder = site_wire::create_decoder();
--- a/tests/gateway/store_mirror_test.cpp
+++ b/tests/gateway/store_mirror_test.cpp
@@ -129,3 +129,80 @@
         }
     }
 }
+
+TEST_CASE("odd entries of another writer do not end or stop the reading of the others",
+          "[gateway][store_mirror]")
+{
+    // Guards against one entry that ends the process, hides the other entries or makes the reader spin.
+    managed_site site;
+    auto& store = *site.site->store;
+    REQUIRE(site.run_until([&] { return site.mirror.complete() && !site.fleet.groups().empty(); }));
+    const auto engines = site.fleet.targets().size();
+    const auto prefix = site.ports.decoder->targets_prefix();
+    const auto victim = site.fleet.groups().front().members.front();
+    const auto other = site.fleet.groups().back().members.back();
+    const auto good = store.find(prefix + victim.str()).value();
+    constexpr std::size_t deep_levels = 100000;
+    const std::vector<std::string> odd{
+        "",
+        "7",
+        "{}",
+        std::string(deep_levels, '['),
+        std::string(deep_levels, '[') + std::string(deep_levels, ']'),
+        R"({"colour":)" + std::string(deep_levels, '[') + std::string(deep_levels, ']') + "," +
+            good.substr(1),
+        R"({"born":1e999,)" + good.substr(1),
+        "\xff\xfe",
+        std::string(100, '\0'),
+        std::string(1024 * 1024, '{'),
+    };
+    const auto write_all = [&] {
+        for (std::size_t i = 0; i < odd.size(); ++i) {
+            store.put(prefix + "odd" + std::to_string(i), odd[i]);
+        }
+        for (const auto* key : {"", "/", "a\r\nb", "\t"}) {
+            store.put(prefix + key, good);
+        }
+        store.put(prefix + std::string(200, '\x01'), good);
+        store.put(site.ports.decoder->config_key(), odd[4]);
+    };
+    const auto only_good_ones = [&](const gateway::fleet_state& fleet) {
+        return std::none_of(fleet.targets().begin(), fleet.targets().end(), [](const auto& entry) {
+            const auto& name = entry.first.str();
+            return name.empty() || name.rfind("odd", 0) == 0 || name.find('\n') != std::string::npos;
+        });
+    };
+    write_all();
+    const auto written = store.put(prefix + "odd", "last");
+    REQUIRE(site.run_until([&] { return site.mirror.revision() >= written; }));
+    CHECK(only_good_ones(site.fleet));
+    CHECK(site.fleet.targets().size() >= engines);
+    CHECK(site.fleet.config() != nullptr);
+
+    SECTION("later changes are followed, without reading more often")
+    {
+        const auto calls = site.ports.store->calls();
+        constexpr std::uint64_t max_idle_calls = 10; // a watch is open for 800 ms
+        site.run_for(milliseconds(2000));
+        CHECK(site.ports.store->calls() - calls <= max_idle_calls);
+        site.engine(other).faults.unregistered = true;
+        site.engine(other).update_entry();
+        REQUIRE(site.run_until([&] { return site.fleet.find_target(other) == nullptr; }));
+    }
+    SECTION("an odd entry in place of an engine's names no engine until the engine writes again")
+    {
+        store.put(prefix + victim.str(), odd[3]);
+        REQUIRE(site.run_until([&] { return site.fleet.find_target(victim) == nullptr; }));
+        CHECK(site.fleet.find_target(other) != nullptr);
+        store.put(prefix + victim.str(), good);
+        REQUIRE(site.run_until([&] { return site.fleet.find_target(victim) != nullptr; }));
+    }
+    SECTION("the history is gone, and the whole store is read again")
+    {
+        store.drop_history();
+        const auto last = store.put(prefix + "odd", "later");
+        REQUIRE(site.run_until([&] { return site.mirror.revision() >= last; }));
+        CHECK(only_good_ones(site.fleet));
+        CHECK(site.fleet.targets().size() >= engines);
+    }
+}
