Refuse peer messages with numbers that do not fit their field

What operators would see: one notice with a negative age dates the store contact of a daemon into the future, so that it does not report the store as unreachable; a rate that is not a number enters the plan of the manager.

Cause: the decoders convert any number to the type of the field. Out of range this gives an arbitrary value, for floating-point numbers undefined behaviour.

Change: two checked conversions beside the CBOR reader, used by the decoders of reports and notices.

--- a/src/base/bounded_cbor.cpp
+++ b/src/base/bounded_cbor.cpp
@@ -1,6 +1,7 @@
 #include "base/bounded_cbor.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdint>
 #include <nlohmann/json.hpp>
 
@@ -10,6 +11,9 @@
 
 using nlohmann::json;
 
+/// Number of the exceptions for numbers, as in the peer messages.
+constexpr int number_error = 500;
+
 /// Counts the nesting depth from parser events and aborts parsing above max_cbor_depth.
 class depth_checker final : public nlohmann::json_sax<json>
 {
@@ -90,4 +94,20 @@
     return json::from_cbor(bytes.begin(), bytes.end(), true, false);
 }
 
+std::uint64_t checked_integer(const nlohmann::json& number, std::uint64_t maximum)
+{
+    if (!number.is_number_unsigned() || number.get<std::uint64_t>() > maximum) {
+        throw json::other_error::create(number_error, "integer out of range", &number);
+    }
+    return number.get<std::uint64_t>();
+}
+
+double checked_amount(const nlohmann::json& number)
+{
+    if (!number.is_number() || !std::isfinite(number.get<double>()) || number.get<double>() < 0) {
+        throw json::other_error::create(number_error, "number is negative or not finite", &number);
+    }
+    return number.get<double>();
+}
+
 } // namespace rml
--- a/src/base/bounded_cbor.hpp
+++ b/src/base/bounded_cbor.hpp
@@ -2,6 +2,7 @@
 /// of nested arrays would exhaust the stack.
 #pragma once
 
+#include <cstdint>
 #include <nlohmann/json_fwd.hpp>
 #include <string_view>
 
@@ -19,4 +20,11 @@
 /// throws a nlohmann::json::exception.
 nlohmann::json decode_bounded_cbor(std::string_view bytes);
 
+/// Returns the integer. Throws a nlohmann::json::exception for another type, a negative number and one above
+/// the maximum, which json::get() would convert to an arbitrary value.
+std::uint64_t checked_integer(const nlohmann::json& number, std::uint64_t maximum);
+
+/// Returns the number. Throws a nlohmann::json::exception unless it is finite and not negative.
+double checked_amount(const nlohmann::json& number);
+
 } // namespace rml
--- a/src/gateway/change_notice.cpp
+++ b/src/gateway/change_notice.cpp
@@ -1,8 +1,10 @@
 #include "gateway/change_notice.hpp"
 
+#include "base/bounded_cbor.hpp"
 #include "base/json_reader.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <numeric>
 
@@ -17,6 +19,9 @@
 /// Total size of keys and values in one notice: some packets of a usual link. A target entry has 300 to 400
 /// bytes.
 constexpr std::size_t max_notice_bytes = 4000;
+constexpr std::uint64_t max_revision = std::numeric_limits<std::uint64_t>::max();
+/// Far above the age of a usable notice, and small enough for arithmetic with points in time.
+constexpr std::uint64_t max_age_ms = 1'000'000'000;
 
 std::size_t size_of(const store_event& event)
 {
@@ -94,13 +99,13 @@
     try {
         change_notice out;
         out.daemon = daemon_id(message.at("d").get<std::string>());
-        out.after = message.at("a").get<std::uint64_t>();
-        out.revision = message.at("r").get<std::uint64_t>();
-        out.age = milliseconds(message.at("t").get<std::int64_t>());
+        out.after = checked_integer(message.at("a"), max_revision);
+        out.revision = checked_integer(message.at("r"), max_revision);
+        out.age = milliseconds(checked_integer(message.at("t"), max_age_ms));
         for (const auto& entry : message.at("e")) {
             store_event event;
             event.key = entry.at("k").get<std::string>();
-            event.revision = entry.at("r").get<std::uint64_t>();
+            event.revision = checked_integer(entry.at("r"), max_revision);
             if (const auto found = entry.find("v"); found != entry.end()) {
                 const auto& content = found->get_binary();
                 event.value = std::string(content.begin(), content.end());
--- a/src/gateway/peer_report.cpp
+++ b/src/gateway/peer_report.cpp
@@ -1,7 +1,9 @@
 #include "gateway/peer_report.hpp"
 
+#include "base/bounded_cbor.hpp"
 #include "base/json_reader.hpp"
 
+#include <limits>
 #include <nlohmann/json.hpp>
 
 namespace rml::gateway {
@@ -12,6 +14,8 @@
 
 constexpr std::uint32_t report_format = 1;
 constexpr std::size_t max_listed_targets = 2000;
+constexpr std::uint64_t max_uint32 = std::numeric_limits<std::uint32_t>::max();
+constexpr std::uint64_t max_int64 = std::numeric_limits<std::int64_t>::max();
 
 template <class Id>
 json encode_ids(const std::vector<Id>& ids)
@@ -70,13 +74,13 @@
 result<peer_report> decode_report(const json& message)
 {
     try {
-        if (message.at("f").get<std::uint32_t>() != report_format) {
+        if (checked_integer(message.at("f"), max_uint32) != report_format) {
             return failure{failure_kind::malformed, "peer report has an unsupported format number"};
         }
         peer_report out;
         out.daemon = daemon_id(message.at("d").get<std::string>());
-        out.started_ms = message.at("b").get<std::int64_t>();
-        out.sequence = message.at("n").get<std::uint64_t>();
+        out.started_ms = static_cast<std::int64_t>(checked_integer(message.at("b"), max_int64));
+        out.sequence = checked_integer(message.at("n"), std::numeric_limits<std::uint64_t>::max());
         out.leaving = message.at("l").get<bool>();
         out.ready = message.at("r").get<bool>();
         out.store_reachable = message.at("s").get<bool>();
@@ -84,13 +88,14 @@
             return failure{failure_kind::too_large, "peer report"};
         }
         for (const auto& [target, count] : message.at("t").items()) {
-            out.in_flight[instance_id(target)] = count.get<std::uint32_t>();
+            out.in_flight[instance_id(target)] =
+                static_cast<std::uint32_t>(checked_integer(count, max_uint32));
         }
         out.stalled = decode_ids(message, "u");
         if (message.contains("a")) { // daemons of the previous version do not send these two fields
             out.answering = decode_ids(message, "a");
             for (const auto& [head, factor] : message.at("p").items()) {
-                out.slow[instance_id(head)] = factor.get<double>();
+                out.slow[instance_id(head)] = checked_amount(factor);
             }
         }
         out.ejected = decode_ids(message, "x");
@@ -98,9 +103,10 @@
         // Daemons of the previous version do not send this flag; only the group manager ejects targets.
         out.manages = message.contains("m") ? message.at("m").get<bool>() : !out.ejected.empty();
         for (const auto& [model, amount] : message.at("w").items()) {
-            out.offered_load[model_id(model)] = amount.get<double>();
+            out.offered_load[model_id(model)] = checked_amount(amount);
         }
-        out.requests_per_s = message.value("q", 0.0); // daemons of the previous version do not send it
+        // Daemons of the previous version do not send this field.
+        out.requests_per_s = message.contains("q") ? checked_amount(message.at("q")) : 0.0;
         return out;
     } catch (const json::exception& problem) {
         return failure{failure_kind::malformed, std::string("peer report: ") + problem.what()};
--- a/tests/gateway/change_notice_test.cpp
+++ b/tests/gateway/change_notice_test.cpp
@@ -4,6 +4,7 @@
 #include "decision/random_source.hpp"
 
 #include <catch2/catch.hpp>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <rapidcheck.h>
 
@@ -108,3 +109,23 @@
     });
     CHECK(held);
 }
+
+TEST_CASE("a notice with a number that does not fit its field is refused", "[gateway][change_notice]")
+{
+    // Guards against a store contact in the future: a negative age hides that the store is unreachable.
+    const auto refused = [](const char* field, const nlohmann::json& number) {
+        auto document = nlohmann::json::from_cbor(gateway::encode_notice({daemon_id("d"), 1, 2, {}, {}}));
+        document[field] = number;
+        const auto bytes = nlohmann::json::to_cbor(document);
+        return failed(decode(std::string(bytes.begin(), bytes.end())));
+    };
+    for (const auto& number : {nlohmann::json(-1), nlohmann::json(1e308), nlohmann::json(0.5),
+                               nlohmann::json(std::numeric_limits<std::int64_t>::min())}) {
+        for (const auto* field : {"a", "r", "t"}) {
+            CAPTURE(field, number.dump());
+            CHECK(refused(field, number));
+        }
+    }
+    CHECK(refused("t", std::numeric_limits<std::int64_t>::max()));
+    CHECK_FALSE(refused("t", 1200));
+}
--- a/tests/gateway/peer_report_test.cpp
+++ b/tests/gateway/peer_report_test.cpp
@@ -4,6 +4,7 @@
 #include "decision/random_source.hpp"
 
 #include <catch2/catch.hpp>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <rapidcheck.h>
 
@@ -84,3 +85,35 @@
     });
     CHECK(held);
 }
+
+TEST_CASE("a report with a number that does not fit its field is refused", "[gateway][peer_report]")
+{
+    // Guards against undefined conversions, and against rates that are not finite in the manager's plans.
+    peer_report report;
+    report.daemon = daemon_id("d");
+    report.in_flight[instance_id("i")] = 1;
+    report.offered_load[model_id("m")] = 1;
+    report.slow[instance_id("p")] = 1;
+    const auto refused = [&](const char* path, const nlohmann::json& number) {
+        auto document = nlohmann::json::from_cbor(encode_report(report));
+        document[nlohmann::json::json_pointer(path)] = number;
+        const auto bytes = nlohmann::json::to_cbor(document);
+        return failed(decode(std::string(bytes.begin(), bytes.end())));
+    };
+    for (const double number : {1e308, -1.0, 0.5, std::numeric_limits<double>::quiet_NaN(),
+                                std::numeric_limits<double>::infinity()}) {
+        CAPTURE(number);
+        for (const auto* path : {"/f", "/b", "/n", "/t/i"}) {
+            CAPTURE(path);
+            CHECK(refused(path, number));
+        }
+        const bool amount = number >= 0 && number <= std::numeric_limits<double>::max();
+        for (const auto* path : {"/p/p", "/w/m", "/q"}) {
+            CAPTURE(path);
+            CHECK(refused(path, number) == !amount);
+        }
+    }
+    CHECK(refused("/t/i", -1));
+    CHECK(refused("/t/i", 4294967296));
+    CHECK(refused("/b", 9223372036854775808U));
+}
