Refuse notices of store changes whose keys are not UTF-8

What operators would see: nothing known so far. An order to engines that names such a key in JSON throws in a coroutine, which would end the process; this was read from the code and not played.

Cause: CBOR does not ensure that text is UTF-8, and the key of an entry becomes the name of a target.

Change: the decoder of notices refuses such keys.

Result: "a notice with a key that is not UTF-8 is refused" failed before the change and passes after it (37 checks in 4 test cases of notices).

--- a/src/gateway/change_notice.cpp
+++ b/src/gateway/change_notice.cpp
@@ -105,6 +105,7 @@
         for (const auto& entry : message.at("e")) {
             store_event event;
             event.key = entry.at("k").get<std::string>();
+            (void)entry.at("k").dump(); // throws unless the key is UTF-8, which CBOR does not ensure
             event.revision = checked_integer(entry.at("r"), max_revision);
             if (const auto found = entry.find("v"); found != entry.end()) {
                 const auto& content = found->get_binary();
--- a/tests/gateway/change_notice_test.cpp
+++ b/tests/gateway/change_notice_test.cpp
@@ -129,3 +129,13 @@
     CHECK(refused("t", std::numeric_limits<std::int64_t>::max()));
     CHECK_FALSE(refused("t", 1200));
 }
+
+TEST_CASE("a notice with a key that is not UTF-8 is refused", "[gateway][change_notice]")
+{
+    // Guards against an exception that ends the process when an order to engines names such a key.
+    change_notice notice{daemon_id("d"), 1, 2, {}, {}};
+    notice.events.push_back({"targets/\xff", std::nullopt, 2});
+    CHECK(failed(decode(gateway::encode_notice(notice))));
+    notice.events.front().key = "targets/\xc3\xa9";
+    CHECK(succeeded(decode(gateway::encode_notice(notice))));
+}
