--- a/src/base/json_reader.cpp
+++ b/src/base/json_reader.cpp
@@ -1,5 +1,7 @@
 #include "base/json_reader.hpp"
 
+#include "base/bounded_cbor.hpp"
+
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -9,8 +11,6 @@
 namespace {
 
 constexpr std::size_t excerpt_bytes = 80;
-/// 2^53: doubles, and so all JSON readers, represent integers up to this value exactly.
-constexpr double largest_exact_integer = 9007199254740992.0;
 
 /// Builds the document; aborts parsing at a duplicate key, a byte string or nesting above max_json_depth.
 class document_builder final : public nlohmann::json_sax<nlohmann::json>
@@ -175,11 +175,17 @@
 
 result<nlohmann::json> parse_json(std::string_view text)
 {
+    if (text.find('\0') != std::string_view::npos) {
+        return failure{failure_kind::malformed, "NUL byte"}; // the parser takes it for the end of the text
+    }
     return parse(text, nlohmann::json::input_format_t::json);
 }
 
 result<nlohmann::json> parse_cbor(std::string_view bytes)
 {
+    if (has_indefinite_string(bytes)) {
+        return failure{failure_kind::malformed, "string of indefinite length"};
+    }
     return parse(bytes, nlohmann::json::input_format_t::cbor);
 }
 
--- a/tests/adapter/decode_test.cpp
+++ b/tests/adapter/decode_test.cpp
@@ -47,8 +47,181 @@
         "tenants":[{"name":"branch","apiKeys":["k1","k2"],"priority":1}]})");
 }
 
+std::string nested(const std::string& open, const std::string& close = "")
+{
+    constexpr int levels = 100000;
+    std::string text;
+    for (int i = 0; i < levels; ++i) {
+        text += open;
+    }
+    text += close.empty() ? "" : "1";
+    for (int i = 0; i < levels; ++i) {
+        text += close;
+    }
+    return text;
+}
+
+/// Text of the document with the value at the path replaced by text, which need not be JSON.
+std::string with(json document, const char* path, const std::string& text)
+{
+    const std::string mark = "replaced here";
+    document[json::json_pointer(path)] = mark;
+    auto out = document.dump();
+    return out.replace(out.find('"' + mark + '"'), mark.size() + 2, text);
+}
+
+const std::vector<std::string> too_deep{nested("["), nested("[", "]"), nested("{\"a\":"),
+                                        nested("{\"a\":", "}"), nested("[{\"a\":", "}]")};
+/// Texts that are no whole number from 0 which a double holds exactly.
+const std::vector<std::string> not_whole{"1e999",
+                                         "-1e999",
+                                         "1e308",
+                                         "1e19",
+                                         "18446744073709551615",
+                                         "18446744073709551616",
+                                         "-1",
+                                         "-9223372036854775808",
+                                         "0.5",
+                                         "2.5",
+                                         "1e-300",
+                                         "NaN",
+                                         "Infinity",
+                                         "\"NaN\"",
+                                         "\"1\"",
+                                         "null",
+                                         "true",
+                                         "[1]",
+                                         "1" + std::string(400000, '0')};
+
 } // namespace
 
+TEST_CASE("documents nested too deeply are refused before they exhaust the stack", "[adapter][decode]")
+{
+    const auto decoder = site_wire::create_decoder();
+    for (const auto& deep : too_deep) {
+        CAPTURE(deep.substr(0, 5), deep.size());
+        CHECK(failed(decoder->decode_target("i-1", deep)));
+        CHECK(failed(decoder->decode_config(deep)));
+        CHECK(failed(site_wire::decode_report(deep)));
+
+        // Also in a field that is otherwise ignored.
+        CHECK(failed(decoder->decode_target("i-1", with(registry_entry(), "/colour", deep))));
+        CHECK(failed(decoder->decode_config(with(configuration(), "/colour", deep))));
+        CHECK(failed(site_wire::decode_report(with(json::object(), "/colour", deep))));
+    }
+}
+
+TEST_CASE("numbers that do not fit their field make the document malformed", "[adapter][decode]")
+{
+    // Guards against undefined conversions, and against entries that state half a slot.
+    const auto decoder = site_wire::create_decoder();
+    for (const auto& number : not_whole) {
+        CAPTURE(number.substr(0, 30));
+        for (const auto* path : {"/slots", "/sequence", "/born", "/group/epoch", "/group/rank"}) {
+            CAPTURE(path);
+            CHECK(failed(decoder->decode_target("i-1", with(registry_entry(), path, number))));
+        }
+        for (const auto* path : {"/version", "/services/0/engine/slots", "/services/0/engine/stride",
+                                 "/services/0/engine/models/0/size", "/limits/maxBodyBytes"}) {
+            CAPTURE(path);
+            CHECK(failed(decoder->decode_config(with(configuration(), path, number))));
+        }
+        CHECK(failed(site_wire::decode_report(with(json::object(), "/active", number))));
+    }
+    SECTION("times and rates may be fractions, but not endless")
+    {
+        for (const auto* number : {"1e308", "1e19", "-1", "1e999"}) {
+            CAPTURE(number);
+            CHECK(failed(decoder->decode_target("i-1", with(registry_entry(), "/coldRemainingMs", number))));
+            for (const auto* path :
+                 {"/routes/0/timeoutMs", "/routes/0/trafficSplit/0/weight", "/services/0/coldStartS",
+                  "/services/0/coldPerS", "/services/0/engine/formMs", "/services/0/engine/step_ms",
+                  "/services/0/engine/per_seq_ms", "/services/0/engine/read_per_s",
+                  "/services/0/engine/models/0/pace"}) {
+                CAPTURE(path);
+                CHECK(failed(decoder->decode_config(with(configuration(), path, number))));
+            }
+            CHECK(failed(site_wire::decode_report(with(json::object(), "/pace", number))));
+        }
+        CHECK(succeeded(decoder->decode_target("i-1", with(registry_entry(), "/coldRemainingMs", "0.5"))));
+        CHECK(succeeded(decoder->decode_config(with(configuration(), "/services/0/engine/formMs", "2.5"))));
+    }
+    SECTION("whole numbers are read exactly, however they are written")
+    {
+        for (const auto* number : {"9007199254740992", "9007199254740992.0", "9007199254740992e0"}) {
+            const auto entry = decoder->decode_target("i-1", with(registry_entry(), "/group/epoch", number));
+            REQUIRE(succeeded(entry));
+            CHECK(value(entry).membership->epoch == 9007199254740992U);
+        }
+    }
+}
+
+TEST_CASE("entries with an unusable address or key name no target", "[adapter][decode]")
+{
+    // Guards against requests to port 0, and against keys that would end a header line of a request.
+    const auto decoder = site_wire::create_decoder();
+    const auto address = [&](const std::string& text) {
+        auto entry = registry_entry();
+        entry["address"] = text;
+        return decoder->decode_target("i-1", entry.dump());
+    };
+    for (const std::string text : {"10.0.0.9:0",
+                                   "10.0.0.9:65536",
+                                   "10.0.0.9:99999999999",
+                                   "10.0.0.9:-1",
+                                   "10.0.0.9:",
+                                   ":80",
+                                   "10.0.0.9",
+                                   "",
+                                   ":",
+                                   "10.0.0.9:80 ",
+                                   " 10.0.0.9:80",
+                                   "10.0.0.9 :80",
+                                   "10.0.0.9:+80",
+                                   "10.0.0.9:8e1",
+                                   "10.0.0.9:80\n",
+                                   "\x01:80",
+                                   "[]:80",
+                                   "[10.0.0.9:80",
+                                   "10.0.0.256:80",
+                                   "host:80"}) {
+        CAPTURE(text);
+        CHECK(failed(address(text)));
+    }
+    CHECK(failed(address(std::string("10.0.0.9\0:80", 12))));
+    CHECK(failed(address(std::string("10.0.0.9\0x:80", 13))));
+    CHECK(failed(address(std::string(1024 * 1024, '1') + ":80")));
+    CHECK(succeeded(address("[::1]:80")));
+    CHECK(succeeded(address("10.0.0.9:65535")));
+
+    const auto bytes = registry_entry().dump();
+    for (const std::string key : {"", "a\r\nb", "a\tb", " ", "a b", "\x7f"}) {
+        CAPTURE(key);
+        CHECK(failed(decoder->decode_target(key, bytes)));
+    }
+    CHECK(failed(decoder->decode_target(std::string("a\0b", 3), bytes)));
+    CHECK(succeeded(decoder->decode_target("a/b", bytes)));
+    CHECK(succeeded(decoder->decode_target(std::string(200, '~'), bytes)));
+}
+
+TEST_CASE("entries that are no object or no text are refused", "[adapter][decode]")
+{
+    const auto decoder = site_wire::create_decoder();
+    for (const std::string& bytes :
+         {std::string(), std::string(" "), std::string("1"), std::string("null"), std::string("\"x\""),
+          std::string("[]"), std::string("{}"), std::string("{"), std::string("\xff\xfe"),
+          std::string(1024 * 1024, '\0'), registry_entry().dump() + std::string(1, '\0'),
+          registry_entry().dump() + "{}", with(registry_entry(), "/service", "\"\xff\""),
+          with(registry_entry(), "/service", "\"\\ud800\""),
+          R"({"slots":1,)" + registry_entry().dump().substr(1)}) {
+        CAPTURE(bytes.substr(0, 40));
+        CHECK(failed(decoder->decode_target("i-1", bytes)));
+        CHECK(failed(decoder->decode_config(bytes)));
+    }
+    CHECK(succeeded(decoder->decode_target(
+        "i-1", with(registry_entry(), "/zone", '"' + std::string(1024 * 1024, 'z') + '"'))));
+}
+
 TEST_CASE("registry entries are decoded, and malformed ones are rejected", "[adapter][decode]")
 {
     const auto decoder = site_wire::create_decoder();
