Keep the address of a group's head for its ending

Cause: an ending took its head from the registry only. A head that was cut off from the store, joined, opened and then lost its entry was unknown, because its last entry never showed the group. The same held for a head that told a new manager of its group only when it was asked. Such a group counted as stalled after a member had left, although its idle head served on and answered, and its members or the head itself joined another group.

Change: the ending of a group that this manager formed has the head as it was registered at the beginning of the formation. A head that reports a group whose ending has no head is set as that head.

Result: 'an open head that expires before its entry showed the group is ordered to leave' and 'a head that reports a group whose ending had no known head is not reused before it has left' failed before (no order to the head, 'two groups') and pass now.

--- a/src/gateway/group_formation.cpp
+++ b/src/gateway/group_formation.cpp
@@ -114,16 +114,7 @@
         const auto took =
             std::chrono::duration_cast<milliseconds>(steady_clock::now() - plan.started).count();
         log(log_level::info, "group opened", {{"group", plan.group.str()}, {"took_ms", took}});
-        // The registry shows the open head with a delay; until then the group stays in `formations`.
-        const auto limit = steady_clock::now() + detail::formation_slack;
-        while (steady_clock::now() < limit) {
-            const auto* head = this->fleet.find_target(plan.members.front());
-            if (head == nullptr || (head->entry.membership && head->entry.membership->group == plan.group &&
-                                    head->entry.membership->phase == group_phase::open)) {
-                break;
-            }
-            http::pause(poll_interval, yield);
-        }
+        this->wait_until_shown(plan, yield);
     }
     if (revision == this->lease_revision) {
         this->formations.erase(plan.group);
@@ -131,6 +122,26 @@
     }
 }
 
+void group_manager::wait_until_shown(const formation& plan, yield_context yield)
+{
+    const auto limit = steady_clock::now() + detail::formation_slack;
+    while (steady_clock::now() < limit) {
+        const auto* head = this->fleet.find_target(plan.members.front());
+        if (head == nullptr) {
+            // The removed entry may never have shown the group, so the ending needs the address known here.
+            if (plan.epoch >> detail::epoch_counter_bits == this->lease_revision) {
+                this->end_formed_group(plan, true, "entry of the open head was removed");
+            }
+            return;
+        }
+        if (const auto& shown = head->entry.membership;
+            shown && shown->group == plan.group && shown->phase == group_phase::open) {
+            return;
+        }
+        http::pause(poll_interval, yield);
+    }
+}
+
 bool group_manager::confirm_free(const formation& plan, yield_context yield)
 {
     struct question
@@ -194,6 +205,9 @@
     this->assignments.assign(life, {key, in->rank});
     if (end != this->endings.end()) {
         end->second.members.push_back(engine.instance);
+        if (in->rank == 0 && end->second.head.instance.empty()) {
+            end->second.head = engine;
+        }
     }
     log(log_level::info, "engine is in a group that its entry does not show",
         {{"engine", engine.instance.str()}, {"group", in->group.str()}});
@@ -338,16 +352,23 @@
     this->abandoned.add();
     log(log_level::warning, "formation abandoned; ending group",
         {{"group", plan.group.str()}, {"reason", reason}});
-    const group_key key(plan.group, plan.epoch);
-    auto head = plan.head;
-    head.model = plan.model;
-    this->end_group(key, head, plan.members, false, steady_clock::now(), reason);
+    auto& state = this->end_formed_group(plan, false, reason);
     if (!plan.open_sent) {
         // Otherwise the head may execute the order to open late, so it has to leave first.
-        this->release(key, this->endings.at(key), release_evidence::never_opened);
+        this->release({plan.group, plan.epoch}, state, release_evidence::never_opened);
     }
 }
 
+group_manager::ending& group_manager::end_formed_group(const formation& plan, bool graceful,
+                                                       const std::string& reason)
+{
+    const group_key key(plan.group, plan.epoch);
+    auto head = plan.head;
+    head.model = plan.model;
+    this->end_group(key, head, plan.members, graceful, steady_clock::now(), reason);
+    return this->endings.at(key);
+}
+
 void group_manager::start_staging(const planned_stage& wanted, const served_model& model, time_point now)
 {
     const auto* state = this->fleet.find_target(wanted.instance);
--- a/src/gateway/group_manager.cpp
+++ b/src/gateway/group_manager.cpp
@@ -24,8 +24,6 @@
 constexpr int first_start_load_divisor = 10;
 /// Engines may execute an unanswered order up to 12 s after its receipt; 3 s are added for the network.
 constexpr milliseconds max_order_delay{15000};
-/// Bits of an epoch for the counter of one manager; a day of repairs needs some thousands of epochs.
-constexpr int epoch_counter_bits = 16;
 /// One epoch for the group and the next one for its fence.
 constexpr std::uint64_t epochs_per_group = 2;
 /// Window over which load starts are counted: the weight store limits them per second.
@@ -108,7 +106,7 @@
 std::uint64_t group_manager::next_epoch()
 {
     this->epoch_counter += epochs_per_group;
-    return (this->lease_revision << epoch_counter_bits) + this->epoch_counter;
+    return (this->lease_revision << detail::epoch_counter_bits) + this->epoch_counter;
 }
 
 void group_manager::tick()
--- a/src/gateway/group_manager.hpp
+++ b/src/gateway/group_manager.hpp
@@ -41,6 +41,8 @@
 /// A group has lost a link between its members when all of them answer probes but no daemon receives output
 /// from it for this long. Five times the longest usual pass.
 constexpr milliseconds group_stall_limit{1500};
+/// Bits of an epoch for the counter of one manager; a day of repairs needs some thousands of epochs.
+constexpr int epoch_counter_bits = 16;
 
 } // namespace detail
 
@@ -180,6 +182,11 @@
     /// Last group of each member and why it no longer serves, for logs.
     std::string previous_groups(const std::vector<instance_id>& members);
     bool join_members(const formation& plan, yield_context yield);
+    /// Waits until the registry shows the open head: until then the group stays in `formations`. Ends the
+    /// group if the head's entry is removed.
+    void wait_until_shown(const formation& plan, yield_context yield);
+    /// Ends a group of this manager with the address of its head as it was when the formation began.
+    ending& end_formed_group(const formation& plan, bool graceful, const std::string& reason);
     bool wait_until_ready(const formation& plan, yield_context yield);
     bool open_head(formation& plan, yield_context yield);
     void abandon(const formation& plan, const std::string& reason);
--- a/tests/gateway/group_manager_test.cpp
+++ b/tests/gateway/group_manager_test.cpp
@@ -29,6 +29,41 @@
     return nullptr;
 }
 
+/// Sends an order as another manager would. The group is g1, with epoch 1.
+void send_order(managed_site& site, const instance_id& engine, gateway::group_action action,
+                const std::vector<instance_id>& members = {})
+{
+    std::optional<result<gateway::order_verdict>> answer;
+    boost::asio::spawn(site.context, [&](gateway::yield_context yield) {
+        const gateway::group_order what{action, group_id("g1"), 1, model_id("planner"), members};
+        answer = site.ports.engines->order(site.fleet.find_target(engine)->entry, what,
+                                           steady_clock::now() + seconds(1), yield);
+    });
+    REQUIRE(site.run_until([&] { return answer.has_value(); }));
+    REQUIRE(succeeded(*answer));
+    CHECK(value(*answer) == gateway::order_verdict::started);
+}
+
+/// Stages the model at the first `count` engines of the first fabric domain.
+void stage_all(managed_site& site, int count)
+{
+    for (int i = 0; i < count; ++i) {
+        const instance_id engine("e0" + std::to_string(i));
+        send_order(site, engine, gateway::group_action::stage);
+        REQUIRE(site.run_until([&] { return !site.fleet.find_target(engine)->entry.staged.empty(); }));
+    }
+}
+
+/// Forms and opens the group g1.
+void form_group(managed_site& site, const std::vector<instance_id>& members)
+{
+    for (const auto& member : members) {
+        send_order(site, member, gateway::group_action::join, members);
+    }
+    site.run_for(site.site->fleet.timing.load * 2);
+    send_order(site, members.front(), gateway::group_action::open);
+}
+
 } // namespace
 
 TEST_CASE("groups are formed from the registry alone and repaired", "[gateway][group_manager]")
@@ -506,39 +541,18 @@
     const std::vector<instance_id> members{instance_id("e00"), instance_id("e01")};
     REQUIRE(site.run_until([&] { return site.fleet.targets().size() == 5; }));
 
-    const auto send = [&](const instance_id& engine, gateway::group_action action) {
-        std::optional<result<gateway::order_verdict>> answer;
-        boost::asio::spawn(site.context, [&](gateway::yield_context yield) {
-            const gateway::group_order what{action, group_id("g1"), 1, model_id("planner"), members};
-            answer = site.ports.engines->order(site.fleet.find_target(engine)->entry, what,
-                                               steady_clock::now() + seconds(1), yield);
-        });
-        REQUIRE(site.run_until([&] { return answer.has_value(); }));
-        REQUIRE(succeeded(*answer));
-        CHECK(value(*answer) == gateway::order_verdict::started);
-    };
-    const auto form_group = [&] {
-        send(members[0], gateway::group_action::join);
-        send(members[1], gateway::group_action::join);
-        site.run_for(site.site->fleet.timing.load * 2);
-        send(members[0], gateway::group_action::open);
-    };
-    for (const auto* name : {"e00", "e01", "e02"}) {
-        const instance_id engine(name);
-        send(engine, gateway::group_action::stage);
-        REQUIRE(site.run_until([&] { return !site.fleet.find_target(engine)->entry.staged.empty(); }));
-    }
+    stage_all(site, 3);
 
     SECTION("because only the head is registered as a member")
     {
         site.engine(members[1]).faults.entry_frozen = true;
-        form_group();
+        form_group(site, members);
     }
     SECTION("because neither the head nor another member is registered as such")
     {
         site.engine(members[0]).faults.entry_frozen = true;
         site.engine(members[1]).faults.entry_frozen = true;
-        form_group();
+        form_group(site, members);
     }
     site.engine(members[0]).faults.late_operation = "close";
     site.engine(members[0]).faults.order_delay = milliseconds(60000);
@@ -547,3 +561,52 @@
     site.run_for(milliseconds(1500));
     CHECK(first_violation(site).empty());
 }
+
+TEST_CASE("an open head that expires before its entry showed the group is ordered to leave",
+          "[gateway][group_manager]")
+{
+    // An idle head does not notice that its members leave, so they are not free before it has left.
+    site_standin::site_options options;
+    options.fabrics = 1;
+    options.engines_per_fabric = 4;
+    options.group_size = 3;
+    managed_site site(options);
+    const instance_id first("e00");
+    auto& head = site.engine(first);
+    head.faults.entry_frozen = true;
+    REQUIRE(site.run_until(
+        [&] { return std::count(head.operations.begin(), head.operations.end(), "open") == 1; }));
+    site.engine(instance_id("e02")).faults.late_operation = "leave";
+    site.engine(instance_id("e02")).faults.order_delay = milliseconds(60000);
+    site.site->store->remove("servers/" + first.str());
+    CHECK(site.run_until(
+        [&] { return std::count(head.operations.begin(), head.operations.end(), "leave") == 1; },
+        milliseconds(5000)));
+    site.run_for(milliseconds(3000));
+    CHECK(first_violation(site).empty());
+}
+
+TEST_CASE("a head that reports a group whose ending had no known head is not reused before it has left",
+          "[gateway][group_manager]")
+{
+    // A new manager ends a group of which only the other members are registered.
+    site_standin::site_options options;
+    options.fabrics = 1;
+    options.engines_per_fabric = 5;
+    options.group_size = 3;
+    managed_site site(options);
+    site.lease.held = false;
+    const std::vector<instance_id> members{instance_id("e00"), instance_id("e01"), instance_id("e02")};
+    REQUIRE(site.run_until([&] { return site.fleet.targets().size() == 7; }));
+    stage_all(site, 5);
+    auto& head = site.engine(members[0]);
+    head.faults.entry_frozen = true;
+    form_group(site, members);
+    head.faults.late_operation = "leave";
+    head.faults.order_delay = milliseconds(60000);
+    site.lease.held = true;
+    site.lease.revision = 90;
+    site.run_for(milliseconds(5000));
+    CHECK(std::count(head.operations.begin(), head.operations.end(), "close") >= 1);
+    CHECK(first_violation(site).empty());
+}
