Send no orders for a formation of an earlier manager lease

Cause: a formation that was suspended while the lease was lost and regained went on under the new lease: order() compares the lease with the revision that the manager has already taken over. An engine could join a group with an epoch of the earlier lease after the new one had recorded it as free.

Change: a formation checks before each order to join or to open, and after each suspension that changes records, that its epoch belongs to the present lease.

Result: 'a formation of an earlier manager lease sends no more orders' failed before (the engine joined under revision 7 after the change to 90) and passes now.

--- a/src/gateway/group_formation.cpp
+++ b/src/gateway/group_formation.cpp
@@ -88,9 +88,8 @@
 
 void group_manager::run_formation(formation plan, yield_context yield)
 {
-    const auto revision = this->lease_revision;
     if (!this->confirm_free(plan, yield)) {
-        if (revision == this->lease_revision) {
+        if (this->in_force(plan)) {
             this->formations.erase(plan.group); // no order was sent
             this->tick();
         }
@@ -104,7 +103,7 @@
     } else if (!this->open_head(plan, yield)) {
         reason = "the head did not accept the order to open";
     }
-    if (revision != this->lease_revision) {
+    if (!this->in_force(plan)) {
         return; // the state belongs to a later manager lease
     }
     if (!reason.empty()) {
@@ -116,7 +115,7 @@
         log(log_level::info, "group opened", {{"group", plan.group.str()}, {"took_ms", took}});
         this->wait_until_shown(plan, yield);
     }
-    if (revision == this->lease_revision) {
+    if (this->in_force(plan)) {
         this->formations.erase(plan.group);
         this->tick();
     }
@@ -129,7 +128,7 @@
         const auto* head = this->fleet.find_target(plan.members.front());
         if (head == nullptr) {
             // The removed entry may never have shown the group, so the ending needs the address known here.
-            if (plan.epoch >> detail::epoch_counter_bits == this->lease_revision) {
+            if (this->in_force(plan)) {
                 this->end_formed_group(plan, true, "entry of the open head was removed");
             }
             return;
@@ -169,11 +168,10 @@
             }
         });
     }
-    const auto revision = this->lease_revision;
     const auto sent = steady_clock::now();
     this->run_all(std::move(tasks), yield);
     const auto now = steady_clock::now();
-    if (revision != this->lease_revision) {
+    if (!this->in_force(plan)) {
         return false; // the records belong to a later manager lease
     }
     bool all_free = true;
@@ -236,8 +234,8 @@
         if (state == nullptr) {
             return false;
         }
-        tasks.emplace_back([this, &all, &what, sent, entry = state->entry](yield_context inner) {
-            for (int attempt = 0; attempt < max_join_attempts; ++attempt) {
+        tasks.emplace_back([this, &all, &what, &plan, sent, entry = state->entry](yield_context inner) {
+            for (int attempt = 0; attempt < max_join_attempts && this->in_force(plan); ++attempt) {
                 const auto answer = this->order(entry, what, inner);
                 if (succeeded(answer)) {
                     const auto verdict = value(answer);
@@ -264,7 +262,7 @@
             }
             all = false;
             const auto now = steady_clock::now();
-            if (!this->pauses.paused_since(sent, now)) {
+            if (this->in_force(plan) && !this->pauses.paused_since(sent, now)) {
                 this->mark_lost(entry.instance, "did not answer the order to join", now);
             }
         });
@@ -324,7 +322,7 @@
     what.action = group_action::open;
     what.group = plan.group;
     what.epoch = plan.epoch;
-    for (int attempt = 0; attempt < max_open_attempts; ++attempt) {
+    for (int attempt = 0; attempt < max_open_attempts && this->in_force(plan); ++attempt) {
         const auto* head = this->fleet.find_target(plan.members.front());
         if (head == nullptr) {
             return false;
--- a/src/gateway/group_manager.hpp
+++ b/src/gateway/group_manager.hpp
@@ -220,6 +220,11 @@
     void run_all(std::vector<std::function<void(yield_context)>> tasks, yield_context yield);
     /// Epoch of a new group. The following epoch is reserved for the group's fence.
     std::uint64_t next_epoch();
+    /// Whether the formation belongs to the present manager lease. Check it after each suspension.
+    bool in_force(const formation& plan) const
+    {
+        return plan.epoch >> detail::epoch_counter_bits == this->lease_revision;
+    }
     /// Epoch that is newer than the group and older than every later group.
     static std::uint64_t fence_epoch(const group_key& key) { return key.second + 1; }
 
--- a/tests/gateway/group_manager_test.cpp
+++ b/tests/gateway/group_manager_test.cpp
@@ -610,3 +610,30 @@
     CHECK(std::count(head.operations.begin(), head.operations.end(), "close") >= 1);
     CHECK(first_violation(site).empty());
 }
+
+TEST_CASE("a formation of an earlier manager lease sends no more orders", "[gateway][group_manager]")
+{
+    // The lease is lost and regained while a member leaves its order to join unanswered.
+    site_standin::site_options options;
+    options.fabrics = 1;
+    options.engines_per_fabric = 2;
+    managed_site site(options);
+    auto& first = site.engine(instance_id("e00"));
+    auto& second = site.engine(instance_id("e01"));
+    second.faults.late_operation = "join";
+    second.faults.order_delay = milliseconds(60000);
+    REQUIRE(site.run_until(
+        [&] { return std::count(first.operations.begin(), first.operations.end(), "join") == 1; }));
+    const auto earlier = site.lease.revision;
+    site.lease.revision = 90;
+    site.run_for(milliseconds(100));
+    second.faults.late_operation.clear();
+    std::uint64_t first_epoch = 0;
+    REQUIRE(site.run_until([&] {
+        const auto* state = site.fleet.find_target(instance_id("e01"));
+        first_epoch = state != nullptr && state->entry.membership ? state->entry.membership->epoch : 0;
+        return first_epoch != 0;
+    }));
+    CHECK(first_epoch >> gateway::detail::epoch_counter_bits != earlier);
+    CHECK(first_violation(site).empty());
+}
