--- a/src/decision/group_assignments.cpp
+++ b/src/decision/group_assignments.cpp
@@ -19,6 +19,8 @@
         return "head replaced";
     case release_evidence::head_stalled:
         return "head stalled";
+    case release_evidence::head_unknown:
+        return "head unknown";
     }
     return "unknown";
 }
@@ -33,7 +35,7 @@
     entry = {engine.started_ms, in, std::nullopt};
 }
 
-void group_assignments::confirm_free(const engine_life& engine)
+void group_assignments::record_free(const engine_life& engine)
 {
     this->records[engine.instance] = {engine.started_ms, std::nullopt, std::nullopt};
 }
--- a/src/decision/group_assignments.hpp
+++ b/src/decision/group_assignments.hpp
@@ -28,6 +28,7 @@
     head_fenced,   ///< the head has left and refuses late orders by a newer epoch
     head_replaced, ///< the head's process has restarted
     head_stalled,  ///< the head does not answer; a member left, and the stall time has passed since
+    head_unknown,  ///< the same, but no address of the head is known
 };
 
 std::string_view to_string(release_evidence evidence);
@@ -52,7 +53,7 @@
     /// of the engine is known in a group with a newer epoch.
     void assign(const engine_life& engine, const membership& in);
     /// Records that the engine has reported to be in no group that may serve.
-    void confirm_free(const engine_life& engine);
+    void record_free(const engine_life& engine);
     /// Records that the group no longer serves and cannot serve again.
     void release(const group_key& group, release_evidence evidence, time_point now);
 
@@ -67,7 +68,8 @@
     /// Engines that may belong to the group, by rank.
     std::vector<instance_id> members_of(const group_key& group) const;
 
-    /// Forgets engines whose entry was removed: their next entry is newer than what is known here.
+    /// Forgets engines whose entry was removed. Their next entry is newer than what is known here, and
+    /// without a record they count as unknown.
     void forget_if(const std::function<bool(const instance_id&)>& removed);
     /// Forgets groups that were released at `time` or earlier.
     void forget_released_before(time_point time);
--- a/src/gateway/group_ending.cpp
+++ b/src/gateway/group_ending.cpp
@@ -98,7 +98,7 @@
 void group_manager::confirm_head_unreachable(const group_key& key, ending& state)
 {
     if (state.head.instance.empty()) {
-        return this->release(key, state, release_evidence::head_stalled); // no known address
+        return this->release(key, state, release_evidence::head_unknown);
     }
     // A head without work may not have noticed that the member left, so a head that answers must leave first.
     state.order_pending = true;
--- a/src/gateway/group_formation.cpp
+++ b/src/gateway/group_formation.cpp
@@ -197,7 +197,7 @@
     const bool ended =
         this->assignments.released(key) || (end != this->endings.end() && end->second.released);
     if (!in || is_fence_group(in->group) || ended) {
-        this->assignments.confirm_free(life);
+        this->assignments.record_free(life);
         return true;
     }
     this->assignments.assign(life, {key, in->rank});
