--- a/src/gateway/group_formation.cpp
+++ b/src/gateway/group_formation.cpp
@@ -88,9 +88,8 @@
 
 void group_manager::run_formation(formation plan, yield_context yield)
 {
-    const auto revision = this->lease_revision;
     if (!this->confirm_free(plan, yield)) {
-        if (revision == this->lease_revision) {
+        if (this->in_force(plan)) {
             this->formations.erase(plan.group); // no order was sent
             this->tick();
         }
@@ -104,7 +103,7 @@
     } else if (!this->open_head(plan, yield)) {
         reason = "the head did not accept the order to open";
     }
-    if (revision != this->lease_revision) {
+    if (!this->in_force(plan)) {
         return; // the state belongs to a later manager lease
     }
     if (!reason.empty()) {
@@ -114,23 +113,34 @@
         const auto took =
             std::chrono::duration_cast<milliseconds>(steady_clock::now() - plan.started).count();
         log(log_level::info, "group opened", {{"group", plan.group.str()}, {"took_ms", took}});
-        // The registry shows the open head with a delay; until then the group stays in `formations`.
-        const auto limit = steady_clock::now() + detail::formation_slack;
-        while (steady_clock::now() < limit) {
-            const auto* head = this->fleet.find_target(plan.members.front());
-            if (head == nullptr || (head->entry.membership && head->entry.membership->group == plan.group &&
-                                    head->entry.membership->phase == group_phase::open)) {
-                break;
-            }
-            http::pause(poll_interval, yield);
-        }
+        this->wait_until_shown(plan, yield);
     }
-    if (revision == this->lease_revision) {
+    if (this->in_force(plan)) {
         this->formations.erase(plan.group);
         this->tick();
     }
 }
 
+void group_manager::wait_until_shown(const formation& plan, yield_context yield)
+{
+    const auto limit = steady_clock::now() + detail::formation_slack;
+    while (steady_clock::now() < limit) {
+        const auto* head = this->fleet.find_target(plan.members.front());
+        if (head == nullptr) {
+            // The removed entry may never have shown the group, so the ending needs the address known here.
+            if (this->in_force(plan)) {
+                this->end_formed_group(plan, true, "entry of the open head was removed");
+            }
+            return;
+        }
+        if (const auto& shown = head->entry.membership;
+            shown && shown->group == plan.group && shown->phase == group_phase::open) {
+            return;
+        }
+        http::pause(poll_interval, yield);
+    }
+}
+
 bool group_manager::confirm_free(const formation& plan, yield_context yield)
 {
     struct question
@@ -158,11 +168,10 @@
             }
         });
     }
-    const auto revision = this->lease_revision;
     const auto sent = steady_clock::now();
     this->run_all(std::move(tasks), yield);
     const auto now = steady_clock::now();
-    if (revision != this->lease_revision) {
+    if (!this->in_force(plan)) {
         return false; // the records belong to a later manager lease
     }
     bool all_free = true;
@@ -188,12 +197,15 @@
     const bool ended =
         this->assignments.released(key) || (end != this->endings.end() && end->second.released);
     if (!in || is_fence_group(in->group) || ended) {
-        this->assignments.confirm_free(life);
+        this->assignments.record_free(life);
         return true;
     }
     this->assignments.assign(life, {key, in->rank});
     if (end != this->endings.end()) {
         end->second.members.push_back(engine.instance);
+        if (in->rank == 0 && end->second.head.instance.empty()) {
+            end->second.head = engine;
+        }
     }
     log(log_level::info, "engine is in a group that its entry does not show",
         {{"engine", engine.instance.str()}, {"group", in->group.str()}});
@@ -222,8 +234,8 @@
         if (state == nullptr) {
             return false;
         }
-        tasks.emplace_back([this, &all, &what, sent, entry = state->entry](yield_context inner) {
-            for (int attempt = 0; attempt < max_join_attempts; ++attempt) {
+        tasks.emplace_back([this, &all, &what, &plan, sent, entry = state->entry](yield_context inner) {
+            for (int attempt = 0; attempt < max_join_attempts && this->in_force(plan); ++attempt) {
                 const auto answer = this->order(entry, what, inner);
                 if (succeeded(answer)) {
                     const auto verdict = value(answer);
@@ -250,7 +262,7 @@
             }
             all = false;
             const auto now = steady_clock::now();
-            if (!this->pauses.paused_since(sent, now)) {
+            if (this->in_force(plan) && !this->pauses.paused_since(sent, now)) {
                 this->mark_lost(entry.instance, "did not answer the order to join", now);
             }
         });
@@ -310,7 +322,7 @@
     what.action = group_action::open;
     what.group = plan.group;
     what.epoch = plan.epoch;
-    for (int attempt = 0; attempt < max_open_attempts; ++attempt) {
+    for (int attempt = 0; attempt < max_open_attempts && this->in_force(plan); ++attempt) {
         const auto* head = this->fleet.find_target(plan.members.front());
         if (head == nullptr) {
             return false;
@@ -338,16 +350,23 @@
     this->abandoned.add();
     log(log_level::warning, "formation abandoned; ending group",
         {{"group", plan.group.str()}, {"reason", reason}});
-    const group_key key(plan.group, plan.epoch);
-    auto head = plan.head;
-    head.model = plan.model;
-    this->end_group(key, head, plan.members, false, steady_clock::now(), reason);
+    auto& state = this->end_formed_group(plan, false, reason);
     if (!plan.open_sent) {
         // Otherwise the head may execute the order to open late, so it has to leave first.
-        this->release(key, this->endings.at(key), release_evidence::never_opened);
+        this->release({plan.group, plan.epoch}, state, release_evidence::never_opened);
     }
 }
 
+group_manager::ending& group_manager::end_formed_group(const formation& plan, bool graceful,
+                                                       const std::string& reason)
+{
+    const group_key key(plan.group, plan.epoch);
+    auto head = plan.head;
+    head.model = plan.model;
+    this->end_group(key, head, plan.members, graceful, steady_clock::now(), reason);
+    return this->endings.at(key);
+}
+
 void group_manager::start_staging(const planned_stage& wanted, const served_model& model, time_point now)
 {
     const auto* state = this->fleet.find_target(wanted.instance);
