--- a/src/gateway/group_formation.cpp
+++ b/src/gateway/group_formation.cpp
@@ -159,6 +159,7 @@
         }
     }
     std::vector<std::function<void(yield_context)>> tasks;
+    tasks.reserve(questions.size());
     for (auto& asked : questions) {
         tasks.emplace_back([this, &asked](yield_context inner) {
             for (int attempt = 0; attempt < max_report_attempts && failed(asked.answer); ++attempt) {
