Log each request that a stopping daemon cuts

The line of a request is written at its end, so a request that was open when the process ended left only its share in the count of the line "stopped". Now it has a line with its id, route, sends and age.

--- a/src/gateway/daemon.cpp
+++ b/src/gateway/daemon.cpp
@@ -268,6 +268,7 @@
             const bool idle =
                 this->requests.open_requests() == 0 && now - this->leaving_since >= min_stop_time;
             if (idle || now - this->leaving_since >= this->configured.bounds.stop_grace - stop_margin) {
+                this->requests.log_open_requests();
                 this->context.stop();
             }
         }
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -58,9 +58,17 @@
 
 void forwarder::handle(const http::request& message, http::response_writer& writer, http::yield_context yield)
 {
-    ++this->open;
-    detail::request_run(*this, message, writer, yield).run();
-    --this->open;
+    detail::request_run run(*this, message, writer, yield);
+    this->runs.insert(&run);
+    run.run();
+    this->runs.erase(&run);
+}
+
+void forwarder::log_open_requests() const
+{
+    for (const auto* run : this->runs) {
+        run->log_cut();
+    }
 }
 
 forwarder::pool_state& forwarder::pool(const pool_key& key, milliseconds objective)
--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -21,6 +21,7 @@
 #include <random>
 #include <set>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -64,7 +65,9 @@
     /// Arriving requests per second, smoothed.
     double requests_per_s() const { return this->arriving_per_s; }
     /// Requests in progress.
-    std::size_t open_requests() const { return this->open; }
+    std::size_t open_requests() const { return this->runs.size(); }
+    /// Logs the requests that are still open when the process ends.
+    void log_open_requests() const;
 
     /// Called when a slot was taken or released at a target that is nearly full.
     std::function<void()> on_scarce_slots;
@@ -112,7 +115,7 @@
     std::vector<instance_id> stalled;
     daemon_order order;
     std::uint64_t next_number{1};
-    std::size_t open{0};
+    std::unordered_set<detail::request_run*> runs; ///< open requests
     std::mt19937_64 random;
     time_point load_counted_at{};
     std::uint64_t requests_counted{1}; ///< value of `next_number` when the requests were last counted
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -98,6 +98,16 @@
     this->log_request();
 }
 
+void request_run::log_cut() const
+{
+    log(log_level::error, "request cut by the end of the process",
+        {{"request_id", this->request_id},
+         {"route", this->chosen_route != nullptr ? this->chosen_route->name : ""},
+         {"sends", static_cast<std::int64_t>(this->sends)},
+         {"answer_begun", this->head_sent},
+         {"took_ms", this->since_arrival().count()}});
+}
+
 bool request_run::reject_if_invalid()
 {
     const auto& names = this->owner.ports.headers;
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -17,6 +17,8 @@
                 http::yield_context yield);
 
     void run();
+    /// Logs that the process ends before the request.
+    void log_cut() const;
 
 private:
     /// How an attempt at one target ended.
