Refuse at once what a stopping daemon cannot finish

Callers saw a stream end in the middle, around a planned stop and with no fault near: the request had come over a kept connection seconds after SIGTERM, was passed on, and was cut when the daemon ended 0.7 s before the end of the grace time.

Cause: a leaving daemon took every request until its event loop stopped, whatever time was left, and the end of the loop answered nobody. The class of the fault is work that is accepted without a look at the time that is left for it.

decision/stop_admission decides now: a request is taken if its deadline, or twice the longest time of requests of the same pool in the last 30 to 60 s, fits into the time left; one that must not run twice only if its deadline fits, because then it always gets an answer. Others are refused as not run, at once. What is open at the end gets an answer: not run if it was never sent, 502 if a target has it; only a stream that has begun is cut, and has a log line.

The forwarder tests beside it cannot be built without the new calls.

--- a/src/gateway/daemon.cpp
+++ b/src/gateway/daemon.cpp
@@ -28,8 +28,11 @@
 constexpr milliseconds peers_settle_time{3000};
 /// A stopping daemon accepts requests for at least this long, since callers cache its address.
 constexpr milliseconds min_stop_time{2500};
-/// Part of the platform's grace time that is reserved for the exit of the process.
+/// Part of the platform's grace time that is reserved for the answers to requests that are still open, and
+/// for the exit of the process.
 constexpr milliseconds stop_margin{700};
+/// Time in which the answers to requests that are ended by the stop are written.
+constexpr milliseconds last_answers_time{300};
 /// Time for which callers may cache entry addresses.
 constexpr milliseconds address_lifetime{2000};
 
@@ -265,9 +268,12 @@
             this->fleet.update_ejected(this->configured.daemon, this->manager.ejected(), now);
         }
         if (this->leaving) {
+            if (now >= this->requests_end) {
+                this->requests.end_requests();
+            }
             const bool idle =
                 this->requests.open_requests() == 0 && now - this->leaving_since >= min_stop_time;
-            if (idle || now - this->leaving_since >= this->configured.bounds.stop_grace - stop_margin) {
+            if (idle || now >= this->requests_end + last_answers_time) {
                 this->requests.log_open_requests();
                 this->context.stop();
             }
@@ -319,6 +325,8 @@
     {
         this->leaving = true;
         this->leaving_since = steady_clock::now();
+        this->requests_end = this->leaving_since + this->configured.bounds.stop_grace - stop_margin;
+        this->requests.begin_stop(this->requests_end);
         log(log_level::info, "leaving",
             {{"open_requests", static_cast<std::int64_t>(this->requests.open_requests())}});
         this->caller_server->drain();
@@ -363,6 +371,7 @@
     time_point notice_sent{};
     bool leaving{false};
     time_point leaving_since{};
+    time_point requests_end{}; ///< open requests are ended then; set when leaving
 };
 
 } // namespace
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -64,6 +64,13 @@
     this->runs.erase(&run);
 }
 
+void forwarder::end_requests()
+{
+    for (auto* run : this->runs) {
+        run->end_for_stop();
+    }
+}
+
 void forwarder::log_open_requests() const
 {
     for (const auto* run : this->runs) {
--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -5,6 +5,7 @@
 
 #include "base/metrics.hpp"
 #include "decision/retry_budget.hpp"
+#include "decision/stop_admission.hpp"
 #include "decision/target_choice.hpp"
 #include "decision/target_ejection.hpp"
 #include "gateway/admission_queue.hpp"
@@ -18,6 +19,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <unordered_map>
@@ -66,6 +68,12 @@
     double requests_per_s() const { return this->arriving_per_s; }
     /// Requests in progress.
     std::size_t open_requests() const { return this->runs.size(); }
+
+    /// The process stops: requests that cannot be expected to end before `end` are refused from now on.
+    void begin_stop(time_point end) { this->stop_at = end; }
+    /// Ends all open requests: refuses those that no target has received, fails those whose answer has not
+    /// begun, and cuts the others. They are still open when this returns.
+    void end_requests();
     /// Logs the requests that are still open when the process ends.
     void log_open_requests() const;
 
@@ -77,6 +85,9 @@
 private:
     friend class detail::request_run;
 
+    /// A stopping daemon needs the longest time of requests at the current load.
+    static constexpr seconds longest_time_period{30};
+
     /// An attempt that `detect_stalled_targets` can end.
     struct active_attempt
     {
@@ -89,6 +100,7 @@
         std::unique_ptr<admission_queue> queue;
         double load_per_s{0}; ///< smoothed
         double arrived_load{0};
+        recent_maximum longest{longest_time_period}; ///< arrival to the end of the answer
     };
 
     pool_state& pool(const pool_key& key, milliseconds objective);
@@ -116,6 +128,7 @@
     daemon_order order;
     std::uint64_t next_number{1};
     std::unordered_set<detail::request_run*> runs; ///< open requests
+    std::optional<time_point> stop_at;             ///< set when the process stops
     std::mt19937_64 random;
     time_point load_counted_at{};
     std::uint64_t requests_counted{1}; ///< value of `next_number` when the requests were last counted
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -25,6 +25,9 @@
 constexpr milliseconds min_retry_after{150};
 /// Retry-After when the load is unknown, for example before the first configuration.
 constexpr milliseconds default_retry_after{500};
+/// Another daemon can take a request that a stopping one refuses.
+constexpr milliseconds stopping_retry_after{0};
+constexpr const char* stopping_reason = "daemon is stopping";
 constexpr std::size_t max_buffered_body_bytes = 16 * 1024 * 1024;
 constexpr std::uint32_t max_urgency_value = 9;
 /// Weight of the newest request in the smoothed share of failed ones.
@@ -98,6 +101,17 @@
     this->log_request();
 }
 
+void request_run::end_for_stop()
+{
+    this->stopping = true;
+    if (this->current != nullptr) {
+        this->current->close();
+    }
+    if (this->queued_in != nullptr) {
+        this->queued_in->cancel(this->number);
+    }
+}
+
 void request_run::log_cut() const
 {
     log(log_level::error, "request cut by the end of the process",
@@ -108,6 +122,19 @@
          {"took_ms", this->since_arrival().count()}});
 }
 
+bool request_run::ends_before_stop(const forwarder::pool_state& pool, time_point now) const
+{
+    if (!this->owner.stop_at) {
+        return true;
+    }
+    late_request late;
+    late.until_stop = *this->owner.stop_at - now;
+    late.until_deadline = this->deadline - now;
+    late.longest = pool.longest.value(now);
+    late.once = !this->chosen_route->idempotent();
+    return rml::ends_before_stop(late);
+}
+
 bool request_run::reject_if_invalid()
 {
     const auto& names = this->owner.ports.headers;
@@ -191,6 +218,9 @@
     }
     const pool_key key{picked, engines ? this->model : model_id()};
     auto& pool = this->owner.pool(key, this->chosen_route->objective);
+    if (!this->ends_before_stop(pool, this->arrived)) {
+        return this->refuse(stopping_retry_after, stopping_reason);
+    }
     if (engines) {
         const auto counts =
             http::find_header(this->message.headers, this->owner.ports.headers.token_counts).value_or("");
@@ -212,6 +242,9 @@
     const auto started = steady_clock::now();
     this->run_attempts();
     const bool usual = this->outcome == "answered" && this->sends == 1;
+    if (this->outcome == "answered") {
+        pool.longest.record(steady_clock::now() - this->arrived, steady_clock::now());
+    }
     pool.queue->finish(usual ? steady_clock::now() - started : duration::zero());
 }
 
@@ -226,6 +259,13 @@
     const auto answer = queue.wait(wanted, this->yield);
     this->queued_in = nullptr;
     this->waited = this->since_arrival();
+    if (this->stopping && !this->caller_disconnected) {
+        if (answer.verdict == slot_verdict::granted) {
+            queue.finish(duration::zero());
+        }
+        this->refuse(stopping_retry_after, stopping_reason);
+        return false;
+    }
     if (this->caller_disconnected || answer.verdict == slot_verdict::caller_disconnected) {
         if (answer.verdict == slot_verdict::granted) {
             queue.finish(duration::zero());
@@ -257,7 +297,8 @@
     // The queue's count of free slots is some ten milliseconds old: a target may since be full or stalled.
     const auto limit = this->arrived + this->chosen_route->objective / 2;
     auto found = this->choose();
-    while (!found && this->sends == 0 && !this->caller_disconnected && steady_clock::now() < limit) {
+    while (!found && this->sends == 0 && !this->caller_disconnected && !this->stopping &&
+           steady_clock::now() < limit) {
         http::pause(slot_retry_interval, this->yield);
         found = this->choose();
     }
@@ -274,6 +315,10 @@
             this->owner.disconnected.add();
             return;
         }
+        if (this->stopping) {
+            this->reason = stopping_reason;
+            return this->finish_unanswered();
+        }
         if (state == nullptr) {
             this->reason =
                 this->tried.empty() ? "no target has a free slot" : this->reason + "; no other target";
@@ -309,7 +354,7 @@
 bool request_run::may_retry(attempt_end end)
 {
     const auto now = steady_clock::now();
-    if (end == attempt_end::timed_out || now >= this->deadline) {
+    if (this->stopping || end == attempt_end::timed_out || now >= this->deadline) {
         return false;
     }
     if (end == attempt_end::not_sent) {
@@ -381,6 +426,10 @@
         this->owner.connections.give_back(target.address, std::move(bound));
         return attempt_end::caller_disconnected;
     }
+    if (this->stopping) {
+        this->reason = stopping_reason;
+        return attempt_end::not_sent;
+    }
     this->reroute_requested = false;
     this->answer_begun = false;
     this->current = bound.connection.get();
@@ -423,6 +472,10 @@
     if (this->caller_disconnected) {
         return attempt_end::caller_disconnected;
     }
+    if (this->stopping) {
+        this->reason = stopping_reason;
+        return attempt_end::lost;
+    }
     if (this->reroute_requested) {
         this->reason = "target stalled";
         return attempt_end::rerouted;
@@ -605,7 +658,7 @@
         return;
     }
     if (!this->may_have_run) {
-        return this->refuse(min_retry_after, this->reason);
+        return this->refuse(this->stopping ? stopping_retry_after : min_retry_after, this->reason);
     }
     this->respond(steady_clock::now() >= this->deadline ? 504 : 502, this->reason);
 }
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -17,6 +17,8 @@
                 http::yield_context yield);
 
     void run();
+    /// Ends the request as soon as possible because the process stops.
+    void end_for_stop();
     /// Logs that the process ends before the request.
     void log_cut() const;
 
@@ -36,6 +38,7 @@
     /// Answers a request that cannot be forwarded and returns true; returns false when it can be forwarded.
     bool reject_if_invalid();
     bool find_account();
+    bool ends_before_stop(const forwarder::pool_state& pool, time_point now) const;
     void forward();
     /// Waits for a slot. Returns false when the request was refused or its caller has disconnected.
     bool wait_for_slot(admission_queue& queue);
@@ -88,6 +91,7 @@
     bool connection_kept{false};               ///< `current` has carried an earlier exchange
     bool caller_disconnected{false};
     bool reroute_requested{false};
+    bool stopping{false};     ///< the process stops: no further attempt
     int refusal_status{0};    ///< status of the last target that did not run the request
     bool answer_begun{false}; ///< the attempt in progress has received a part of the body
 
--- a/tests/gateway/forwarder_test.cpp
+++ b/tests/gateway/forwarder_test.cpp
@@ -3,6 +3,7 @@
 #include "target/raw_server.hpp"
 
 #include <boost/asio/spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/coroutine/attributes.hpp>
 #include <catch2/catch.hpp>
 #include <map>
@@ -116,8 +117,15 @@
     forwarding_site(const forwarding_site&) = delete;
     forwarding_site& operator=(const forwarding_site&) = delete;
 
-    recorded_answer& send(const std::string& path, const std::string& id, std::string body = "two planks")
+    /// Sends a request and runs the forwarder until all is done. Meanwhile, `later` is called once.
+    recorded_answer& send(const std::string& path, const std::string& id, std::string body = "two planks",
+                          const std::function<void()>& later = {})
     {
+        boost::asio::steady_timer timer(this->context);
+        if (later) {
+            timer.expires_after(milliseconds(50));
+            timer.async_wait([&](const boost::system::error_code&) { later(); });
+        }
         this->answers.push_back(std::make_unique<recorded_answer>());
         auto& writer = *this->answers.back();
         const http::request message{
@@ -377,3 +385,79 @@
         }
     }
 }
+
+TEST_CASE("a stopping daemon refuses at once what it cannot finish", "[gateway][forwarder]")
+{
+    run_record record;
+    raw_server target([&](const http::request& message, raw_connection& connection) {
+        record.add(message);
+        std::this_thread::sleep_for(milliseconds(200));
+        connection.send(real_answer(run_record::id_of(message)));
+        return true;
+    });
+    forwarding_site site;
+    site.add_target("t", target.address());
+    CHECK(site.send("/stock/1", "A").answer.status == 200);
+
+    SECTION("a repeatable request in the last moment is not sent")
+    {
+        site.requests.begin_stop(steady_clock::now() + milliseconds(300));
+        CHECK(site.send("/stock/1", "B").answer.status == 503);
+        CHECK(record.runs_of("B") == 0);
+    }
+    SECTION("a repeatable request that can end is taken")
+    {
+        site.requests.begin_stop(steady_clock::now() + seconds(60));
+        CHECK(site.send("/stock/1", "B").answer.status == 200);
+    }
+    SECTION("a request that must not run twice is not sent when it may outlast the daemon")
+    {
+        site.requests.begin_stop(steady_clock::now() + seconds(2)); // its deadline is 3 s
+        CHECK(site.send("/orders/1", "B").answer.status == 503);
+        CHECK(record.runs_of("B") == 0);
+    }
+}
+
+// Guards against requests that a stopping daemon cuts without an answer.
+TEST_CASE("every request that is open when a daemon stops and has no answer yet gets one",
+          "[gateway][forwarder]")
+{
+    SECTION("a request at a target that has not answered fails, and is not called \"not run\"")
+    {
+        raw_server silent([](const http::request&, raw_connection& connection) {
+            connection.wait_closed();
+            return false;
+        });
+        forwarding_site site;
+        site.add_target("t", silent.address());
+        for (const std::string path : {"/orders/1", "/stock/1", "/streams/1"}) {
+            INFO(path);
+            const auto& got = site.send(path, "A", "two planks", [&] { site.requests.end_requests(); });
+            CHECK(got.answer.status == 502);
+            CHECK_FALSE(got.aborted);
+        }
+    }
+    SECTION("a request that waits for a target is refused as not run")
+    {
+        forwarding_site site;
+        site.add_target("t", closed_address().address());
+        site.fleet.find_target(instance_id("t"))->entry.slots = 0;
+        const auto& got = site.send("/orders/1", "A", "two planks", [&] { site.requests.end_requests(); });
+        CHECK(got.answer.status == 503);
+    }
+    SECTION("a stream that has begun is cut and does not look complete")
+    {
+        raw_server target([](const http::request&, raw_connection& connection) {
+            connection.send("HTTP/1.1 200 OK\r\nx-id: A\r\nx-signature: s\r\n"
+                            "transfer-encoding: chunked\r\n\r\n" +
+                            chunk("id: 1\ndata: a\n\n"));
+            connection.wait_closed();
+            return false;
+        });
+        forwarding_site site;
+        site.add_target("t", target.address());
+        const auto& got = site.send("/streams/1", "A", "two planks", [&] { site.requests.end_requests(); });
+        CHECK(got.answer.status == 200);
+        CHECK(got.aborted);
+    }
+}
--- a/tests/process/gateway_test.cpp
+++ b/tests/process/gateway_test.cpp
@@ -35,6 +35,7 @@
         this->site = value(std::move(created));
         for (std::uint32_t i = 0; i < 2; ++i) {
             this->settings.push_back(json::parse(this->site->daemon_settings(i)));
+            this->settings.back()["bounds"]["stop_grace_s"] = 4; // ends a planned stop soon
             this->settings.back()["log"] = {{"file", this->file("daemon-" + std::to_string(i) + ".log")}};
             std::ofstream(this->file("daemon-" + std::to_string(i) + ".json"))
                 << this->settings.back().dump();
@@ -345,6 +346,19 @@
         CHECK(site.daemons[0]->wait_exit(wait_limit) == 0);
         CHECK(site.get(1, "/stock/1").status == 200);
     }
+    SECTION("a request that comes too late in a planned stop is refused, not cut")
+    {
+        CHECK(site.stream(0, 200).body == gateway_site::events(200)); // takes 2 s
+        auto before = std::async(std::launch::async, [&] { return site.stream(0, 300); });
+        std::this_thread::sleep_for(milliseconds(300));
+        site.daemons[0]->terminate();
+        // The daemon ends its requests 3.3 s after the signal.
+        std::this_thread::sleep_for(milliseconds(2500));
+        const auto late = site.stream(0, 200);
+        CHECK(late.status == 503);
+        CHECK(before.get().status == 200);
+        CHECK(site.daemons[0]->wait_exit(wait_limit) == 0);
+    }
     SECTION("the other daemon takes over the groups when their manager is killed")
     {
         const auto manager = site.on_site([&] { return site.site->store->find("rml/manager").value_or(""); });
