Attribute crashes to parts of prompts as well as to whole requests

A first version of the decision: losses count against the parts of the prompts that were in flight on a lost group; an answer that begins and goes on acquits its parts. Notices of parts merge as a union, so their order does not matter. Not used by any program yet.

--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -76,6 +76,14 @@
 constexpr std::chrono::hours block_lifetime{1};
 constexpr std::size_t crash_records = 4096; // suspects and blocked requests together
 constexpr std::size_t crash_recent_losses = 256;
+constexpr std::size_t crash_parts = 16; // per request
+// Time after which a blocked part may run in one trial. It doubles with each further loss, up to
+// block_lifetime.
+constexpr seconds part_block_time{60};
+constexpr std::size_t crash_acquitted_parts = 8192;
+constexpr seconds crash_acquittal_lifetime{60};
+// Cleared records of parts are kept this long, so that daemons that resend old losses learn of the acquittal.
+constexpr seconds crash_cleared_lifetime{10};
 
 // Claims.
 constexpr std::chrono::hours claim_lifetime{48}; // a caller may repeat a key one day later
--- a/src/decision/crash_attribution.cpp
+++ b/src/decision/crash_attribution.cpp
@@ -21,6 +21,14 @@
     return a > b ? a - b : b - a;
 }
 
+/// Time for which a part is blocked; doubles with each loss beyond the first that blocked it.
+duration part_block_time(std::size_t further_losses)
+{
+    constexpr std::size_t max_doublings = 6;
+    const auto time = limits::part_block_time * (1 << std::min(further_losses, max_doublings));
+    return std::min<duration>(time, limits::block_lifetime);
+}
+
 } // namespace
 
 request_fingerprint make_fingerprint(const account_id& account, std::string_view path, std::string_view body)
@@ -28,6 +36,24 @@
     return {hash64(body, hash64(path, hash64(account.str())))};
 }
 
+request_fingerprint make_part_fingerprint(std::string_view part)
+{
+    return {hash64(part, hash64("prompt part"))};
+}
+
+std::size_t crash_attribution::record::weight() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(this->counted_losses.begin(), this->counted_losses.end(),
+                      [this](const counted_loss& loss) { return this->counts(loss); }));
+}
+
+bool crash_attribution::record::lists(std::uint64_t loss) const
+{
+    return std::any_of(this->counted_losses.begin(), this->counted_losses.end(),
+                       [&](const counted_loss& other) { return other.loss == loss; });
+}
+
 std::uint64_t crash_attribution::loss_key(const group_run& run)
 {
     // Hashes one text instead of passing the incarnation as a seed: on inputs of a few bytes, small seeds
@@ -46,13 +72,45 @@
         return false;
     }
     return std::any_of(this->recent_losses.begin(), this->recent_losses.end(), [&](const loss_event& event) {
-        const bool involved =
-            std::any_of(known.counted_losses.begin(), known.counted_losses.end(),
-                        [&](const counted_loss& other) { return other.loss == event.loss; });
         // Losses in which the same request was in flight cannot explain each other: a query of death causes
         // several losses that look correlated.
-        return !involved && time_between(event.at, own->at) <= limits::correlated_loss_window &&
-               (event.fabric == own->fabric || event.domain == own->domain);
+        return !known.lists(event.loss) &&
+               time_between(event.at, own->at) <= limits::correlated_loss_window &&
+               (event.fabric == own->fabric || event.domain == own->domain) &&
+               !(known.part && this->attributed(event.loss));
+    });
+}
+
+bool crash_attribution::attributed(std::uint64_t loss) const
+{
+    return std::any_of(this->records.begin(), this->records.end(), [&](const auto& entry) {
+        return entry.second.lists(loss) && entry.second.weight() >= blocking_losses;
+    });
+}
+
+bool crash_attribution::explained_by_part(const record& known, const counted_loss& counted) const
+{
+    const auto weight = known.weight();
+    return std::any_of(this->records.begin(), this->records.end(), [&](const auto& entry) {
+        return entry.second.part && entry.second.lists(counted.loss) && entry.second.weight() > weight;
+    });
+}
+
+bool crash_attribution::ambiguous(const record& known, const crash_features& features) const
+{
+    const auto weight = known.weight();
+    const auto carried = [&](std::uint64_t print) {
+        return print == features.whole.value ||
+               std::any_of(features.parts.begin(), features.parts.end(),
+                           [&](request_fingerprint part) { return part.value == print; });
+    };
+    return std::any_of(this->records.begin(), this->records.end(), [&](const auto& entry) {
+        const auto& [print, other] = entry;
+        return !carried(print) && other.weight() == weight &&
+               std::all_of(known.counted_losses.begin(), known.counted_losses.end(),
+                           [&, &other = other](const counted_loss& loss) {
+                               return !known.counts(loss) || other.lists(loss.loss);
+                           });
     });
 }
 
@@ -67,7 +125,7 @@
         if (now < counted.at + limits::classification_delay) {
             return crash_verdict::hold;
         }
-        unexplained += this->explained(known, counted) ? 0 : 1;
+        unexplained += this->explained(known, counted) || this->explained_by_part(known, counted) ? 0 : 1;
         decided = decided && (counted.decided || now >= counted.at + decision_delay);
     }
     if (unexplained >= blocking_losses) {
@@ -76,6 +134,55 @@
     return unexplained > 0 || known.counted_losses.size() >= 2 ? crash_verdict::trial : crash_verdict::run;
 }
 
+crash_verdict crash_attribution::part_verdict(const record& known, const crash_features& features,
+                                              time_point now) const
+{
+    // A sound part that many requests share is in flight at most losses, and its next acquittal follows.
+    const bool known_sound = known.acquitted && now < *known.acquitted + limits::crash_acquittal_lifetime;
+    const std::size_t ignored = known_sound ? 1 : 0;
+    std::size_t losses = 0;
+    std::size_t unexplained = 0;
+    bool decided = true;
+    bool unclassified = false;
+    time_point latest{};
+    for (const auto& counted : known.counted_losses) {
+        if (!known.counts(counted)) {
+            continue;
+        }
+        if (now < counted.at + limits::classification_delay) {
+            unclassified = true;
+            continue;
+        }
+        ++losses;
+        latest = std::max(latest, counted.at);
+        const bool has_cause = this->explained(known, counted) || this->explained_by_part(known, counted);
+        unexplained += has_cause ? 0 : 1;
+        decided = decided && (counted.decided || now >= counted.at + decision_delay);
+    }
+    const auto blocking = blocking_losses + ignored;
+    const bool refused = unexplained >= blocking && !this->ambiguous(known, features);
+    if (refused && now < latest + part_block_time(unexplained - blocking)) {
+        return decided ? crash_verdict::blocked : crash_verdict::refuse;
+    }
+    if (unclassified && !known_sound) {
+        return crash_verdict::hold;
+    }
+    return unexplained > ignored || losses >= blocking ? crash_verdict::trial : crash_verdict::run;
+}
+
+crash_verdict crash_attribution::check_features(const crash_features& features, time_point now) const
+{
+    const auto whole = this->check(features.whole, now);
+    auto worst = whole >= crash_verdict::refuse ? whole : crash_verdict::run;
+    for (const auto part : features.parts) {
+        const auto known = this->records.find(part.value);
+        if (known != this->records.end() && now < known->second.expires) {
+            worst = std::max(worst, this->part_verdict(known->second, features, now));
+        }
+    }
+    return worst;
+}
+
 crash_verdict crash_attribution::check(request_fingerprint fingerprint, time_point now) const
 {
     const auto known = this->records.find(fingerprint.value);
@@ -88,10 +195,60 @@
 void crash_attribution::begin(std::uint64_t ticket, request_fingerprint fingerprint, const group_run& target,
                               bool trial)
 {
-    this->in_flight[ticket] = {fingerprint, target, trial};
+    this->begin(ticket, crash_features{fingerprint, {}}, target, trial);
+}
+
+void crash_attribution::begin(std::uint64_t ticket, const crash_features& features, const group_run& target,
+                              bool trial)
+{
+    auto& entry = this->in_flight[ticket];
+    entry = {features, target, trial, false};
+    if (entry.features.parts.size() > limits::crash_parts) {
+        entry.features.parts.resize(limits::crash_parts);
+    }
     this->by_group[target.group].push_back(ticket);
 }
 
+void crash_attribution::update_part_expiry(record& known)
+{
+    known.expires = known.acquitted ? *known.acquitted + limits::crash_cleared_lifetime : time_point{};
+    for (const auto& counted : known.counted_losses) {
+        if (known.counts(counted)) {
+            known.expires = std::max(known.expires, counted.at + limits::block_lifetime);
+        }
+    }
+}
+
+void crash_attribution::acquit(request_fingerprint part, time_point at, time_point now,
+                               crash_changes& changes)
+{
+    this->acquitted.record(part.value, at);
+    const auto found = this->records.find(part.value);
+    if (found == this->records.end() || found->second.acquitted >= at) {
+        return;
+    }
+    auto& known = found->second;
+    const bool suspected = known.weight() > 0;
+    known.acquitted = at;
+    update_part_expiry(known);
+    if (suspected && known.weight() == 0) {
+        ++this->counts.cleared;
+        changes.notices.push_back(this->make_notice(part, known, now));
+    }
+}
+
+crash_changes crash_attribution::answer_continued(std::uint64_t ticket, time_point began, time_point now)
+{
+    crash_changes changes;
+    if (const auto found = this->in_flight.find(ticket); found != this->in_flight.end()) {
+        found->second.continued = true;
+        for (const auto part : found->second.features.parts) {
+            this->acquit(part, began, now, changes);
+        }
+    }
+    return changes;
+}
+
 crash_changes crash_attribution::end(std::uint64_t ticket, bool succeeded, time_point now)
 {
     crash_changes changes;
@@ -108,14 +265,19 @@
             this->by_group.erase(members);
         }
     }
-    const auto known = this->records.find(ended.fingerprint.value);
+    if (succeeded && !ended.continued) {
+        for (const auto part : ended.features.parts) {
+            this->acquit(part, now, now, changes);
+        }
+    }
+    const auto known = this->records.find(ended.features.whole.value);
     if (!ended.trial || !succeeded || known == this->records.end() || known->second.blocked) {
         return changes;
     }
     ++known->second.version;
     known->second.counted_losses.clear();
     ++this->counts.cleared;
-    changes.notices.push_back(this->make_notice(ended.fingerprint, known->second, now));
+    changes.notices.push_back(this->make_notice(ended.features.whole, known->second, now));
     return changes;
 }
 
@@ -145,6 +307,16 @@
     return this->records[fingerprint.value];
 }
 
+crash_attribution::record& crash_attribution::find_or_create_part(request_fingerprint part, time_point now)
+{
+    auto& known = this->find_or_create(part, now);
+    known.part = true;
+    if (const auto sound = this->acquitted.find(part.value); sound) {
+        known.acquitted = std::max(known.acquitted.value_or(*sound), *sound);
+    }
+    return known;
+}
+
 void crash_attribution::count_loss(request_fingerprint fingerprint, record& known, std::uint64_t loss,
                                    time_point at)
 {
@@ -155,7 +327,16 @@
         }
         listed = listed || !entry.decided;
     }
-    if (known.counted_losses.size() < max_losses) {
+    if (known.part && known.counted_losses.size() >= max_part_losses) {
+        const auto oldest =
+            std::min_element(known.counted_losses.begin(), known.counted_losses.end(),
+                             [](const counted_loss& a, const counted_loss& b) {
+                                 return std::make_pair(a.at, a.loss) < std::make_pair(b.at, b.loss);
+                             });
+        if (oldest->at < at) {
+            *oldest = {loss, at, false, false};
+        }
+    } else if (known.part || known.counted_losses.size() < max_losses) {
         known.counted_losses.push_back({loss, at, false, false});
         if (!listed) {
             this->undecided.push_back(fingerprint);
@@ -189,15 +370,8 @@
             continue;
         }
         this->in_flight.erase(found);
-        auto& known = this->find_or_create(entry.fingerprint, now);
-        known.local = true;
-        known.expires = now + limits::block_lifetime;
-        this->count_loss(entry.fingerprint, known, key, now);
-        this->unclassified.push_back({ticket, entry.fingerprint, now + limits::classification_delay});
-        if (known.counted_losses.size() >= 2) {
-            // Sent before the classification, so that no other daemon runs the request in the meantime.
-            changes.notices.push_back(this->make_notice(entry.fingerprint, known, now));
-        }
+        this->count_request(entry, key, at, now, changes);
+        this->unclassified.push_back({ticket, entry.features.whole, now + limits::classification_delay});
     }
     members->second = std::move(others);
     if (members->second.empty()) {
@@ -206,6 +380,29 @@
     return changes;
 }
 
+void crash_attribution::count_request(const in_flight_request& request, std::uint64_t loss, time_point at,
+                                      time_point now, crash_changes& changes)
+{
+    auto& whole = this->find_or_create(request.features.whole, now);
+    whole.local = true;
+    whole.expires = now + limits::block_lifetime;
+    this->count_loss(request.features.whole, whole, loss, now);
+    if (whole.counted_losses.size() >= 2) {
+        // Sent before the classification, so that no other daemon runs the request in the meantime.
+        changes.notices.push_back(this->make_notice(request.features.whole, whole, now));
+    }
+    if (request.continued) {
+        return;
+    }
+    for (const auto part : request.features.parts) {
+        auto& known = this->find_or_create_part(part, now);
+        known.local = true;
+        this->count_loss(part, known, loss, at);
+        update_part_expiry(known);
+        changes.notices.push_back(this->make_notice(part, known, now));
+    }
+}
+
 std::vector<failure_domain_id> crash_attribution::recent_domains(request_fingerprint fingerprint) const
 {
     std::vector<failure_domain_id> domains;
@@ -232,7 +429,15 @@
     notice.version = known.version;
     notice.blocked = known.blocked;
     for (const auto& counted : known.counted_losses) {
-        notice.losses.push_back({counted.loss, counted.decided && counted.explained});
+        crash_loss loss{counted.loss, counted.decided && counted.explained};
+        if (known.part) {
+            loss.age = std::chrono::duration_cast<milliseconds>(now - counted.at);
+        }
+        notice.losses.push_back(loss);
+    }
+    notice.part = known.part;
+    if (known.acquitted) {
+        notice.acquitted_age = std::chrono::duration_cast<milliseconds>(now - *known.acquitted);
     }
     notice.ttl = std::chrono::duration_cast<milliseconds>(known.expires - now);
     return notice;
@@ -259,7 +464,8 @@
             still_undecided.push_back(fingerprint);
             continue;
         }
-        const bool blocks = !known.blocked && this->verdict_of(known, now) == crash_verdict::blocked;
+        const bool blocks =
+            !known.part && !known.blocked && this->verdict_of(known, now) == crash_verdict::blocked;
         if (blocks) {
             known.blocked = true;
             known.expires = now + limits::block_lifetime;
@@ -316,6 +522,10 @@
     if (notice.ttl <= milliseconds(0)) {
         return;
     }
+    if (notice.part) {
+        this->apply_part(notice, now);
+        return;
+    }
     const auto found = this->records.find(notice.fingerprint.value);
     if (found != this->records.end() && notice.version < found->second.version) {
         return;
@@ -339,6 +549,37 @@
     }
 }
 
+void crash_attribution::apply_part(const crash_notice& notice, time_point now)
+{
+    auto& known = this->find_or_create_part(notice.fingerprint, now);
+    if (notice.acquitted_age) {
+        const auto at = now - *notice.acquitted_age;
+        known.acquitted = std::max(known.acquitted.value_or(at), at);
+        this->acquitted.record(notice.fingerprint.value, at);
+    }
+    for (const auto& loss : notice.losses) {
+        this->count_loss(notice.fingerprint, known, loss.loss, now - loss.age);
+        for (auto& entry : known.counted_losses) {
+            if (entry.loss == loss.loss && loss.explained) {
+                entry.explained = true;
+                entry.decided = true;
+            }
+        }
+    }
+    update_part_expiry(known);
+}
+
+std::vector<crash_notice> crash_attribution::notices(time_point now) const
+{
+    std::vector<crash_notice> out;
+    for (const auto& [print, known] : this->records) {
+        if (now < known.expires && !known.counted_losses.empty()) {
+            out.push_back(this->make_notice({print}, known, now));
+        }
+    }
+    return out;
+}
+
 std::size_t crash_attribution::memory() const
 {
     std::size_t sum =
