--- a/src/decision/crash_attribution.cpp
+++ b/src/decision/crash_attribution.cpp
@@ -573,7 +573,9 @@
 {
     std::vector<crash_notice> out;
     for (const auto& [print, known] : this->records) {
-        if (now < known.expires && !known.counted_losses.empty()) {
+        // A single loss of a whole request is common, and its notice was sent when it was classified.
+        const bool relevant = known.part || known.blocked || known.counted_losses.size() >= blocking_losses;
+        if (now < known.expires && relevant) {
             out.push_back(this->make_notice({print}, known, now));
         }
     }
--- a/src/decision/crash_attribution.hpp
+++ b/src/decision/crash_attribution.hpp
@@ -154,7 +154,8 @@
 
     /// Applies a notice of another daemon.
     void apply(const crash_notice& notice, time_point now);
-    /// Notices of all records, for a daemon that missed earlier ones.
+    /// Notices of all parts, and of whole requests with several losses, for a daemon that missed earlier
+    /// ones.
     std::vector<crash_notice> notices(time_point now) const;
 
     /// Bytes of the records, losses and requests in flight, without allocator overhead.
