--- a/src/decision/stop_admission.cpp
+++ b/src/decision/stop_admission.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-/// Other processes take over the requests of a stopping one, so that requests may take longer than before.
-constexpr int slowdown_reserve = 2;
+/// A target may pause for a second or so, and the load of a stopping process moves to the others.
+constexpr milliseconds slowdown_reserve{1500};
 
 } // namespace
 
@@ -34,7 +34,7 @@
     const bool may_run_until_deadline = request.once || !request.longest;
     const auto needed = may_run_until_deadline
                             ? request.until_deadline
-                            : std::min(request.until_deadline, slowdown_reserve * *request.longest);
+                            : std::min<duration>(request.until_deadline, *request.longest + slowdown_reserve);
     return needed <= request.until_stop;
 }
 
