--- a/tests/process/gateway_test.cpp
+++ b/tests/process/gateway_test.cpp
@@ -21,6 +21,27 @@
 constexpr milliseconds call_limit{10000};
 constexpr milliseconds wait_limit{20000};
 
+/// Runs a context on a thread that ends with the object, also when a test fails while it sets up its site.
+class context_thread
+{
+public:
+    explicit context_thread(boost::asio::io_context& owner)
+        : context(owner), thread([&owner] { owner.run(); })
+    {
+    }
+    ~context_thread()
+    {
+        this->context.stop();
+        this->thread.join();
+    }
+    context_thread(const context_thread&) = delete;
+    context_thread& operator=(const context_thread&) = delete;
+
+private:
+    boost::asio::io_context& context;
+    std::thread thread;
+};
+
 /// The platform's stand-in on a thread of its own, and two gateway daemons as processes.
 class gateway_site
 {
@@ -40,12 +61,15 @@
             std::ofstream(this->file("daemon-" + std::to_string(i) + ".json"))
                 << this->settings.back().dump();
         }
-        this->thread = std::thread([this] { this->context.run(); });
+        this->site_thread = std::make_unique<context_thread>(this->context);
         for (std::uint32_t i = 0; i < 2; ++i) {
             this->start(i);
         }
         for (std::uint32_t i = 0; i < 2; ++i) {
-            REQUIRE(this->eventually([&] { return this->ready(i); }));
+            const bool is_ready = this->eventually([&] { return this->ready(i); });
+            CAPTURE(i, is_ready ? "" : this->content("stderr.log"),
+                    is_ready ? "" : this->content("daemon-" + std::to_string(i) + ".log"));
+            REQUIRE(is_ready);
         }
         REQUIRE(this->eventually([&] { return this->get(0, "/stock/1").status == 200; }));
         REQUIRE(this->eventually([&] { return this->stream(0, 3).status == 200; }));
@@ -54,8 +78,7 @@
     ~gateway_site()
     {
         this->daemons.clear();
-        this->context.stop();
-        this->thread.join();
+        this->site_thread.reset();
         if (std::getenv("RML_KEEP_LOGS") == nullptr) {
             std::filesystem::remove_all(this->directory);
         }
@@ -151,6 +174,11 @@
         });
     }
     std::string file(const std::string& name) const { return (this->directory / name).string(); }
+    std::string content(const std::string& name) const
+    {
+        std::ifstream in(this->file(name));
+        return {std::istreambuf_iterator<char>(in), {}};
+    }
 
     boost::asio::io_context context;
     std::unique_ptr<site_standin::platform_site> site;
@@ -160,7 +188,7 @@
 private:
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
     std::filesystem::path directory;
-    std::thread thread;
+    std::unique_ptr<context_thread> site_thread;
     int requests{0};
 };
 
