Report each request that ends without a complete answer

The server now calls handler::on_unserved with the reason, the status of its own answer if one was written, the target and the number of unparsed bytes. By default it logs "request ended without a complete answer" as a warning, and as info when the peer closed the connection.

Evidence: with the two calls left out the new test fails for each reason, first with REQUIRE( reported.size() == before + 1 ) 0 == 1 It passes with them (rml tests of http: 87 assertions in 8 cases).

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,5 +1,7 @@
 #include "http/server.hpp"
 
+#include "base/log.hpp"
+
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/strand.hpp>
@@ -217,6 +219,19 @@
     return code == beast::error::timeout ? 408 : 400;
 }
 
+unserved_reason reason_of(const boost::system::error_code& code, bool head_read)
+{
+    if (code == beast::error::timeout) {
+        return head_read ? unserved_reason::body_timeout : unserved_reason::head_timeout;
+    }
+    if (code == bhttp::error::header_limit || code == bhttp::error::body_limit) {
+        return unserved_reason::too_large;
+    }
+    const auto& parser_errors = bhttp::make_error_code(bhttp::error::end_of_stream).category();
+    const bool closed = code == bhttp::error::partial_message || code.category() != parser_errors;
+    return closed ? unserved_reason::peer_closed : unserved_reason::malformed;
+}
+
 response error_response(int status)
 {
     const char* kind = status == 408 ? "timeout" : status == 400 ? "malformed" : "too_large";
@@ -324,6 +339,12 @@
             ++shared->malformed;
             stream_writer writer(stream, options.write_timeout, false, yield);
             writer.send(error_response(status_of(code)));
+            if (parser.got_some() || buffer.size() != 0) {
+                const bool head_read = parser.is_header_done();
+                shared->request_handler.on_unserved(
+                    {reason_of(code, head_read), writer.complete() ? status_of(code) : 0,
+                     head_read ? std::string(parser.get().target()) : std::string(), buffer.size()});
+            }
             break;
         }
         const bool keep_alive = parser.get().keep_alive() && !shared->draining;
@@ -333,6 +354,10 @@
             stream.expires_never();
             shared->request_handler.handle(from_beast(parser.get()), writer, yield);
         }
+        if (!writer.complete()) {
+            shared->request_handler.on_unserved(
+                {unserved_reason::no_answer, 0, std::string(parser.get().target()), buffer.size()});
+        }
         if (!writer.complete() || !keep_alive) {
             break;
         }
@@ -372,6 +397,35 @@
 
 } // namespace detail
 
+std::string_view to_string(unserved_reason reason)
+{
+    switch (reason) {
+    case unserved_reason::head_timeout:
+        return "head timeout";
+    case unserved_reason::body_timeout:
+        return "body timeout";
+    case unserved_reason::malformed:
+        return "malformed";
+    case unserved_reason::too_large:
+        return "too large";
+    case unserved_reason::peer_closed:
+        return "peer closed";
+    case unserved_reason::no_answer:
+        return "no answer";
+    }
+    return "unknown";
+}
+
+void handler::on_unserved(const unserved_request& request)
+{
+    const bool expected = request.reason == unserved_reason::peer_closed;
+    log(expected ? log_level::info : log_level::warning, "request ended without a complete answer",
+        {{"reason", std::string(to_string(request.reason))},
+         {"status", static_cast<std::int64_t>(request.status)},
+         {"path", std::string(path_of(request.target))},
+         {"unparsed_bytes", static_cast<std::int64_t>(request.bytes)}});
+}
+
 server::server(std::shared_ptr<state> initial) : inner(std::move(initial)) {}
 
 server::~server()
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 #include <string_view>
 
 namespace rml::http {
@@ -46,6 +47,27 @@
     virtual void on_disconnect(const std::function<void()>& callback) { (void)callback; }
 };
 
+enum class unserved_reason
+{
+    head_timeout,
+    body_timeout,
+    malformed,
+    too_large,
+    peer_closed,
+    no_answer, ///< the handler returned before the answer was complete
+};
+
+std::string_view to_string(unserved_reason reason);
+
+/// A request of which bytes were read and that got no complete answer of the handler.
+struct unserved_request
+{
+    unserved_reason reason{unserved_reason::malformed};
+    int status{0};        ///< answer of the server itself; 0 when none was written completely
+    std::string target;   ///< empty when the head was not read completely
+    std::size_t bytes{0}; ///< read and not parsed yet
+};
+
 /// Handles requests. Called concurrently by many connections.
 class handler
 {
@@ -57,6 +79,8 @@
 
     /// The connection is closed if no complete response was sent before the return.
     virtual void handle(const request& message, response_writer& writer, yield_context yield) = 0;
+    /// Called for each request that handle() did not receive or did not answer completely. Logs it.
+    virtual void on_unserved(const unserved_request& request);
 };
 
 struct server_options
--- a/tests/http/server_edge_test.cpp
+++ b/tests/http/server_edge_test.cpp
@@ -6,13 +6,16 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <mutex>
 #include <thread>
+#include <vector>
 
 using namespace rml;
 
 namespace {
 
-/// Answers each request with its body; a request to /wait waits until its caller disconnects.
+/// Answers each request with its body; a request to /wait waits until its caller
+/// disconnects, one to /none gets no answer.
 class counting_handler final : public http::handler
 {
 public:
@@ -22,6 +25,9 @@
                 http::yield_context yield) override
     {
         ++this->requests;
+        if (http::path_of(message.target) == "/none") {
+            return;
+        }
         if (http::path_of(message.target) != "/wait") {
             writer.send(http::response{200, {}, message.body});
             return;
@@ -36,9 +42,31 @@
         writer.abort();
     }
 
+    void on_unserved(const http::unserved_request& request) override
+    {
+        const std::scoped_lock lock(this->mutex);
+        this->unserved.push_back(request);
+    }
+    /// Reports so far; waits until there are `count` of them.
+    std::vector<http::unserved_request> reported(std::size_t count) const
+    {
+        const auto end = steady_clock::now() + seconds(10);
+        while (true) {
+            if (const std::scoped_lock lock(this->mutex);
+                this->unserved.size() >= count || steady_clock::now() > end) {
+                return this->unserved;
+            }
+            std::this_thread::sleep_for(milliseconds(1));
+        }
+    }
+
     boost::asio::io_context& context;
     std::atomic<int> requests{0};
     std::atomic<int> disconnects{0};
+
+private:
+    mutable std::mutex mutex;
+    std::vector<http::unserved_request> unserved;
 };
 
 class edge_server
@@ -161,3 +189,56 @@
     server.server->update_options(smaller);
     CHECK(count(server.answer_to(request), "HTTP/1.1 413") == 1);
 }
+
+TEST_CASE("a request that ends without a complete answer of the handler is reported", "[http][server]")
+{
+    // Guards against requests that are lost on a closed connection without any line in the log.
+    http::server_options options;
+    options.head_timeout = milliseconds(50);
+    options.body_timeout = milliseconds(50);
+    options.body_bytes = 10;
+    edge_server server(options);
+    using reason = http::unserved_reason;
+    struct ending
+    {
+        std::string bytes;
+        reason expected;
+        std::string target;
+    };
+    const std::string host = " HTTP/1.1\r\nHost: h\r\n";
+    for (const auto& [bytes, expected, target] :
+         std::vector<ending>{{"GET /a HTTP/1.1\r\nHo", reason::head_timeout, ""},
+                             {"POST /b" + host + "Content-Length: 5\r\n\r\nab", reason::body_timeout, "/b"},
+                             {"not a request\r\n\r\n", reason::malformed, ""},
+                             {"POST /c" + host + "Content-Length: 50\r\n\r\nab", reason::too_large, ""},
+                             {"GET /none" + host + "\r\n", reason::no_answer, "/none"}}) {
+        INFO(bytes);
+        const auto before = server.handler.reported(0).size();
+        server.answer_to(bytes);
+        const auto reported = server.handler.reported(before + 1);
+        REQUIRE(reported.size() == before + 1);
+        CHECK(reported.back().reason == expected);
+        CHECK(reported.back().target == target);
+    }
+    SECTION("also when its client closes the connection within it")
+    {
+        const auto before = server.handler.reported(0).size();
+        {
+            boost::asio::io_context client_context;
+            auto socket = server.connect(client_context);
+            boost::asio::write(socket, boost::asio::buffer(std::string("GET /a HTTP/1.1\r\nHo")));
+            socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send);
+            std::string out;
+            boost::system::error_code code;
+            boost::asio::read(socket, boost::asio::dynamic_buffer(out), code);
+        }
+        REQUIRE(server.handler.reported(before + 1).size() == before + 1);
+        CHECK(server.handler.reported(0).back().reason == reason::peer_closed);
+    }
+    SECTION("but not a connection without a request")
+    {
+        const auto before = server.handler.reported(0).size();
+        server.answer_to("");
+        CHECK(server.handler.reported(0).size() == before);
+    }
+}
