Let a connection that was opened ahead stay unused for the idle time

A connection whose client had sent nothing yet was given the time of a request's head (3 s on the users' platform) and not the idle time (15 s), so a client that opens connections ahead had them closed, possibly with a request under way. The server read the first bytes separately only on kept connections; it now reads them the same way on new ones.

Evidence: before, the new test failed with CHECK( count(read_all(socket), "HTTP/1.1 200") == 1 ) 0 == 1 The test of unserved requests sets a short idle time too, since it opens a connection that sends nothing.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -257,12 +257,12 @@
 /// is closed or times out.
 boost::system::error_code read_request(beast::tcp_stream& stream, beast::flat_buffer& buffer,
                                        bhttp::request_parser<bhttp::string_body>& parser,
-                                       const server_options& options, bool first, yield_context yield)
+                                       const server_options& options, yield_context yield)
 {
     boost::system::error_code code;
     parser.header_limit(static_cast<std::uint32_t>(options.header_bytes));
     parser.body_limit(options.body_bytes);
-    if (buffer.size() == 0 && !first) {
+    if (buffer.size() == 0) {
         stream.expires_after(options.idle_timeout);
         const auto count = stream.async_read_some(buffer.prepare(1024), yield[code]);
         if (code) {
@@ -328,10 +328,10 @@
     beast::tcp_stream stream(std::move(socket));
     const connection_entry<State> entry(*shared, stream);
     beast::flat_buffer buffer;
-    for (bool first = true; !shared->stopped; first = false) {
+    while (!shared->stopped) {
         bhttp::request_parser<bhttp::string_body> parser;
         const auto options = shared->current_options();
-        const auto code = read_request(stream, buffer, parser, options, first, yield);
+        const auto code = read_request(stream, buffer, parser, options, yield);
         if (code == bhttp::error::end_of_stream) {
             break;
         }
--- a/tests/http/server_edge_test.cpp
+++ b/tests/http/server_edge_test.cpp
@@ -112,6 +112,14 @@
     std::thread worker;
 };
 
+std::string read_all(boost::asio::ip::tcp::socket& socket)
+{
+    std::string out;
+    boost::system::error_code code;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(out), code);
+    return out;
+}
+
 std::size_t count(const std::string& text, const std::string& part)
 {
     std::size_t found = 0;
@@ -196,6 +204,7 @@
     http::server_options options;
     options.head_timeout = milliseconds(50);
     options.body_timeout = milliseconds(50);
+    options.idle_timeout = milliseconds(50);
     options.body_bytes = 10;
     edge_server server(options);
     using reason = http::unserved_reason;
@@ -242,3 +251,17 @@
         CHECK(server.handler.reported(0).size() == before);
     }
 }
+
+TEST_CASE("a connection that was opened ahead may stay unused for the idle time", "[http][server]")
+{
+    // Guards against requests that are sent on a connection just as the server closes it.
+    http::server_options options;
+    options.head_timeout = milliseconds(50);
+    edge_server server(options);
+    boost::asio::io_context client_context;
+    auto socket = server.connect(client_context);
+    std::this_thread::sleep_for(milliseconds(300));
+    boost::asio::write(
+        socket, boost::asio::buffer(std::string("GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")));
+    CHECK(count(read_all(socket), "HTTP/1.1 200") == 1);
+}
