Keep an idle daemon until requests in reading are answered

A stopping daemon ended its event loop as soon as no request was open.

The server now counts the requests that are being read. When nothing is read or open the daemon closes the listening socket and the idle connections, each on its own strand, and ends once all connections are closed. A read that has completed but whose coroutine has not resumed is not lost by that: cancelling has no effect on it, and a cancelled connection is looked at once more for bytes that have arrived. At the end of the grace time the requests that are read only in part are refused with 503 as not run.

--- a/src/gateway/daemon.cpp
+++ b/src/gateway/daemon.cpp
@@ -268,15 +268,27 @@
             this->fleet.update_ejected(this->configured.daemon, this->manager.ejected(), now);
         }
         if (this->leaving) {
-            if (now >= this->requests_end) {
-                this->requests.end_requests();
-            }
-            const bool idle =
-                this->requests.open_requests() == 0 && now - this->leaving_since >= min_stop_time;
-            if (idle || now >= this->requests_end + last_answers_time) {
-                this->requests.log_open_requests();
-                this->context.stop();
-            }
+            this->end_if_idle(now);
+        }
+    }
+
+    /// Ends the event loop when no request is being read or handled, and at the end of the grace time.
+    void end_if_idle(time_point now)
+    {
+        if (now >= this->requests_end) {
+            this->requests.end_requests();
+            this->caller_server->refuse_partial_requests();
+        }
+        const auto stats = this->caller_server->stats();
+        if (this->requests.open_requests() == 0 && stats.reading == 0 &&
+            now - this->leaving_since >= min_stop_time) {
+            // Requests whose bytes arrive before the connections are closed are still served.
+            this->caller_server->stop();
+            this->stopping = true;
+        }
+        if ((this->stopping && stats.open == 0) || now >= this->requests_end + last_answers_time) {
+            this->requests.log_open_requests();
+            this->context.stop();
         }
     }
 
@@ -370,6 +382,7 @@
     time_point entries_updated{};
     time_point notice_sent{};
     bool leaving{false};
+    bool stopping{false}; ///< the server for callers accepts no more connections
     time_point leaving_since{};
     time_point requests_end{}; ///< open requests are ended then; set when leaving
 };
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -22,8 +22,32 @@
 namespace bhttp = boost::beast::http;
 using tcp = asio::ip::tcp;
 
+constexpr std::size_t first_read_bytes = 1024;
+
 } // namespace
 
+namespace detail {
+
+enum class connection_phase
+{
+    idle,
+    reading,
+    handling,
+};
+
+/// An open connection; used on its strand only.
+struct connection
+{
+    explicit connection(tcp::socket socket) : stream(std::move(socket)) {}
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    connection_phase phase{connection_phase::idle};
+    bool refuse{false}; ///< the request that is being read is to be refused
+};
+
+} // namespace detail
+
 struct server::state
 {
     state(asio::io_context& context, handler& request_handler, server_options options)
@@ -42,6 +66,7 @@
     std::atomic<std::uint64_t> accepted{0};
     std::atomic<std::uint64_t> refused{0};
     std::atomic<std::uint64_t> malformed{0};
+    std::atomic<std::uint64_t> reading{0};
     std::atomic<std::uint64_t> in_flight{0};
     std::atomic<std::uint64_t> open{0};
     server_options current_options() const
@@ -51,7 +76,7 @@
     }
 
     std::mutex connections_mutex;
-    std::unordered_map<std::uint64_t, beast::tcp_stream*> connections; ///< open connections by number
+    std::unordered_map<std::uint64_t, detail::connection*> connections; ///< open connections by number
     std::uint64_t next_connection{0};
 };
 
@@ -208,15 +233,19 @@
     std::atomic<std::uint64_t>& counter;
 };
 
-int status_of(const boost::system::error_code& code)
+int status_of(unserved_reason reason, const boost::system::error_code& code)
 {
-    if (code == bhttp::error::header_limit) {
-        return 431;
-    }
-    if (code == bhttp::error::body_limit) {
-        return 413;
+    switch (reason) {
+    case unserved_reason::head_timeout:
+    case unserved_reason::body_timeout:
+        return 408;
+    case unserved_reason::too_large:
+        return code == bhttp::error::header_limit ? 431 : 413;
+    case unserved_reason::stopping:
+        return 503;
+    default:
+        return 400;
     }
-    return code == beast::error::timeout ? 408 : 400;
 }
 
 unserved_reason reason_of(const boost::system::error_code& code, bool head_read)
@@ -234,7 +263,10 @@
 
 response error_response(int status)
 {
-    const char* kind = status == 408 ? "timeout" : status == 400 ? "malformed" : "too_large";
+    const char* kind = status == 408   ? "timeout"
+                       : status == 503 ? "unavailable"
+                       : status == 400 ? "malformed"
+                                       : "too_large";
     auto answer = json_response(status, std::string(R"({"error":{"kind":")") + kind +
                                             R"(","message":"request not accepted","outcome":"not-run"}})");
     answer.headers.push_back({"x-rml-outcome", "not-run"});
@@ -253,8 +285,7 @@
     return out;
 }
 
-/// Reads one request. Returns the error code of the read that failed; `end_of_stream` when an idle connection
-/// is closed or times out.
+/// Reads one request, of which the buffer may hold a part. Returns the error code of the read that failed.
 boost::system::error_code read_request(beast::tcp_stream& stream, beast::flat_buffer& buffer,
                                        bhttp::request_parser<bhttp::string_body>& parser,
                                        const server_options& options, yield_context yield)
@@ -262,14 +293,6 @@
     boost::system::error_code code;
     parser.header_limit(static_cast<std::uint32_t>(options.header_bytes));
     parser.body_limit(options.body_bytes);
-    if (buffer.size() == 0) {
-        stream.expires_after(options.idle_timeout);
-        const auto count = stream.async_read_some(buffer.prepare(1024), yield[code]);
-        if (code) {
-            return bhttp::error::end_of_stream;
-        }
-        buffer.commit(count);
-    }
     stream.expires_after(options.head_timeout);
     bhttp::async_read_header(stream, buffer, parser, yield[code]);
     if (code) {
@@ -302,11 +325,11 @@
 class connection_entry
 {
 public:
-    connection_entry(State& owner, beast::tcp_stream& stream) : owner(owner)
+    connection_entry(State& owner, connection& link) : owner(owner)
     {
         const std::scoped_lock lock(this->owner.connections_mutex);
         this->number = this->owner.next_connection++;
-        this->owner.connections.emplace(this->number, &stream);
+        this->owner.connections.emplace(this->number, &link);
     }
     ~connection_entry()
     {
@@ -321,49 +344,97 @@
     std::uint64_t number{0};
 };
 
+/// Waits for the first bytes of a request. Returns false when the connection is to be closed.
+template <class State>
+bool wait_for_request(State& shared, connection& link, yield_context yield)
+{
+    link.phase = connection_phase::idle;
+    boost::system::error_code code;
+    // A request that arrived before the server stopped is still served.
+    while (link.buffer.size() == 0 && (!shared.stopped || link.stream.socket().available(code) > 0)) {
+        link.stream.expires_after(shared.current_options().idle_timeout);
+        const auto count = link.stream.async_read_some(link.buffer.prepare(first_read_bytes), yield[code]);
+        link.buffer.commit(count);
+        if (code && code != asio::error::operation_aborted) {
+            break;
+        }
+    }
+    link.phase = connection_phase::reading;
+    return link.buffer.size() != 0;
+}
+
+/// Answers a request that was not read completely, and reports it.
+template <class State>
+void refuse_unread(State& shared, connection& link, const bhttp::request_parser<bhttp::string_body>& parser,
+                   const boost::system::error_code& code, yield_context yield)
+{
+    ++shared.malformed;
+    link.phase = connection_phase::handling;
+    const bool head_read = parser.is_header_done();
+    const auto reason = link.refuse ? unserved_reason::stopping : reason_of(code, head_read);
+    const auto status = status_of(reason, code);
+    stream_writer writer(link.stream, shared.current_options().write_timeout, false, yield);
+    writer.send(error_response(status));
+    shared.request_handler.on_unserved({reason, writer.complete() ? status : 0,
+                                        head_read ? std::string(parser.get().target()) : std::string(),
+                                        link.buffer.size()});
+}
+
+/// Hands a request to the handler. Returns true when it was answered completely.
+template <class State>
+bool handle_request(State& shared, connection& link, const bhttp::request<bhttp::string_body>& message,
+                    bool keep_alive, yield_context yield)
+{
+    link.phase = connection_phase::handling;
+    const counter_guard in_flight_guard(shared.in_flight);
+    stream_writer writer(link.stream, shared.current_options().write_timeout, keep_alive, yield);
+    link.stream.expires_never();
+    shared.request_handler.handle(from_beast(message), writer, yield);
+    if (!writer.complete()) {
+        shared.request_handler.on_unserved(
+            {unserved_reason::no_answer, 0, std::string(message.target()), link.buffer.size()});
+    }
+    return writer.complete();
+}
+
 template <class State>
 void serve_connection(const std::shared_ptr<State>& shared, tcp::socket socket, yield_context yield)
 {
     const counter_guard open_guard(shared->open);
-    beast::tcp_stream stream(std::move(socket));
-    const connection_entry<State> entry(*shared, stream);
-    beast::flat_buffer buffer;
-    while (!shared->stopped) {
+    connection link(std::move(socket));
+    const connection_entry<State> entry(*shared, link);
+    bool keep_alive = true;
+    while (keep_alive && wait_for_request(*shared, link, yield)) {
         bhttp::request_parser<bhttp::string_body> parser;
-        const auto options = shared->current_options();
-        const auto code = read_request(stream, buffer, parser, options, yield);
-        if (code == bhttp::error::end_of_stream) {
-            break;
-        }
-        if (code) {
-            ++shared->malformed;
-            stream_writer writer(stream, options.write_timeout, false, yield);
-            writer.send(error_response(status_of(code)));
-            if (parser.got_some() || buffer.size() != 0) {
-                const bool head_read = parser.is_header_done();
-                shared->request_handler.on_unserved(
-                    {reason_of(code, head_read), writer.complete() ? status_of(code) : 0,
-                     head_read ? std::string(parser.get().target()) : std::string(), buffer.size()});
-            }
-            break;
-        }
-        const bool keep_alive = parser.get().keep_alive() && !shared->draining;
-        stream_writer writer(stream, options.write_timeout, keep_alive, yield);
         {
-            const counter_guard in_flight_guard(shared->in_flight);
-            stream.expires_never();
-            shared->request_handler.handle(from_beast(parser.get()), writer, yield);
-        }
-        if (!writer.complete()) {
-            shared->request_handler.on_unserved(
-                {unserved_reason::no_answer, 0, std::string(parser.get().target()), buffer.size()});
-        }
-        if (!writer.complete() || !keep_alive) {
-            break;
+            const counter_guard reading_guard(shared->reading);
+            const auto options = shared->current_options();
+            if (const auto code = read_request(link.stream, link.buffer, parser, options, yield)) {
+                refuse_unread(*shared, link, parser, code, yield);
+                break;
+            }
         }
+        keep_alive = parser.get().keep_alive() && !shared->draining;
+        keep_alive = handle_request(*shared, link, parser.get(), keep_alive, yield) && keep_alive;
     }
     boost::system::error_code ignored;
-    stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    link.stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+}
+
+/// Runs the action for each open connection, on the connection's strand.
+template <class State, class Action>
+void post_to_connections(const std::shared_ptr<State>& shared, Action action)
+{
+    const std::scoped_lock lock(shared->connections_mutex);
+    for (const auto& [number, link] : shared->connections) {
+        // Entries are removed on the connection's strand only, so the lookup is repeated there.
+        asio::post(link->stream.get_executor(), [shared, action, number = number] {
+            const std::scoped_lock inner_lock(shared->connections_mutex);
+            if (const auto found = shared->connections.find(number); found != shared->connections.end()) {
+                action(*found->second);
+            }
+        });
+    }
 }
 
 template <class State>
@@ -410,6 +481,8 @@
         return "too large";
     case unserved_reason::peer_closed:
         return "peer closed";
+    case unserved_reason::stopping:
+        return "stopping";
     case unserved_reason::no_answer:
         return "no answer";
     }
@@ -469,8 +542,8 @@
 
 server_stats server::stats() const
 {
-    return server_stats{this->inner->accepted, this->inner->refused, this->inner->malformed,
-                        this->inner->in_flight, this->inner->open};
+    return server_stats{this->inner->accepted, this->inner->refused,   this->inner->malformed,
+                        this->inner->reading,  this->inner->in_flight, this->inner->open};
 }
 
 void server::update_options(const server_options& options)
@@ -486,16 +559,17 @@
 
 void server::close_connections()
 {
-    const std::scoped_lock lock(this->inner->connections_mutex);
-    for (const auto& [number, stream] : this->inner->connections) {
-        // Entries are removed on the connection's strand only, so the lookup is repeated there.
-        asio::post(stream->get_executor(), [shared = this->inner, number = number] {
-            const std::scoped_lock inner_lock(shared->connections_mutex);
-            if (const auto found = shared->connections.find(number); found != shared->connections.end()) {
-                found->second->close();
-            }
-        });
-    }
+    detail::post_to_connections(this->inner, [](detail::connection& link) { link.stream.close(); });
+}
+
+void server::refuse_partial_requests()
+{
+    detail::post_to_connections(this->inner, [](detail::connection& link) {
+        if (link.phase == detail::connection_phase::reading) {
+            link.refuse = true;
+            link.stream.cancel();
+        }
+    });
 }
 
 void server::stop()
@@ -508,6 +582,11 @@
         boost::system::error_code ignored;
         shared->acceptor.close(ignored);
     });
+    detail::post_to_connections(this->inner, [](detail::connection& link) {
+        if (link.phase == detail::connection_phase::idle) {
+            link.stream.cancel();
+        }
+    });
 }
 
 } // namespace rml::http
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -54,6 +54,7 @@
     malformed,
     too_large,
     peer_closed,
+    stopping,
     no_answer, ///< the handler returned before the answer was complete
 };
 
@@ -99,6 +100,7 @@
     std::uint64_t accepted{0};
     std::uint64_t refused{0}; ///< connections closed at once because of the connection limit
     std::uint64_t malformed{0};
+    std::uint64_t reading{0};   ///< requests of which a part has been read
     std::uint64_t in_flight{0}; ///< requests being handled
     std::uint64_t open{0};      ///< open connections
 };
@@ -125,8 +127,10 @@
     void drain();
     /// Closes every open connection, also those with a request in flight. The listening socket stays open.
     void close_connections();
-    /// Closes the listening socket. Requests in flight continue; each connection is closed after its next
-    /// response or at its idle timeout.
+    /// Answers 503 to each request of which only a part has been read, and closes its connection.
+    void refuse_partial_requests();
+    /// Closes the listening socket and the idle connections. Requests that are being read or handled
+    /// continue; each connection is closed after its next response.
     void stop();
 
 private:
--- a/tests/http/server_edge_test.cpp
+++ b/tests/http/server_edge_test.cpp
@@ -106,6 +106,15 @@
         return out;
     }
 
+    /// Waits until the server has read a part of a request.
+    void wait_reading() const
+    {
+        for (int i = 0; i < 10000 && this->server->stats().reading == 0; ++i) {
+            std::this_thread::sleep_for(milliseconds(1));
+        }
+        REQUIRE(this->server->stats().reading == 1);
+    }
+
     boost::asio::io_context context;
     counting_handler handler;
     std::unique_ptr<http::server> server;
@@ -252,6 +261,37 @@
     }
 }
 
+TEST_CASE("a request of which a part was read is not lost when the server stops", "[http][server]")
+{
+    // Guards against daemons that take themselves for idle while a request is being read.
+    edge_server server;
+    boost::asio::io_context client_context;
+    auto idle = server.connect(client_context);
+    auto busy = server.connect(client_context);
+    boost::asio::write(
+        busy, boost::asio::buffer(std::string("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nab")));
+    server.wait_reading();
+    server.server->stop();
+    CHECK(read_all(idle).empty());
+
+    SECTION("it is answered when the rest comes")
+    {
+        boost::asio::write(busy, boost::asio::buffer(std::string("cde")));
+        const auto answer = read_all(busy);
+        CHECK(count(answer, "HTTP/1.1 200") == 1);
+        CHECK(answer.find("abcde") != std::string::npos);
+    }
+    SECTION("it is refused as not run when the rest does not come in time")
+    {
+        server.server->refuse_partial_requests();
+        const auto answer = read_all(busy);
+        CHECK(count(answer, "HTTP/1.1 503") == 1);
+        CHECK(count(answer, "x-rml-outcome: not-run") == 1);
+        CHECK(server.handler.requests == 0);
+        CHECK(server.handler.reported(1).back().reason == http::unserved_reason::stopping);
+    }
+}
+
 TEST_CASE("a connection that was opened ahead may stay unused for the idle time", "[http][server]")
 {
     // Guards against requests that are sent on a connection just as the server closes it.
--- a/tests/process/gateway_test.cpp
+++ b/tests/process/gateway_test.cpp
@@ -6,6 +6,9 @@
 
 #include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <cstdlib>
 #include <filesystem>
@@ -359,6 +362,43 @@
         CHECK(before.get().status == 200);
         CHECK(site.daemons[0]->wait_exit(wait_limit) == 0);
     }
+    SECTION("a request that is half read when an idle daemon stops is answered")
+    {
+        const auto connect = [&](boost::asio::io_context& context) {
+            const auto address = site.address(0, "caller");
+            boost::asio::ip::tcp::socket socket(context);
+            socket.connect({boost::asio::ip::make_address(address.address), address.port});
+            return socket;
+        };
+        const auto half_of = [](const http::request& message) {
+            std::string out = message.method + " " + message.target + " HTTP/1.1\r\nContent-Length: 10\r\n";
+            for (const auto& entry : message.headers) {
+                out += entry.name + ": " + entry.value + "\r\n";
+            }
+            return out + "\r\ntwo";
+        };
+        const auto lookup = site.request("GET", "/stock/7");
+        const auto order = site.request("POST", "/orders/7");
+        boost::asio::io_context context;
+        auto served = connect(context);
+        auto refused = connect(context);
+        site.daemons[0]->terminate();
+        std::this_thread::sleep_for(milliseconds(1000));
+        boost::asio::write(served, boost::asio::buffer(half_of(lookup)));
+        boost::asio::write(refused, boost::asio::buffer(half_of(order)));
+        // An idle daemon stops 2.5 s after the signal, a busy one ends its requests after 3.3 s.
+        std::this_thread::sleep_for(milliseconds(1800));
+        boost::system::error_code code;
+        boost::asio::write(served, boost::asio::buffer(std::string(" planks")), code);
+        std::string answers[2];
+        boost::asio::read(served, boost::asio::dynamic_buffer(answers[0]), code);
+        boost::asio::read(refused, boost::asio::dynamic_buffer(answers[1]), code);
+        CHECK(answers[0].find("HTTP/1.1 200") == 0);
+        CHECK(answers[1].find("HTTP/1.1 503") == 0);
+        CHECK(site.runs(lookup) == 1);
+        CHECK(site.runs(order) == 0);
+        CHECK(site.daemons[0]->wait_exit(wait_limit) == 0);
+    }
     SECTION("the other daemon takes over the groups when their manager is killed")
     {
         const auto manager = site.on_site([&] { return site.site->store->find("rml/manager").value_or(""); });
