--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 #include <string_view>
 
 namespace rml::http {
@@ -46,6 +47,28 @@
     virtual void on_disconnect(const std::function<void()>& callback) { (void)callback; }
 };
 
+enum class unserved_reason
+{
+    head_timeout,
+    body_timeout,
+    malformed,
+    too_large,
+    peer_closed,
+    stopping,
+    no_answer, ///< the handler returned before the answer was complete
+};
+
+std::string_view to_string(unserved_reason reason);
+
+/// A request of which bytes were read and that got no complete answer of the handler.
+struct unserved_request
+{
+    unserved_reason reason{unserved_reason::malformed};
+    int status{0};        ///< answer of the server itself; 0 when none was written completely
+    std::string target;   ///< empty when the head was not read completely
+    std::size_t bytes{0}; ///< read and not parsed yet
+};
+
 /// Handles requests. Called concurrently by many connections.
 class handler
 {
@@ -57,6 +80,8 @@
 
     /// The connection is closed if no complete response was sent before the return.
     virtual void handle(const request& message, response_writer& writer, yield_context yield) = 0;
+    /// Called for each request that handle() did not receive or did not answer completely. Logs it.
+    virtual void on_unserved(const unserved_request& request);
 };
 
 struct server_options
@@ -75,6 +100,7 @@
     std::uint64_t accepted{0};
     std::uint64_t refused{0}; ///< connections closed at once because of the connection limit
     std::uint64_t malformed{0};
+    std::uint64_t reading{0};   ///< requests of which a part has been read
     std::uint64_t in_flight{0}; ///< requests being handled
     std::uint64_t open{0};      ///< open connections
 };
@@ -101,8 +127,10 @@
     void drain();
     /// Closes every open connection, also those with a request in flight. The listening socket stays open.
     void close_connections();
-    /// Closes the listening socket. Requests in flight continue; each connection is closed after its next
-    /// response or at its idle timeout.
+    /// Answers 503 to each request of which only a part has been read, and closes its connection.
+    void refuse_partial_requests();
+    /// Closes the listening socket and the idle connections. Requests that are being read or handled
+    /// continue; each connection is closed after its next response.
     void stop();
 
 private:
