Test that broken answers of targets never look complete

* A resumed stream whose next answer is an error (with a length, without, chunked, its head in pieces or broken off, closed or reset), unsigned, a refusal with 421 or 503, begins again or leaves out an event is aborted after the last whole event.
* An answer that ends at any byte of its head, closed or reset, with a length, without or chunked, is no success, for plain answers and streams.
* An answer without length that is reset is not complete, and a stream that ends inside an event is resumed or aborted.

The fixture gains a resumable route and tells a finished answer from an open one; raw_connection gains a reset (SO_LINGER with 0 s).

--- /dev/null
+++ b/tests/gateway/broken_answer_test.cpp
@@ -0,0 +1,264 @@
+#include "gateway/forwarding_site.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace rml;
+using namespace rml::test;
+
+namespace {
+
+const std::string event_stream = "content-type: text/event-stream\r\n";
+const std::string signed_head = "HTTP/1.1 200 OK\r\nx-id: A\r\nx-signature: s\r\n";
+const std::string stream_head = signed_head + event_stream;
+const std::string chunked = "transfer-encoding: chunked\r\n";
+
+std::string event(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: part " + std::to_string(id) + "\n\n";
+}
+
+/// The events `first` to `last`.
+std::string events(int first, int last)
+{
+    std::string out;
+    for (int id = first; id <= last; ++id) {
+        out += event(id);
+    }
+    return out;
+}
+
+const std::string whole_stream = events(1, 4);
+
+enum class ending
+{
+    close,
+    reset,
+};
+
+void end(raw_connection& connection, ending how)
+{
+    // Else a reset can overtake bytes that this process has not read yet.
+    std::this_thread::sleep_for(milliseconds(how == ending::reset ? 10 : 0));
+    how == ending::reset ? connection.reset() : connection.shutdown();
+}
+
+/// One answer of a target: its pieces are written one after another.
+struct scripted_answer
+{
+    std::vector<std::string> pieces;
+    ending how{ending::close};
+};
+
+void play(raw_connection& connection, const scripted_answer& answer)
+{
+    for (const auto& piece : answer.pieces) {
+        connection.send(piece);
+        if (answer.pieces.size() > 1) {
+            std::this_thread::sleep_for(milliseconds(2));
+        }
+    }
+    end(connection, answer.how);
+}
+
+/// What the caller and the targets saw of one request.
+struct outcome
+{
+    http::response answer;
+    bool finished{false};
+    bool aborted{false};
+    int sends{0};
+};
+
+/// Sends one request to `targets` equal targets, which give the answers in turn, the last one again and
+/// again.
+outcome send(const std::string& path, const std::vector<scripted_answer>& answers, int targets)
+{
+    std::atomic<std::size_t> sends{0};
+    std::vector<std::unique_ptr<raw_server>> servers;
+    forwarding_site site;
+    for (int i = 0; i < targets; ++i) {
+        servers.push_back(std::make_unique<raw_server>([&](const http::request&, raw_connection& connection) {
+            play(connection, answers[std::min(sends++, answers.size() - 1)]);
+            return false;
+        }));
+        site.add_target("t" + std::to_string(i), servers.back()->address());
+    }
+    const auto& got = site.send(path, "A");
+    return {got.answer, got.finished, got.aborted, static_cast<int>(sends)};
+}
+
+/// A stream that breaks off after event 2 and goes on with `next` at the other target.
+outcome resume(const scripted_answer& next)
+{
+    return send("/resumable/1",
+                {{{stream_head + chunked + "\r\n" + chunk(events(1, 2) + "id: 3\nda")}}, next}, 2);
+}
+
+/// Checks that the caller has the first two events and an aborted connection.
+void check_aborted(const outcome& got)
+{
+    CHECK(got.sends == 2);
+    CHECK(got.answer.status == 200);
+    CHECK(got.answer.body == events(1, 2));
+    CHECK(got.aborted);
+    CHECK_FALSE(got.finished);
+}
+
+/// Checks that the caller has the first two events, at most those that follow, and an aborted connection.
+void check_aborted_in_order(const outcome& got)
+{
+    CHECK(got.sends == 2);
+    CHECK(whole_stream.compare(0, got.answer.body.size(), got.answer.body) == 0);
+    CHECK(got.answer.body.size() >= events(1, 2).size());
+    CHECK(got.aborted);
+    CHECK_FALSE(got.finished);
+}
+
+void check_whole(const outcome& got)
+{
+    CHECK(got.answer.status == 200);
+    CHECK(got.answer.body == whole_stream);
+    CHECK(got.finished);
+    CHECK_FALSE(got.aborted);
+}
+
+/// Checks that the caller got no success.
+void check_failed(const outcome& got)
+{
+    CHECK(got.answer.status == 502);
+    CHECK(got.finished);
+}
+
+} // namespace
+
+// Guards against the text of a failed target in a stream, and against a stream that ends there as if
+// complete.
+TEST_CASE("an error in place of the rest of a stream reaches no caller", "[gateway][broken]")
+{
+    const std::string error_line = "HTTP/1.1 500 Internal Server Error\r\nx-id: A\r\n";
+    const std::string text = "engine failed\n\n";
+
+    SECTION("the rest of the stream is passed on")
+    {
+        check_whole(resume({{stream_head + chunked + "\r\n" + chunk(events(3, 4)) + last_chunk}}));
+        check_whole(resume({{stream_head + "\r\n" + events(3, 4)}}));
+    }
+    SECTION("an error with a length, without, and in chunks")
+    {
+        check_aborted(resume({{error_line + "content-length: 15\r\n\r\n" + text}}));
+        check_aborted(resume({{error_line + "\r\n" + text}}));
+        check_aborted(resume({{error_line + chunked + "\r\n" + chunk(text) + last_chunk}}));
+    }
+    SECTION("an error whose head arrives in pieces, whole or broken off")
+    {
+        const auto head = error_line + "content-length: 15\r\n\r\n";
+        for (std::size_t cut = 1; cut < head.size(); cut += 7) {
+            INFO("after " << cut << " bytes");
+            check_aborted(resume({{head.substr(0, cut), head.substr(cut) + text}}));
+            check_aborted(resume({{head.substr(0, cut)}}));
+            check_aborted(resume({{head.substr(0, cut)}, ending::reset}));
+        }
+    }
+    SECTION("a success without the signature")
+    {
+        check_aborted(resume({{"HTTP/1.1 200 OK\r\nx-id: A\r\n" + event_stream + "\r\n" + events(3, 4)}}));
+    }
+    SECTION("a refusal that says that the request was not executed")
+    {
+        check_aborted(resume({{refusal("A")}}));
+        check_aborted(resume({{refusal("A", "421 Misdirected Request")}}));
+    }
+}
+
+// Guards against missing and repeated events, and against a stream without its rest that looks complete.
+TEST_CASE("a resumed stream that does not go on with the next event is aborted", "[gateway][broken]")
+{
+    SECTION("it begins again")
+    {
+        check_aborted(resume({{stream_head + "\r\n" + whole_stream}}));
+        check_aborted(resume({{stream_head + chunked + "\r\n" + chunk(whole_stream) + last_chunk}}));
+    }
+    SECTION("it leaves out an event")
+    {
+        check_aborted(resume({{stream_head + "\r\n" + event(4)}}));
+    }
+    SECTION("it has no length and is reset, or ends inside an event")
+    {
+        check_aborted_in_order(resume({{stream_head + "\r\n" + event(3)}, ending::reset}));
+        check_aborted_in_order(resume({{stream_head + "\r\n" + event(3) + "id: 4\nda"}, ending::reset}));
+        check_aborted_in_order(resume({{stream_head + "\r\n" + event(3) + "id: 4\nda"}}));
+    }
+}
+
+// Guards against a success for an answer of which not even the head was complete.
+TEST_CASE("an answer that ends inside its head is no success", "[gateway][broken]")
+{
+    const std::string body = whole_stream;
+    for (const std::string& framing :
+         {"content-length: " + std::to_string(body.size()) + "\r\n", std::string(), chunked}) {
+        const auto head = stream_head + framing + "\r\n";
+        for (const auto how : {ending::close, ending::reset}) {
+            SECTION("framing '" + framing + (how == ending::reset ? "', reset" : "', closed"))
+            {
+                for (const std::string path : {"/orders/1", "/stock/1", "/streams/1", "/resumable/1"}) {
+                    for (std::size_t cut = 0; cut < head.size(); ++cut) {
+                        INFO(path << ", " << cut << " bytes of the head");
+                        check_failed(send(path, {{{head.substr(0, cut)}, how}}, 1));
+                    }
+                }
+            }
+        }
+    }
+}
+
+// Guards against a partial answer that looks complete: without a length, only the way it ends tells.
+TEST_CASE("an answer without length is complete only when its connection is closed at its end",
+          "[gateway][broken]")
+{
+    SECTION("a plain answer")
+    {
+        const auto head = signed_head + "\r\n";
+        for (const std::string path : {"/orders/1", "/stock/1"}) {
+            INFO(path);
+            const auto got = send(path, {{{head, "whole ", "answer"}}}, 1);
+            CHECK(got.answer.status == 200);
+            CHECK(got.answer.body == "whole answer");
+            check_failed(send(path, {{{head, "whole ", "answer"}, ending::reset}}, 1));
+            check_failed(send(path, {{{head + "whole answer"}, ending::reset}}, 1));
+        }
+    }
+    SECTION("a plain answer that may be repeated comes from the other target after a reset")
+    {
+        const auto got =
+            send("/stock/1",
+                 {{{signed_head + "\r\nwhole ans"}, ending::reset}, {{signed_head + "\r\nanother"}}}, 2);
+        CHECK(got.answer.status == 200);
+        CHECK(got.answer.body == "another");
+    }
+    SECTION("a stream that is closed after its last event")
+    {
+        for (const std::string path : {"/streams/1", "/resumable/1"}) {
+            check_whole(send(path, {{{stream_head + "\r\n" + whole_stream}}}, 1));
+            check_whole(send(path, {{{stream_head + "\r\n", events(1, 2), events(3, 4)}}}, 1));
+        }
+    }
+    SECTION("a stream that is reset after an event, or that ends inside one, is aborted")
+    {
+        const std::vector<scripted_answer> broken{
+            {{stream_head + "\r\n" + events(1, 2)}, ending::reset},
+            {{stream_head + "\r\n" + events(1, 2) + "id: 3\nda"}, ending::reset},
+            {{stream_head + "\r\n" + events(1, 2) + "id: 3\nda"}, ending::close},
+            {{stream_head + "\r\n" + events(1, 2) + "id: 3\ndata: c\n"}, ending::close}};
+        for (const auto& answer : broken) {
+            for (const std::string path : {"/streams/1", "/resumable/1"}) {
+                INFO(path << ", " << answer.pieces.back());
+                const auto got = send(path, {answer}, 1);
+                CHECK(got.answer.body == events(1, 2));
+                CHECK(got.aborted);
+                CHECK_FALSE(got.finished);
+            }
+            const auto got = send("/resumable/1", {answer, {{stream_head + "\r\n" + events(3, 4)}}}, 2);
+            check_whole(got);
+        }
+    }
+}
--- a/tests/gateway/forwarding_site.hpp
+++ b/tests/gateway/forwarding_site.hpp
@@ -21,19 +21,29 @@
     status send(const http::response& whole) override
     {
         this->answer = whole;
+        this->finished = true;
+        return success();
+    }
+    status start(const http::response& head) override
+    {
+        this->answer = head;
         return success();
     }
-    status start(const http::response& head) override { return this->send(head); }
     status write(std::string_view chunk) override
     {
         this->answer.body += chunk;
         return success();
     }
-    status finish() override { return success(); }
+    status finish() override
+    {
+        this->finished = true;
+        return success();
+    }
     void abort() override { this->aborted = true; }
     bool started() const override { return this->answer.status != 0; }
 
     http::response answer{0, {}, {}};
+    bool finished{false}; ///< the answer looks complete
     bool aborted{false};
 };
 
@@ -103,6 +113,7 @@
         add("/orders/", gateway::route_kind::once, false);
         add("/stock/", gateway::route_kind::repeatable, false);
         add("/streams/", gateway::route_kind::stream, false);
+        add("/resumable/", gateway::route_kind::stream, true);
         gateway::service shop;
         shop.name = service_id("shop");
         this->fleet.update_config(std::make_shared<const gateway::site_config>(
--- a/tests/target/raw_server.hpp
+++ b/tests/target/raw_server.hpp
@@ -85,8 +85,18 @@
         return true;
     }
 
+    /// Closes the connection with a reset instead of a FIN.
+    void reset()
+    {
+        const std::scoped_lock lock(this->closing);
+        boost::system::error_code ignored;
+        this->socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+        this->socket.close(ignored);
+    }
+
     void shutdown()
     {
+        const std::scoped_lock lock(this->closing);
         boost::system::error_code ignored;
         this->socket.shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
     }
@@ -120,6 +130,7 @@
     }
 
     boost::asio::ip::tcp::socket socket;
+    std::mutex closing; ///< the server shuts its connections down while their scripts may still close them
     std::string buffer;
 };
 
