Abort a stream whose rest has another content type

Callers saw the text of an error inside their stream, and the stream ended as if it were complete: a stream had begun and broke off, and the next target answered with a signed 200 of another content type, for example text/plain, whose text ends with an empty line.

Cause: an answer to a resumed request was recognised by its status alone. Any text that ends with an empty line passes the event framer as an event without an id.

The rest of a stream must have the media type with which the stream began; anything else counts as a lost attempt, so the stream is resumed elsewhere or aborted. Parameters and case are not compared, since targets of different versions may write them differently.

--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -59,6 +59,15 @@
     return colon == std::string_view::npos || host.back() == ']' ? host : host.substr(0, colon);
 }
 
+/// Type and subtype of the content, without parameters; empty when the answer names none.
+std::string media_type_of(const http::response& head)
+{
+    auto type = http::find_header(head.headers, "content-type").value_or("");
+    type.resize(std::min(type.find(';'), type.size()));
+    type.resize(type.find_last_not_of(" \t") + 1);
+    return type;
+}
+
 std::string format_seconds(milliseconds time)
 {
     std::ostringstream out;
@@ -546,6 +555,11 @@
 request_run::attempt_end request_run::relay_stream(http::client_connection& connection,
                                                    const target_entry& target, const http::response& head)
 {
+    const auto type = media_type_of(head);
+    if (this->head_sent && !http::equal_names(type, this->media_type)) {
+        this->reason = "content type '" + type + "' instead of the rest of a stream";
+        return attempt_end::lost;
+    }
     while (true) {
         auto part = connection.read_body_part(this->deadline, this->yield);
         if (failed(part)) {
@@ -565,6 +579,7 @@
         if (!this->head_sent && (last || !value(complete).empty())) {
             // The head is sent with the first event: until then the request can be rerouted or refused.
             this->head_sent = true;
+            this->media_type = type;
             this->final_status = head.status;
             this->first_byte = this->since_arrival();
             this->owner.first_byte.record(this->first_byte);
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -100,6 +100,7 @@
     bool may_have_run{false};
     bool may_have_run_before{false}; ///< value of `may_have_run` before the attempt in progress
     bool head_sent{false};
+    std::string media_type; ///< of the stream whose head was sent
     event_framer events;
     milliseconds waited{0};
     milliseconds first_byte{-1}; ///< -1: no byte was sent
--- a/tests/gateway/broken_answer_test.cpp
+++ b/tests/gateway/broken_answer_test.cpp
@@ -142,6 +142,8 @@
     {
         check_whole(resume({{stream_head + chunked + "\r\n" + chunk(events(3, 4)) + last_chunk}}));
         check_whole(resume({{stream_head + "\r\n" + events(3, 4)}}));
+        check_whole(resume(
+            {{signed_head + "content-type: Text/Event-Stream ; charset=utf-8\r\n\r\n" + events(3, 4)}}));
     }
     SECTION("an error with a length, without, and in chunks")
     {
@@ -159,6 +161,17 @@
             check_aborted(resume({{head.substr(0, cut)}, ending::reset}));
         }
     }
+    SECTION("an error text in a success with another content type")
+    {
+        for (const std::string type : {"text/plain", "application/json", "text/event-streams"}) {
+            const auto head = signed_head + "content-type: " + type + "\r\n";
+            INFO(type);
+            check_aborted(resume({{head + "content-length: 15\r\n\r\n" + text}}));
+            check_aborted(resume({{head + "\r\n" + text}}));
+            check_aborted(resume({{head + chunked + "\r\n" + chunk(text) + last_chunk}}));
+            check_aborted(resume({{head + "\r\n" + events(3, 4)}}));
+        }
+    }
     SECTION("a success without the signature")
     {
         check_aborted(resume({{"HTTP/1.1 200 OK\r\nx-id: A\r\n" + event_stream + "\r\n" + events(3, 4)}}));
