Require the next event id at the start of a resumed stream

Cause: the framer compared ids only where there were any, so an event without one was passed on wherever it stood.

Evidence: before the fix, for an error event alone and for one before the events 3 and 4:

CHECK( got.answer.body == events(1, 2) ) "id: 1 ... id: 2 data: part 2 data: engine failed " == "id: 1 ... id: 2 data: part 2 " CHECK( got.aborted ) false CHECK_FALSE( got.finished ) !true

After restart() the first event has to be the successor of the last one; until then only comments are passed on. Events without an id that follow it come from a target that has shown that it continues the stream, so they stay allowed, as in a first answer.

--- a/src/gateway/event_framer.cpp
+++ b/src/gateway/event_framer.cpp
@@ -35,6 +35,20 @@
     return std::optional<std::uint64_t>{};
 }
 
+/// True for an event that consists of comments only, such as those that keep a connection open.
+bool is_comment(std::string_view event)
+{
+    while (!event.empty()) {
+        const auto end = event.find('\n');
+        const auto line = event.substr(0, end);
+        if (!line.empty() && line != "\r" && line.front() != ':') {
+            return false;
+        }
+        event = end == std::string_view::npos ? std::string_view{} : event.substr(end + 1);
+    }
+    return true;
+}
+
 /// True for the head of another HTTP answer, which a faulty target may write into a body that has no length.
 bool is_answer_head(std::string_view event)
 {
@@ -59,7 +73,9 @@
 {
     this->pending += bytes;
     std::size_t complete = 0;
-    auto newest = this->last; // recorded only when the events are returned
+    // Recorded only when the events are returned.
+    auto newest = this->last;
+    auto expects_next = this->expects_next_id;
     while (const auto length = first_event_length(std::string_view(this->pending).substr(complete))) {
         const auto event = std::string_view(this->pending).substr(complete, length);
         if (is_answer_head(event)) {
@@ -75,6 +91,10 @@
                                "event " + std::to_string(*id) + " after event " + std::to_string(*newest)};
             }
             newest = id;
+            expects_next = false;
+        } else if (expects_next && !is_comment(event)) {
+            return failure{failure_kind::malformed,
+                           "event without an id after event " + std::to_string(*newest)};
         }
         complete += length;
     }
@@ -82,6 +102,7 @@
         return failure{failure_kind::too_large, "event"};
     }
     this->last = newest;
+    this->expects_next_id = expects_next;
     std::string out = this->pending.substr(0, complete);
     this->pending.erase(0, complete);
     return out;
--- a/src/gateway/event_framer.hpp
+++ b/src/gateway/event_framer.hpp
@@ -18,11 +18,16 @@
     explicit event_framer(std::optional<std::uint64_t> last_id = std::nullopt) : last(last_id) {}
 
     /// Discards a partial event and starts reading another answer, which continues after the last event.
-    void restart() { this->pending.clear(); }
+    void restart()
+    {
+        this->pending.clear();
+        this->expects_next_id = this->last.has_value();
+    }
 
     /// Appends received bytes and returns the bytes of all events that are now complete, unchanged. Fails
-    /// with `malformed` when an event id is not the successor of the previous one or the head of another
-    /// answer is in place of an event, and with `too_large` for an event above limits::event_bytes.
+    /// with `malformed` when an event id is not the successor of the previous one, when the first event after
+    /// restart() has no id, or when the head of another answer is in place of an event, and with `too_large`
+    /// for an event above limits::event_bytes.
     result<std::string> append(std::string_view bytes);
 
     /// True when bytes of an incomplete event are buffered.
@@ -32,6 +37,7 @@
 private:
     std::string pending;
     std::optional<std::uint64_t> last;
+    bool expects_next_id{false}; ///< the answer has to begin with the successor of `last`
 };
 
 } // namespace rml::gateway
--- a/tests/gateway/broken_answer_test.cpp
+++ b/tests/gateway/broken_answer_test.cpp
@@ -172,6 +172,11 @@
             check_aborted(resume({{head + "\r\n" + events(3, 4)}}));
         }
     }
+    SECTION("an error text as an event without an id")
+    {
+        check_aborted(resume({{stream_head + "\r\n" + "data: " + text}}));
+        check_aborted(resume({{stream_head + "\r\n" + "event: error\ndata: " + text + events(3, 4)}}));
+    }
     SECTION("a success without the signature")
     {
         check_aborted(resume({{"HTTP/1.1 200 OK\r\nx-id: A\r\n" + event_stream + "\r\n" + events(3, 4)}}));
