Do not take an empty answer for the rest of a broken stream

Cause: the end of an answer ended the stream whenever no partial event was left, also when the answer had continued nothing.

Evidence: before the fix, for an empty answer with a length, without and chunked, and for one with only a comment:

CHECK( got.aborted ) false CHECK_FALSE( got.finished ) !true

An attempt that is to continue a stream and has brought no event is now lost: the stream is resumed elsewhere or aborted. If only the end mark of the first answer was missing, the caller gets an aborted connection after the last event, which promises nothing.

--- a/src/gateway/event_framer.hpp
+++ b/src/gateway/event_framer.hpp
@@ -32,6 +32,8 @@
 
     /// True when bytes of an incomplete event are buffered.
     bool partial() const { return !this->pending.empty(); }
+    /// True after restart() until an event that continues the stream has been returned.
+    bool expects_next() const { return this->expects_next_id; }
     const std::optional<std::uint64_t>& last_id() const { return this->last; }
 
 private:
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -570,6 +570,10 @@
             this->reason = "answer ended within an event";
             return attempt_end::lost;
         }
+        if (!value(part) && this->head_sent && this->events.expects_next()) {
+            this->reason = "answer without events instead of the rest of a stream";
+            return attempt_end::lost;
+        }
         auto complete = this->events.append(value(part).value_or(""));
         if (failed(complete)) {
             this->reason = error(complete).context;
--- a/tests/gateway/broken_answer_test.cpp
+++ b/tests/gateway/broken_answer_test.cpp
@@ -200,6 +200,16 @@
     {
         check_aborted(resume({{stream_head + "\r\n" + event(4)}}));
     }
+    SECTION("it has no events")
+    {
+        check_aborted(resume({{stream_head + "\r\n"}}));
+        check_aborted(resume({{stream_head + "content-length: 0\r\n\r\n"}}));
+        check_aborted(resume({{stream_head + chunked + "\r\n" + last_chunk}}));
+        const auto got = resume({{stream_head + "\r\n: comment\n\n"}});
+        CHECK(got.answer.body == events(1, 2) + ": comment\n\n");
+        CHECK(got.aborted);
+        CHECK_FALSE(got.finished);
+    }
     SECTION("it has no length and is reset, or ends inside an event")
     {
         check_aborted_in_order(resume({{stream_head + "\r\n" + event(3)}, ending::reset}));
