Abort a broken stream whose last event has no id

Cause: the request was sent again with the last id, or without one, although the caller already had events after it.

Evidence: before the fix, for a first answer "data: a":

CHECK( got.answer.body == first ) "data: a id: 1 ... id: 4 data: part 4 " == "data: a " CHECK( got.sends == 1 ) 2 == 1 CHECK( got.aborted ) false

A request whose answer has begun is sent again only when the last event that was passed on has an id; comments do not count. Otherwise the caller's connection is aborted.

--- a/src/gateway/event_framer.cpp
+++ b/src/gateway/event_framer.cpp
@@ -76,6 +76,7 @@
     // Recorded only when the events are returned.
     auto newest = this->last;
     auto expects_next = this->expects_next_id;
+    auto with_id = this->ends_with_id;
     while (const auto length = first_event_length(std::string_view(this->pending).substr(complete))) {
         const auto event = std::string_view(this->pending).substr(complete, length);
         if (is_answer_head(event)) {
@@ -92,9 +93,13 @@
             }
             newest = id;
             expects_next = false;
-        } else if (expects_next && !is_comment(event)) {
-            return failure{failure_kind::malformed,
-                           "event without an id after event " + std::to_string(*newest)};
+            with_id = true;
+        } else if (!is_comment(event)) {
+            if (expects_next) {
+                return failure{failure_kind::malformed,
+                               "event without an id after event " + std::to_string(*newest)};
+            }
+            with_id = false;
         }
         complete += length;
     }
@@ -103,6 +108,7 @@
     }
     this->last = newest;
     this->expects_next_id = expects_next;
+    this->ends_with_id = with_id;
     std::string out = this->pending.substr(0, complete);
     this->pending.erase(0, complete);
     return out;
--- a/src/gateway/event_framer.hpp
+++ b/src/gateway/event_framer.hpp
@@ -32,6 +32,9 @@
 
     /// True when bytes of an incomplete event are buffered.
     bool partial() const { return !this->pending.empty(); }
+    /// False when an event without an id was returned after `last_id`, so that no other answer can continue
+    /// after exactly the returned events.
+    bool resumable() const { return this->ends_with_id; }
     /// True after restart() until an event that continues the stream has been returned.
     bool expects_next() const { return this->expects_next_id; }
     const std::optional<std::uint64_t>& last_id() const { return this->last; }
@@ -39,6 +42,7 @@
 private:
     std::string pending;
     std::optional<std::uint64_t> last;
+    bool ends_with_id{true};
     bool expects_next_id{false}; ///< the answer has to begin with the successor of `last`
 };
 
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -366,6 +366,10 @@
     if (this->stopping || end == attempt_end::timed_out || now >= this->deadline) {
         return false;
     }
+    if (this->head_sent && !this->events.resumable()) {
+        this->reason += "; the last event of the stream has no id";
+        return false;
+    }
     if (end == attempt_end::not_sent) {
         return true; // no target has received the request
     }
--- a/tests/gateway/broken_answer_test.cpp
+++ b/tests/gateway/broken_answer_test.cpp
@@ -218,6 +218,32 @@
     }
 }
 
+// Guards against events that come twice: without an id, the next target cannot know where to go on.
+TEST_CASE("a stream of which the last event has no id is not resumed", "[gateway][broken]")
+{
+    const auto send_first = [](const std::string& first) {
+        return send("/resumable/1",
+                    {{{stream_head + chunked + "\r\n" + chunk(first)}},
+                     {{stream_head + chunked + "\r\n" + chunk(whole_stream) + last_chunk}}},
+                    2);
+    };
+    for (const std::string first : {"data: a\n\n", "id: 1\ndata: a\n\ndata: b\n\n"}) {
+        const auto got = send_first(first);
+        CHECK(got.answer.body == first);
+        CHECK(got.sends == 1);
+        CHECK(got.aborted);
+    }
+    SECTION("a comment is not an event")
+    {
+        const auto got = send("/resumable/1",
+                              {{{stream_head + chunked + "\r\n" + chunk(events(1, 2) + ": comment\n\n")}},
+                               {{stream_head + "\r\n" + events(3, 4)}}},
+                              2);
+        CHECK(got.answer.body == events(1, 2) + ": comment\n\n" + events(3, 4));
+        CHECK(got.finished);
+    }
+}
+
 // Guards against a success for an answer of which not even the head was complete.
 TEST_CASE("an answer that ends inside its head is no success", "[gateway][broken]")
 {
