--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -59,6 +59,15 @@
     return colon == std::string_view::npos || host.back() == ']' ? host : host.substr(0, colon);
 }
 
+/// Type and subtype of the content, without parameters; empty when the answer names none.
+std::string media_type_of(const http::response& head)
+{
+    auto type = http::find_header(head.headers, "content-type").value_or("");
+    type.resize(std::min(type.find(';'), type.size()));
+    type.resize(type.find_last_not_of(" \t") + 1);
+    return type;
+}
+
 std::string format_seconds(milliseconds time)
 {
     std::ostringstream out;
@@ -357,6 +366,10 @@
     if (this->stopping || end == attempt_end::timed_out || now >= this->deadline) {
         return false;
     }
+    if (this->head_sent && !this->events.resumable()) {
+        this->reason += "; the last event of the stream has no id";
+        return false;
+    }
     if (end == attempt_end::not_sent) {
         return true; // no target has received the request
     }
@@ -546,6 +559,11 @@
 request_run::attempt_end request_run::relay_stream(http::client_connection& connection,
                                                    const target_entry& target, const http::response& head)
 {
+    const auto type = media_type_of(head);
+    if (this->head_sent && !http::equal_names(type, this->media_type)) {
+        this->reason = "content type '" + type + "' instead of the rest of a stream";
+        return attempt_end::lost;
+    }
     while (true) {
         auto part = connection.read_body_part(this->deadline, this->yield);
         if (failed(part)) {
@@ -556,6 +574,10 @@
             this->reason = "answer ended within an event";
             return attempt_end::lost;
         }
+        if (!value(part) && this->head_sent && this->events.expects_next()) {
+            this->reason = "answer without events instead of the rest of a stream";
+            return attempt_end::lost;
+        }
         auto complete = this->events.append(value(part).value_or(""));
         if (failed(complete)) {
             this->reason = error(complete).context;
@@ -565,6 +587,7 @@
         if (!this->head_sent && (last || !value(complete).empty())) {
             // The head is sent with the first event: until then the request can be rerouted or refused.
             this->head_sent = true;
+            this->media_type = type;
             this->final_status = head.status;
             this->first_byte = this->since_arrival();
             this->owner.first_byte.record(this->first_byte);
