--- a/src/decision/crash_attribution.cpp
+++ b/src/decision/crash_attribution.cpp
@@ -171,13 +171,21 @@
 }
 
 crash_verdict crash_attribution::check_features(const crash_features& features, time_point now) const
+{
+    return this->find_worst(features, now).verdict;
+}
+
+crash_finding crash_attribution::find_worst(const crash_features& features, time_point now) const
 {
     const auto whole = this->check(features.whole, now);
-    auto worst = whole >= crash_verdict::refuse ? whole : crash_verdict::run;
+    crash_finding worst{whole >= crash_verdict::refuse ? whole : crash_verdict::run, features.whole, false};
     for (const auto part : features.parts) {
         const auto known = this->records.find(part.value);
-        if (known != this->records.end() && now < known->second.expires) {
-            worst = std::max(worst, this->part_verdict(known->second, features, now));
+        if (known == this->records.end() || now >= known->second.expires) {
+            continue;
+        }
+        if (const auto verdict = this->part_verdict(known->second, features, now); verdict > worst.verdict) {
+            worst = {verdict, part, true};
         }
     }
     return worst;
--- a/src/decision/crash_attribution.hpp
+++ b/src/decision/crash_attribution.hpp
@@ -72,6 +72,14 @@
     blocked, ///< must not run
 };
 
+/// The feature of a request that has the worst verdict.
+struct crash_finding
+{
+    crash_verdict verdict{crash_verdict::run};
+    request_fingerprint fingerprint;
+    bool part{false}; ///< a part of the prompt, not the whole request
+};
+
 /// One loss that counts against a fingerprint, as exchanged between daemons.
 struct crash_loss
 {
@@ -135,6 +143,8 @@
     /// Verdict for a request with its parts, the worst one of all. The whole request counts only when it must
     /// not run: after one loss it may be repeated at once, unless one of its parts is suspected.
     crash_verdict check_features(const crash_features& features, time_point now) const;
+    /// Like `check_features`, with the feature that has this verdict.
+    crash_finding find_worst(const crash_features& features, time_point now) const;
 
     /// Counts a request as sent to the group, directly before it is sent.
     void begin(std::uint64_t ticket, request_fingerprint fingerprint, const group_run& target, bool trial);
--- a/src/decision/target_choice.cpp
+++ b/src/decision/target_choice.cpp
@@ -104,6 +104,20 @@
     return load_of(candidates[second]) < load_of(candidates[first]) ? second : first;
 }
 
+std::optional<std::size_t> choose_least_loaded(const std::vector<target_candidate>& candidates,
+                                               std::uint64_t random)
+{
+    auto found = preferred(candidates);
+    if (!found.empty()) {
+        std::rotate(found.begin(), found.begin() + static_cast<std::ptrdiff_t>(random % found.size()),
+                    found.end());
+    }
+    const auto least = std::min_element(found.begin(), found.end(), [&](std::size_t a, std::size_t b) {
+        return candidates[a].own + candidates[a].others < candidates[b].own + candidates[b].others;
+    });
+    return least == found.end() ? std::nullopt : std::optional(*least);
+}
+
 bool slots_scarce(const target_candidate& candidate)
 {
     return candidate.own + candidate.others >= scarce_share * candidate.slots;
--- a/src/decision/target_choice.hpp
+++ b/src/decision/target_choice.hpp
@@ -47,6 +47,11 @@
 std::optional<std::size_t> choose_target(const std::vector<target_candidate>& candidates,
                                          std::uint64_t random);
 
+/// Index of the usable candidate with the fewest requests, for a request that may crash its target, or
+/// nothing when all usable candidates are full or were tried. `random` decides between equal ones.
+std::optional<std::size_t> choose_least_loaded(const std::vector<target_candidate>& candidates,
+                                               std::uint64_t random);
+
 /// Whether so few slots are free that a change must be reported to the other daemons at once.
 bool slots_scarce(const target_candidate& candidate);
 
--- a/src/gateway/daemon.cpp
+++ b/src/gateway/daemon.cpp
@@ -83,8 +83,8 @@
             }
             *server = value(std::move(created));
         }
-        if (const auto started =
-                this->exchange.start(this->configured.listen.peer, [this] { return this->compose_report(); });
+        if (const auto started = this->exchange.start(
+                this->configured.listen.peer, [this](bool to_all) { return this->compose_report(to_all); });
             failed(started)) {
             return error(started);
         }
@@ -127,6 +127,7 @@
         this->exchange.on_report = [this](const peer_report& report) { this->accept_report(report); };
         this->manager.on_ending = [this] { this->exchange.send_now(); };
         this->requests.on_scarce_slots = [this] { this->exchange.send_soon(); };
+        this->requests.crashes().on_change = [this] { this->exchange.send_to_all_soon(); };
         this->requests.on_suspect = [this] {
             this->exchange.send_now();
             for (const auto& head : this->requests.stalled_targets()) {
@@ -163,7 +164,7 @@
         this->caller_server->update_options(options);
     }
 
-    peer_report compose_report() const
+    peer_report compose_report(bool to_all)
     {
         peer_report out;
         out.daemon = this->configured.daemon;
@@ -184,6 +185,10 @@
         }
         out.offered_load = this->requests.offered_load();
         out.requests_per_s = this->requests.requests_per_s();
+        this->requests.crashes().add_trials(out);
+        if (to_all) {
+            this->requests.crashes().add_evidence(out, steady_clock::now());
+        }
         return out;
     }
 
@@ -203,6 +208,7 @@
     void accept_report(const peer_report& report)
     {
         const auto now = steady_clock::now();
+        this->requests.crashes().accept(report, now);
         for (const auto& head : report.stalled) {
             this->manager.on_suspect(head);
         }
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -42,7 +42,7 @@
                      target::connection_pool& pool, const gateway_settings& settings,
                      metric_registry& registry)
     : context(owner), ports(platform), fleet(state), connections(pool), configured(settings),
-      random(hash64(settings.daemon.str())),
+      guard(state, pool, registry), random(hash64(settings.daemon.str())),
       answered(registry.create_counter("rml_requests_answered_total", "Requests answered by a target")),
       refused(registry.create_counter("rml_requests_refused_total", "Requests refused that have not run")),
       failed_requests(
@@ -212,6 +212,7 @@
     const auto now = steady_clock::now();
     this->fleet.in_flight.tick(now);
     this->fleet.suspicions.expire(now);
+    this->guard.tick(now);
     this->detect_stalled_targets(now);
     this->update_slots(now);
     for (auto& [key, state] : this->pools) {
--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -9,6 +9,7 @@
 #include "decision/target_choice.hpp"
 #include "decision/target_ejection.hpp"
 #include "gateway/admission_queue.hpp"
+#include "gateway/crash_guard.hpp"
 #include "gateway/fleet_state.hpp"
 #include "gateway/ports.hpp"
 #include "gateway/settings.hpp"
@@ -68,6 +69,8 @@
     double requests_per_s() const { return this->arriving_per_s; }
     /// Requests in progress.
     std::size_t open_requests() const { return this->runs.size(); }
+    /// Evidence on requests that crash targets, to be exchanged with the other daemons.
+    crash_guard& crashes() { return this->guard; }
 
     /// The process stops: requests that cannot be expected to end before `end` are refused from now on.
     void begin_stop(time_point end) { this->stop_at = end; }
@@ -121,6 +124,7 @@
     fleet_state& fleet;
     target::connection_pool& connections;
     const gateway_settings& configured;
+    crash_guard guard;
     std::map<pool_key, pool_state> pools;
     std::map<service_id, retry_budget> budgets;
     std::unordered_map<std::uint64_t, active_attempt> attempts;
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -31,7 +31,7 @@
 {
 }
 
-status peer_exchange::start(const endpoint& listen, std::function<peer_report()> make)
+status peer_exchange::start(const endpoint& listen, std::function<peer_report(bool to_all)> make)
 {
     this->compose = std::move(make);
     boost::system::error_code code;
@@ -92,15 +92,27 @@
     }
 }
 
+void peer_exchange::send_to_all_soon()
+{
+    const auto due = this->sent_to_all + min_report_interval;
+    if (steady_clock::now() >= due) {
+        this->send(true);
+    } else if (due < this->next_to_all) {
+        this->next_to_all = due;
+        this->schedule();
+    }
+}
+
 void peer_exchange::send(bool to_all)
 {
     const auto now = steady_clock::now();
     this->sent_to_entries = now;
     this->next_to_entries = now + interval_for(this->entries.size());
     if (to_all) {
+        this->sent_to_all = now;
         this->next_to_all = now + interval_for(this->fleet.peers().size());
     }
-    auto report = this->compose();
+    auto report = this->compose(to_all);
     report.sequence = ++this->sequence;
     this->send_bytes(encode_report(report), to_all);
 }
--- a/src/gateway/peer_exchange.hpp
+++ b/src/gateway/peer_exchange.hpp
@@ -27,12 +27,15 @@
 public:
     peer_exchange(boost::asio::io_context& context, fleet_state& fleet);
 
-    /// Fails with `unavailable` when the address cannot be bound. `compose` returns the report to send.
-    status start(const endpoint& listen, std::function<peer_report()> compose);
+    /// Fails with `unavailable` when the address cannot be bound. `compose` returns the report to send; its
+    /// argument says whether the report goes to all daemons or only to the entry daemons.
+    status start(const endpoint& listen, std::function<peer_report(bool to_all)> compose);
     /// Sends a report to all daemons at once, for example because a target stalled.
     void send_now();
     /// Sends the next report to the entry daemons early, at the minimum interval.
     void send_soon();
+    /// Sends a report to all daemons at once, or at the end of the minimum interval after the last one.
+    void send_to_all_soon();
     /// Sends a notice to all other daemons.
     void send_notice(const change_notice& notice);
     void stop();
@@ -63,9 +66,10 @@
     boost::asio::steady_timer timer;
     boost::asio::ip::udp::endpoint sender;
     std::array<char, largest_datagram> buffer{};
-    std::function<peer_report()> compose;
+    std::function<peer_report(bool to_all)> compose;
     std::set<daemon_id> entries;
     time_point sent_to_entries{};
+    time_point sent_to_all{};
     time_point next_to_entries{};
     time_point next_to_all{};
     std::uint64_t sequence{0};
--- a/src/gateway/peer_report.cpp
+++ b/src/gateway/peer_report.cpp
@@ -2,7 +2,9 @@
 
 #include "base/bounded_cbor.hpp"
 #include "base/json_reader.hpp"
+#include "base/limits.hpp"
 
+#include <algorithm>
 #include <limits>
 #include <nlohmann/json.hpp>
 
@@ -16,6 +18,8 @@
 constexpr std::size_t max_listed_targets = 2000;
 constexpr std::uint64_t max_uint32 = std::numeric_limits<std::uint32_t>::max();
 constexpr std::uint64_t max_int64 = std::numeric_limits<std::int64_t>::max();
+constexpr std::uint64_t max_uint64 = std::numeric_limits<std::uint64_t>::max();
+constexpr std::chrono::hours max_crash_age = 2 * limits::block_lifetime;
 
 template <class Id>
 json encode_ids(const std::vector<Id>& ids)
@@ -36,6 +40,60 @@
     return out;
 }
 
+/// Bounds the crash evidence in one report.
+constexpr std::size_t max_crash_rows = 256;
+constexpr std::size_t max_crash_trials = 256;
+
+json encode_crashes(const std::vector<crash_notice>& notices)
+{
+    json out = json::array();
+    for (const auto& notice : notices) {
+        json losses = json::array();
+        for (const auto& loss : notice.losses) {
+            losses.push_back({loss.loss, loss.explained, loss.age.count()});
+        }
+        out.push_back({{"k", notice.fingerprint.value},
+                       {"v", notice.version},
+                       {"b", notice.blocked},
+                       {"t", notice.ttl.count()},
+                       {"p", notice.part},
+                       {"l", std::move(losses)}});
+        if (notice.acquitted_age) {
+            out.back()["a"] = notice.acquitted_age->count();
+        }
+    }
+    return out;
+}
+
+/// Ages and lifetimes are clamped, because the sums of larger ones with a time would overflow.
+milliseconds decode_age(const json& number)
+{
+    const auto count = checked_integer(number, max_int64);
+    return milliseconds(std::min<std::uint64_t>(count, milliseconds(max_crash_age).count()));
+}
+
+std::vector<crash_notice> decode_crashes(const json& rows)
+{
+    std::vector<crash_notice> out;
+    for (const auto& row : rows) {
+        crash_notice notice;
+        notice.fingerprint.value = checked_integer(row.at("k"), max_uint64);
+        notice.version = checked_integer(row.at("v"), max_uint64);
+        notice.blocked = row.at("b").get<bool>();
+        notice.ttl = decode_age(row.at("t"));
+        notice.part = row.at("p").get<bool>();
+        for (const auto& loss : row.at("l")) {
+            notice.losses.push_back(
+                {checked_integer(loss.at(0), max_uint64), loss.at(1).get<bool>(), decode_age(loss.at(2))});
+        }
+        if (row.contains("a")) {
+            notice.acquitted_age = decode_age(row.at("a"));
+        }
+        out.push_back(std::move(notice));
+    }
+    return out;
+}
+
 } // namespace
 
 std::string encode_report(const peer_report& report)
@@ -67,7 +125,9 @@
                         {"x", encode_ids(report.ejected)},
                         {"p", std::move(slow)},
                         {"w", std::move(offered_load)},
-                        {"q", report.requests_per_s}};
+                        {"q", report.requests_per_s},
+                        {"c", encode_crashes(report.crashes)},
+                        {"y", report.crash_trials}};
     return to_cbor_bytes(document);
 }
 
@@ -107,6 +167,19 @@
         }
         // Daemons of the previous version do not send this field.
         out.requests_per_s = message.contains("q") ? checked_amount(message.at("q")) : 0.0;
+        if (message.contains("c")) { // daemons of the previous version do not send these two fields
+            const auto& rows = message.at("c");
+            const bool long_row = std::any_of(rows.begin(), rows.end(), [](const json& row) {
+                return row.at("l").size() > crash_attribution::max_part_losses;
+            });
+            if (rows.size() > max_crash_rows || message.at("y").size() > max_crash_trials || long_row) {
+                return failure{failure_kind::too_large, "peer report"};
+            }
+            out.crashes = decode_crashes(rows);
+            for (const auto& print : message.at("y")) {
+                out.crash_trials.push_back(checked_integer(print, max_uint64));
+            }
+        }
         return out;
     } catch (const json::exception& problem) {
         return failure{failure_kind::malformed, std::string("peer report: ") + problem.what()};
--- a/src/gateway/peer_report.hpp
+++ b/src/gateway/peer_report.hpp
@@ -5,6 +5,7 @@
 #include "base/failure.hpp"
 #include "base/ids.hpp"
 #include "base/time.hpp"
+#include "decision/crash_attribution.hpp"
 
 #include <cstdint>
 #include <map>
@@ -31,6 +32,8 @@
     std::map<instance_id, double> slow; ///< from the group manager: slow heads, factor on their service time
     std::map<model_id, double> offered_load; ///< per model, in engine seconds per second
     double requests_per_s{0};                ///< arriving at the sender
+    std::vector<crash_notice> crashes;       ///< evidence on requests and prompt parts that crash targets
+    std::vector<std::uint64_t> crash_trials; ///< fingerprints of the prompt parts on trial at the sender
 };
 
 /// Encodes as CBOR. A report with 600 targets has about 20 KB; usual reports fit into one packet.
--- a/src/gateway/ports.hpp
+++ b/src/gateway/ports.hpp
@@ -30,6 +30,7 @@
     std::string token_counts;     ///< prompt tokens, most output tokens
     std::string answer_signature; ///< set by targets; a 2xx answer without it is not from a target
     std::string not_executed;     ///< set by targets on answers to requests that they did not run
+    std::string prompt_parts;     ///< parts of the prompt in order, `id:tokens,id:tokens,...`
 };
 
 struct store_item
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -23,6 +23,9 @@
 /// Pause before the next attempt to find a free slot.
 constexpr milliseconds slot_retry_interval{25};
 constexpr milliseconds min_retry_after{150};
+/// Time for which a repeat waits until the loss of its last target is classified: the delay of the
+/// classification, and a trial of another request with the same part.
+constexpr milliseconds repeat_permission_wait = 2 * limits::classification_delay;
 /// Retry-After when the load is unknown, for example before the first configuration.
 constexpr milliseconds default_retry_after{500};
 /// Another daemon can take a request that a stopping one refuses.
@@ -192,6 +195,14 @@
 
 void request_run::forward()
 {
+    this->features.whole = make_fingerprint(account_id(this->account), this->message.target,
+                                            this->message.method + this->chosen_route->host +
+                                                this->model.str() + this->message.body);
+    this->features.parts = shared_prompt_parts(
+        http::find_header(this->message.headers, this->owner.ports.headers.prompt_parts).value_or(""));
+    if (this->owner.guard.check(this->features, this->arrived) == send_permission::refused) {
+        return this->refuse_as_crashing(this->arrived);
+    }
     const auto& parts = this->chosen_route->services;
     double sum = 0;
     for (const auto& part : parts) {
@@ -236,11 +247,13 @@
             this->queued_in->cancel(this->number);
         }
     });
-    if (!this->wait_for_slot(*pool.queue)) {
+    // Waits without a slot, which other requests can use meanwhile.
+    if (!this->wait_for_classification() || !this->wait_for_slot(*pool.queue)) {
         return;
     }
     const auto started = steady_clock::now();
     this->run_attempts();
+    this->owner.guard.end_trial(this->number);
     const bool usual = this->outcome == "answered" && this->sends == 1;
     if (this->outcome == "answered") {
         pool.longest.record(steady_clock::now() - this->arrived, steady_clock::now());
@@ -283,21 +296,97 @@
     return true;
 }
 
+void request_run::refuse_as_crashing(time_point now)
+{
+    this->owner.guard.record_refusal();
+    this->refuse(default_retry_after,
+                 "would crash its target: " + this->owner.guard.describe_suspect(this->features, now));
+}
+
+bool request_run::wait_for_classification()
+{
+    const auto limit = std::min(this->deadline, this->arrived + this->chosen_route->objective / 2);
+    while (!this->caller_disconnected) {
+        const auto now = steady_clock::now();
+        const auto permission = this->owner.guard.check(this->features, now);
+        if (this->stopping) {
+            this->refuse(stopping_retry_after, stopping_reason);
+            return false;
+        }
+        if (permission == send_permission::refused) {
+            this->refuse_as_crashing(now);
+            return false;
+        }
+        if (permission != send_permission::later) {
+            return true;
+        }
+        if (now >= limit) {
+            this->refuse(default_retry_after, "suspected of crashing its target: " +
+                                                  this->owner.guard.describe_suspect(this->features, now));
+            return false;
+        }
+        http::pause(slot_retry_interval, this->yield);
+    }
+    this->outcome = "caller disconnected";
+    this->owner.disconnected.add();
+    return false;
+}
+
+bool request_run::wait_for_permission()
+{
+    // A repeat has to wait for the classification of the loss that ended the attempt before.
+    const auto latest = this->sends == 0 ? this->arrived + this->chosen_route->objective / 2
+                                         : steady_clock::now() + repeat_permission_wait;
+    const auto limit = std::min(this->deadline, latest);
+    while (!this->caller_disconnected && !this->stopping) {
+        const auto now = steady_clock::now();
+        const auto permission = this->owner.guard.request_send(this->number, this->features, now);
+        this->trial = permission == send_permission::trial;
+        if (permission == send_permission::allowed || this->trial) {
+            return true;
+        }
+        if (permission == send_permission::refused || now >= limit) {
+            const bool refused = permission == send_permission::refused;
+            if (refused) {
+                this->owner.guard.record_refusal();
+            }
+            this->reason +=
+                (this->reason.empty() ? "" : "; ") +
+                std::string(refused ? "would crash its target: " : "suspected of crashing its target: ") +
+                this->owner.guard.describe_suspect(this->features, now);
+            return false;
+        }
+        http::pause(slot_retry_interval, this->yield);
+    }
+    return true;
+}
+
 std::optional<instance_id> request_run::choose()
 {
     const auto now = steady_clock::now();
     const pool_key key{this->chosen_service->name, this->chosen_service->engines ? this->model : model_id()};
-    const auto candidates = this->owner.candidates(key, this->tried, now);
-    const auto index = choose_target(candidates, this->owner.random());
+    auto candidates = this->owner.candidates(key, this->tried, now);
+    if (this->trial) {
+        const auto occupied = [this](const target_candidate& candidate) {
+            return this->owner.guard.has_trial(candidate.instance);
+        };
+        candidates.erase(std::remove_if(candidates.begin(), candidates.end(), occupied), candidates.end());
+    }
+    const auto random = this->owner.random();
+    const auto index =
+        this->trial ? choose_least_loaded(candidates, random) : choose_target(candidates, random);
     return index ? std::optional(candidates[*index].instance) : std::nullopt;
 }
 
 std::optional<instance_id> request_run::choose_or_wait()
 {
     // The queue's count of free slots is some ten milliseconds old: a target may since be full or stalled.
-    const auto limit = this->arrived + this->chosen_route->objective / 2;
+    // A repeat waits only for the trials of other requests.
+    const bool repeated_trial = this->trial && this->sends > 0;
+    const auto limit = repeated_trial ? steady_clock::now() + repeat_permission_wait
+                                      : this->arrived + this->chosen_route->objective / 2;
     auto found = this->choose();
-    while (!found && this->sends == 0 && !this->caller_disconnected && !this->stopping &&
+    while (!found && (this->sends == 0 || repeated_trial) && !this->caller_disconnected && !this->stopping &&
            steady_clock::now() < limit) {
         http::pause(slot_retry_interval, this->yield);
         found = this->choose();
@@ -308,6 +397,9 @@
 void request_run::run_attempts()
 {
     while (true) {
+        if (!this->wait_for_permission()) {
+            return this->finish_unanswered();
+        }
         const auto target = this->choose_or_wait();
         auto* state = target ? this->owner.fleet.find_target(*target) : nullptr;
         if (this->caller_disconnected) {
@@ -326,6 +418,7 @@
         }
         this->tried.push_back(*target);
         const auto end = this->attempt(*state);
+        this->owner.guard.end_trial(this->number);
         this->record_result(*target, end);
         if (end == attempt_end::answered) {
             this->outcome = "answered";
@@ -441,11 +534,15 @@
                                                   this->current->close();
                                               }
                                           }};
+    this->connection_broke = false;
+    const auto ticket = this->owner.guard.begin(this->number, this->features, target);
+    this->crash_ticket = ticket;
     const auto end = this->exchange(*bound.connection, target);
     this->owner.attempts.erase(this->number);
     this->owner.fleet.in_flight.end(target.instance, this->answer_begun);
     this->owner.report_scarce_slots(target.instance, steady_clock::now());
     this->current = nullptr;
+    this->record_crash_evidence(ticket, target, end);
     // A refusal may be written once more with the id of the next request, so its connection is not reused.
     if (end == attempt_end::answered) {
         this->owner.connections.give_back(target.address, std::move(bound));
@@ -466,9 +563,21 @@
     return this->receive(connection, target);
 }
 
+void request_run::record_crash_evidence(std::uint64_t ticket, const target_entry& target, attempt_end end)
+{
+    const auto* known = this->owner.fleet.find_target(target.instance);
+    const bool leaving = known == nullptr || known->entry.draining;
+    if (end == attempt_end::lost && this->connection_broke && !leaving && !this->stopping) {
+        return this->owner.guard.end_broken(ticket, target, this->deadline, this->yield);
+    }
+    const bool answered = end == attempt_end::answered && this->final_status < 300;
+    this->owner.guard.end(ticket, answered, steady_clock::now());
+}
+
 request_run::attempt_end request_run::failed_exchange(const failure& why)
 {
     this->reason = why.context;
+    this->connection_broke = why.kind == failure_kind::connection_broken;
     if (this->caller_disconnected) {
         return attempt_end::caller_disconnected;
     }
@@ -487,6 +596,7 @@
 {
     const bool first = !std::exchange(this->answer_begun, true);
     this->owner.fleet.in_flight.progress(target.instance, first, steady_clock::now());
+    this->owner.guard.record_progress(this->crash_ticket, steady_clock::now());
 }
 
 bool request_run::is_valid_answer(const http::response& head)
@@ -554,6 +664,7 @@
         this->record_progress(target);
         if (!value(part) && this->events.partial()) {
             this->reason = "answer ended within an event";
+            this->connection_broke = true;
             return attempt_end::lost;
         }
         auto complete = this->events.append(value(part).value_or(""));
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -43,12 +43,23 @@
     /// Waits for a slot. Returns false when the request was refused or its caller has disconnected.
     bool wait_for_slot(admission_queue& queue);
     void run_attempts();
+    /// Refuses the request because it would crash its target.
+    void refuse_as_crashing(time_point now);
+    /// Waits while losses of targets that may be due to the request are unclassified, or another request with
+    /// a suspected part is on trial. Returns false when the request was refused or its caller has
+    /// disconnected.
+    bool wait_for_classification();
+    /// Waits until it is known whether the request would crash its target. Returns false, with the reason,
+    /// when it must not be sent, or when that is not known in time.
+    bool wait_for_permission();
     std::optional<instance_id> choose();
     std::optional<instance_id> choose_or_wait();
     attempt_end attempt(target_state& state);
     attempt_end exchange(http::client_connection& connection, const target_entry& target);
     attempt_end receive(http::client_connection& connection, const target_entry& target);
     void record_progress(const target_entry& target);
+    /// Reports the end of an attempt to the crash guard.
+    void record_crash_evidence(std::uint64_t ticket, const target_entry& target, attempt_end end);
     attempt_end relay_stream(http::client_connection& connection, const target_entry& target,
                              const http::response& head);
     /// Reads the whole answer before it is sent to the caller.
@@ -91,9 +102,13 @@
     bool connection_kept{false};               ///< `current` has carried an earlier exchange
     bool caller_disconnected{false};
     bool reroute_requested{false};
-    bool stopping{false};     ///< the process stops: no further attempt
-    int refusal_status{0};    ///< status of the last target that did not run the request
-    bool answer_begun{false}; ///< the attempt in progress has received a part of the body
+    bool connection_broke{false};  ///< the attempt ended with a broken connection to the target
+    crash_features features;       ///< what the request is recognised by when it crashes targets
+    bool trial{false};             ///< the next send is a trial of a suspected prompt part
+    std::uint64_t crash_ticket{0}; ///< of the attempt in progress
+    bool stopping{false};          ///< the process stops: no further attempt
+    int refusal_status{0};         ///< status of the last target that did not run the request
+    bool answer_begun{false};      ///< the attempt in progress has received a part of the body
 
     std::vector<instance_id> tried;
     std::uint32_t sends{0}; ///< attempts in which the request was sent
--- a/tests/decision/target_choice_test.cpp
+++ b/tests/decision/target_choice_test.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <random>
+#include <set>
 
 using namespace rml;
 
@@ -132,3 +133,23 @@
     }
     CHECK(most_sent <= stale_arrivals * 2 / 3);
 }
+
+TEST_CASE("a request that may crash its target goes to the usable target with the fewest requests",
+          "[target_choice]")
+{
+    std::vector<target_candidate> candidates{candidate("a", 2), candidate("b", 0, 1), candidate("c", 3)};
+    for (std::uint64_t random = 0; random < 6; ++random) {
+        CHECK(choose_least_loaded(candidates, random) == 1);
+    }
+    CHECK_FALSE(choose_least_loaded({}, 1));
+
+    SECTION("equal ones are chosen at random, so that daemons do not all choose the same")
+    {
+        candidates[2].own = 1;
+        std::set<std::size_t> chosen;
+        for (std::uint64_t random = 0; random < 6; ++random) {
+            chosen.insert(*choose_least_loaded(candidates, random));
+        }
+        CHECK(chosen == std::set<std::size_t>{1, 2});
+    }
+}
--- a/tests/gateway/forwarder_test.cpp
+++ b/tests/gateway/forwarder_test.cpp
@@ -1,5 +1,6 @@
 #include "gateway/forwarder.hpp"
 
+#include "recorded_answer.hpp"
 #include "target/raw_server.hpp"
 
 #include <boost/asio/spawn.hpp>
@@ -18,29 +19,6 @@
 constexpr milliseconds caller_timeout{4000};
 const std::set<int> not_run_statuses{408, 421, 429, 503};
 
-/// Records the answer that the caller would get.
-class recorded_answer final : public http::response_writer
-{
-public:
-    status send(const http::response& whole) override
-    {
-        this->answer = whole;
-        return success();
-    }
-    status start(const http::response& head) override { return this->send(head); }
-    status write(std::string_view chunk) override
-    {
-        this->answer.body += chunk;
-        return success();
-    }
-    status finish() override { return success(); }
-    void abort() override { this->aborted = true; }
-    bool started() const override { return this->answer.status != 0; }
-
-    http::response answer{0, {}, {}};
-    bool aborted{false};
-};
-
 /// Counts the runs of each request over all targets.
 class run_record
 {
@@ -86,8 +64,9 @@
 public:
     forwarding_site()
     {
-        this->ports.headers = {"x-id",       "x-deadline", "x-account", "x-expect",    "x-urgency",
-                               "last-event", "x-model",    "x-counts",  "x-signature", "x-not-executed"};
+        this->ports.headers = {"x-id",        "x-deadline",     "x-account", "x-expect",
+                               "x-urgency",   "last-event",     "x-model",   "x-counts",
+                               "x-signature", "x-not-executed", "x-parts"};
         this->settings.daemon = daemon_id("d0");
         this->settings.bounds.retry_slack = 100;
         std::vector<gateway::route> routes;
--- a/tests/gateway/peer_report_test.cpp
+++ b/tests/gateway/peer_report_test.cpp
@@ -18,6 +18,23 @@
     return gateway::decode_report(decode_bounded_cbor(bytes));
 }
 
+crash_notice sample_crash(random_source& random)
+{
+    crash_notice out;
+    out.fingerprint.value = random.bits();
+    out.version = random.bits();
+    out.blocked = random.one_in(2);
+    out.ttl = milliseconds(random.below(3'600'000));
+    out.part = random.one_in(2);
+    for (std::size_t i = random.below(crash_attribution::max_part_losses + 1); i > 0; --i) {
+        out.losses.push_back({random.bits(), random.one_in(2), milliseconds(random.below(3'600'000))});
+    }
+    if (random.one_in(2)) {
+        out.acquitted_age = milliseconds(random.below(3'600'000));
+    }
+    return out;
+}
+
 peer_report sample(random_source& random)
 {
     peer_report out;
@@ -37,6 +54,8 @@
         out.ejected.emplace_back("l" + std::to_string(i));
         out.slow[instance_id("p" + std::to_string(i))] = static_cast<double>(random.below(100)) / 8;
         out.offered_load[model_id("m" + std::to_string(i))] = static_cast<double>(random.below(1000)) / 8;
+        out.crashes.push_back(sample_crash(random));
+        out.crash_trials.push_back(random.bits());
     }
     return out;
 }
@@ -49,7 +68,7 @@
     const bool held = rc::check("fields added since are missing", [] {
         random_source random;
         auto document = nlohmann::json::from_cbor(encode_report(sample(random)));
-        for (const char* added : {"a", "p", "m", "o", "q"}) {
+        for (const char* added : {"a", "p", "m", "o", "q", "c", "y"}) {
             document.erase(added);
         }
         const auto bytes = nlohmann::json::to_cbor(document);
@@ -57,6 +76,7 @@
         RC_ASSERT(succeeded(back));
         RC_ASSERT(value(back).answering.empty());
         RC_ASSERT(value(back).slow.empty());
+        RC_ASSERT(value(back).crashes.empty());
         RC_ASSERT(value(back).suspected == value(back).stalled);
         RC_ASSERT(value(back).manages == !value(back).ejected.empty());
     });
@@ -117,3 +137,52 @@
     CHECK(refused("/t/i", 4294967296));
     CHECK(refused("/b", 9223372036854775808U));
 }
+
+TEST_CASE("crash evidence in a report is bounded", "[gateway][peer_report]")
+{
+    // Guards against memory and times that another daemon could raise without limit.
+    peer_report report;
+    report.daemon = daemon_id("d");
+    crash_notice notice;
+    notice.losses = {{1, false, milliseconds(1)}};
+    notice.acquitted_age = milliseconds(1);
+    report.crashes = {notice};
+
+    SECTION("ages and lifetimes beyond the longest block are clamped")
+    {
+        auto& sent = report.crashes.front();
+        sent.ttl = milliseconds::max();
+        sent.losses.front().age = milliseconds::max();
+        sent.acquitted_age = milliseconds::max();
+        const auto back = decode(encode_report(report));
+        REQUIRE(succeeded(back));
+        const auto& got = value(back).crashes.front();
+        CHECK(got.ttl <= 2 * limits::block_lifetime);
+        CHECK(got.losses.front().age <= 2 * limits::block_lifetime);
+        CHECK(*got.acquitted_age <= 2 * limits::block_lifetime);
+    }
+    SECTION("an age before the loss is refused")
+    {
+        report.crashes.front().losses.front().age = milliseconds(-1);
+        CHECK(failed(decode(encode_report(report))));
+    }
+    SECTION("more rows, losses or trials than a daemon sends are refused")
+    {
+        auto rows = report;
+        rows.crashes.resize(257, notice);
+        CHECK(failed(decode(encode_report(rows))));
+        auto losses = report;
+        losses.crashes.front().losses.resize(crash_attribution::max_part_losses + 1);
+        CHECK(failed(decode(encode_report(losses))));
+        auto trials = report;
+        trials.crash_trials.resize(257);
+        CHECK(failed(decode(encode_report(trials))));
+    }
+    SECTION("a row of another type is refused")
+    {
+        auto document = nlohmann::json::from_cbor(encode_report(report));
+        document["c"][0] = 1;
+        const auto bytes = nlohmann::json::to_cbor(document);
+        CHECK(failed(decode(std::string(bytes.begin(), bytes.end()))));
+    }
+}
--- /dev/null
+++ b/tests/gateway/recorded_answer.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "http/server.hpp"
+
+#include <string_view>
+
+namespace rml::test {
+
+/// Records the answer that the caller would get.
+class recorded_answer final : public http::response_writer
+{
+public:
+    status send(const http::response& whole) override
+    {
+        this->answer = whole;
+        return success();
+    }
+    status start(const http::response& head) override { return this->send(head); }
+    status write(std::string_view chunk) override
+    {
+        this->answer.body += chunk;
+        return success();
+    }
+    status finish() override { return success(); }
+    void abort() override { this->aborted = true; }
+    bool started() const override { return this->answer.status != 0; }
+
+    http::response answer{0, {}, {}};
+    bool aborted{false};
+};
+
+} // namespace rml::test
--- a/tests/target/raw_server.hpp
+++ b/tests/target/raw_server.hpp
@@ -139,12 +139,7 @@
     {
         this->refuse_connections();
         this->accept_thread.join();
-        {
-            const std::scoped_lock lock(this->mutex);
-            for (const auto& connection : this->connections) {
-                connection->shutdown();
-            }
-        }
+        this->end_process();
         for (auto& worker : this->workers) {
             worker.join();
         }
@@ -160,6 +155,16 @@
         ::shutdown(this->acceptor.native_handle(), SHUT_RDWR);
     }
 
+    /// Refuses further connections and closes the open ones, as the end of the process does.
+    void end_process()
+    {
+        this->refuse_connections();
+        const std::scoped_lock lock(this->mutex);
+        for (const auto& connection : this->connections) {
+            connection->shutdown();
+        }
+    }
+
     endpoint address() const { return {"127.0.0.1", this->acceptor.local_endpoint().port()}; }
     int accepted() const { return this->count; }
 
