Keep the attempt at a silent target until another target answers

Callers saw streams that ended in the middle, or a 502, when a target was silent for longer than its stall limit (300 ms once it has begun to answer) and then went on.

Cause: detect_stalled_targets() closed the connection to the silent target first. Only then did the request look for another target, an attempt of the route and a retry of the budget, and whether the other target would accept it was open as well. Without any of these the request ended.

Now the connection stays open and is read on. A standby attempt at another target runs in a coroutine of its own, with its own event framer. The first of the two whose answer can be relayed is relayed, whole events of a stream or a whole plain answer; the connection of the other one is closed. While a standby attempt is open nothing of the first answer is passed on, and each byte of the first answer ends the standby attempt, so no event is sent twice. A retry is reserved before a standby attempt and used by the next send. The request looks again every 200 ms while the silence lasts. "Not run" is said only when none of the sends may have run, counted over both attempts.

A target that does not send because the caller does not read is not taken for a silent one by the request any more.

--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -253,15 +253,15 @@
         }
         state->suspected_until = now + suspicion_time;
     }
-    std::vector<std::function<void()>> moves;
-    for (const auto& [number, attempt] : this->attempts) {
+    std::vector<std::function<void()>> calls;
+    for (const auto& [key, attempt] : this->attempts) {
         if (attempt.reroutable &&
             std::find(this->stalled.begin(), this->stalled.end(), attempt.target) != this->stalled.end()) {
-            moves.push_back(attempt.reroute);
+            calls.push_back(attempt.on_stalled);
         }
     }
-    for (const auto& move : moves) {
-        move();
+    for (const auto& call : calls) {
+        call();
     }
     if (newly_stalled && this->on_suspect) {
         this->on_suspect();
--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -43,6 +43,7 @@
 
 namespace detail {
 class request_run;
+struct target_attempt;
 } // namespace detail
 
 class forwarder final : public http::handler
@@ -56,7 +57,8 @@
     void handle(const http::request& message, http::response_writer& writer,
                 http::yield_context yield) override;
 
-    /// Detects stalled targets, reroutes their requests and updates the free slots. To be called every 50 ms.
+    /// Detects stalled targets, sends their requests to others too and updates the free slots. To be called
+    /// every 50 ms.
     void tick();
     /// Sets the daemons that take most requests.
     void update_entries(const std::set<daemon_id>& daemons);
@@ -88,12 +90,12 @@
     /// A stopping daemon needs the longest time of requests at the current load.
     static constexpr seconds longest_time_period{30};
 
-    /// An attempt that `detect_stalled_targets` can end.
+    /// An attempt that `detect_stalled_targets` watches.
     struct active_attempt
     {
         instance_id target;
-        bool reroutable{false}; ///< the request may continue at another target
-        std::function<void()> reroute;
+        bool reroutable{false};           ///< the request may continue at another target
+        std::function<void()> on_stalled; ///< called at each tick while the target is stalled
     };
     struct pool_state
     {
@@ -123,7 +125,7 @@
     const gateway_settings& configured;
     std::map<pool_key, pool_state> pools;
     std::map<service_id, retry_budget> budgets;
-    std::unordered_map<std::uint64_t, active_attempt> attempts;
+    std::unordered_map<const detail::target_attempt*, active_attempt> attempts;
     std::vector<instance_id> stalled;
     daemon_order order;
     std::uint64_t next_number{1};
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -1,6 +1,7 @@
 #include "gateway/request_run.hpp"
 
 #include "base/log.hpp"
+#include "gateway/coroutine.hpp"
 #include "http/pause.hpp"
 
 #include <algorithm>
@@ -22,6 +23,8 @@
 constexpr milliseconds non_idempotent_idle_limit{500};
 /// Pause before the next attempt to find a free slot.
 constexpr milliseconds slot_retry_interval{25};
+/// Interval in which a request at a stalled target looks for another one.
+constexpr milliseconds standby_interval{200};
 constexpr milliseconds min_retry_after{150};
 /// Retry-After when the load is unknown, for example before the first configuration.
 constexpr milliseconds default_retry_after{500};
@@ -89,7 +92,8 @@
 request_run::request_run(forwarder& forward_owner, const http::request& request,
                          http::response_writer& answer, http::yield_context coroutine)
     : owner(forward_owner), message(request), writer(answer), yield(coroutine),
-      config(forward_owner.fleet.config()), number(forward_owner.next_number++), arrived(steady_clock::now())
+      config(forward_owner.fleet.config()), number(forward_owner.next_number++), arrived(steady_clock::now()),
+      standby_change(forward_owner.context)
 {
 }
 
@@ -104,9 +108,7 @@
 void request_run::end_for_stop()
 {
     this->stopping = true;
-    if (this->current != nullptr) {
-        this->current->close();
-    }
+    this->close_connections();
     if (this->queued_in != nullptr) {
         this->queued_in->cancel(this->number);
     }
@@ -167,7 +169,7 @@
     this->deadline = this->arrived + time;
     this->model = model_id(http::find_header(this->message.headers, names.model).value_or(""));
     const auto last = http::find_header(this->message.headers, names.last_event_id);
-    this->events = event_framer(last ? parse_count(*last) : std::nullopt);
+    this->resume_after = last ? parse_count(*last) : std::nullopt;
     return false;
 }
 
@@ -229,9 +231,7 @@
     this->owner.budget(picked, this->arrived).record_first_try(this->arrived);
     this->writer.on_disconnect([this] {
         this->caller_disconnected = true;
-        if (this->current != nullptr) {
-            this->current->close();
-        }
+        this->close_connections();
         if (this->queued_in != nullptr) {
             this->queued_in->cancel(this->number);
         }
@@ -241,6 +241,10 @@
     }
     const auto started = steady_clock::now();
     this->run_attempts();
+    this->abandon_standby();
+    while (this->standby_running) {
+        this->wait_for_change();
+    }
     const bool usual = this->outcome == "answered" && this->sends == 1;
     if (this->outcome == "answered") {
         pool.longest.record(steady_clock::now() - this->arrived, steady_clock::now());
@@ -325,8 +329,8 @@
             return this->finish_unanswered();
         }
         this->tried.push_back(*target);
-        const auto end = this->attempt(*state);
-        this->record_result(*target, end);
+        this->primary = this->create_attempt(*state);
+        const auto end = this->run_primary();
         if (end == attempt_end::answered) {
             this->outcome = "answered";
             this->owner.answered.add();
@@ -342,12 +346,39 @@
             return this->finish_unanswered();
         }
         this->owner.resumed.add();
-        this->events.restart();
         log(log_level::info, "request rerouted",
             {{"request_id", this->request_id},
-             {"from", target->str()},
+             {"from", this->primary->target.instance.str()},
              {"reason", this->reason},
-             {"last_event", static_cast<std::int64_t>(this->events.last_id().value_or(0))}});
+             {"last_event", static_cast<std::int64_t>(this->primary->events.last_id().value_or(0))}});
+    }
+}
+
+request_run::attempt_end request_run::run_primary()
+{
+    auto end = this->begin(*this->primary, this->yield);
+    while (true) {
+        if (end == attempt_end::begun) {
+            end = this->relay();
+        }
+        this->reason = this->primary->reason;
+        if (!this->standby_obstacle.empty()) {
+            this->reason = "target stalled, " + this->standby_obstacle + "; " + this->reason;
+        }
+        this->end_attempt(*this->primary, end);
+        const bool final = end == attempt_end::answered || end == attempt_end::caller_disconnected ||
+                           end == attempt_end::timed_out;
+        if (final || !this->wait_for_standby()) {
+            return end;
+        }
+        log(log_level::info, "request rerouted",
+            {{"request_id", this->request_id},
+             {"from", this->primary->target.instance.str()},
+             {"to", this->standby->target.instance.str()},
+             {"reason", this->reason},
+             {"last_event", static_cast<std::int64_t>(this->primary->events.last_id().value_or(0))}});
+        this->primary = std::move(this->standby);
+        end = attempt_end::begun;
     }
 }
 
@@ -367,20 +398,142 @@
     if (end != attempt_end::not_run && !this->chosen_route->idempotent()) {
         return false;
     }
-    if (!this->owner.budget(this->chosen_service->name, now).try_retry(now)) {
+    if (!this->reserve_retry(now)) {
         this->reason += "; retry budget exhausted";
         return false;
     }
     return true;
 }
 
-void request_run::record_result(const instance_id& target, attempt_end end)
+bool request_run::reserve_retry(time_point now)
+{
+    if (!this->retry_reserved) {
+        this->retry_reserved = this->owner.budget(this->chosen_service->name, now).try_retry(now);
+    }
+    return this->retry_reserved;
+}
+
+void request_run::on_stalled(target_attempt& attempt)
+{
+    if (&attempt == this->standby.get()) {
+        if (this->standby_running && !attempt.superseded && this->choose_standby()) {
+            attempt.superseded = true;
+            attempt.bound.connection->close();
+        }
+        return;
+    }
+    const auto now = steady_clock::now();
+    if (!attempt.awaits_target || attempt.superseded || this->standby_running || now < this->next_standby) {
+        return;
+    }
+    this->next_standby = now + standby_interval;
+    this->standby_wanted = true;
+    if (const auto target = this->choose_standby(); target) {
+        this->standby_running = true;
+        start_coroutine(this->owner.context,
+                        [this, target](http::yield_context in) { this->run_standby(target, in); });
+    }
+}
+
+std::optional<instance_id> request_run::choose_standby()
+{
+    const auto now = steady_clock::now();
+    if (!this->standby_wanted || this->stopping || this->caller_disconnected || now >= this->deadline) {
+        return std::nullopt;
+    }
+    if (this->sends >= this->chosen_route->max_attempts) {
+        this->standby_obstacle = "attempt limit of the route reached";
+        return std::nullopt;
+    }
+    const auto target = this->choose();
+    if (!target) {
+        this->standby_obstacle = "no other target";
+        return std::nullopt;
+    }
+    if (!this->reserve_retry(now)) {
+        this->standby_obstacle = "retry budget exhausted";
+        return std::nullopt;
+    }
+    return target;
+}
+
+void request_run::run_standby(std::optional<instance_id> target, http::yield_context in)
+{
+    while (target) {
+        const auto* state = this->owner.fleet.find_target(*target);
+        if (state == nullptr) {
+            break;
+        }
+        this->tried.push_back(*target);
+        const auto attempt = this->create_attempt(*state);
+        this->standby = attempt;
+        this->owner.resumed.add();
+        const auto end = this->begin(*attempt, in);
+        if (end == attempt_end::begun && this->standby_wanted) {
+            this->primary->superseded = true;
+            if (this->primary->bound.connection) {
+                this->primary->bound.connection->close();
+            }
+            break;
+        }
+        log(log_level::info, "standby attempt ended",
+            {{"request_id", this->request_id}, {"target", target->str()}, {"reason", attempt->reason}});
+        this->standby.reset();
+        this->end_attempt(*attempt, end == attempt_end::begun ? attempt_end::superseded : end);
+        target = this->primary->open ? this->choose_standby() : std::nullopt;
+    }
+    this->standby_running = false;
+    this->standby_change.cancel();
+}
+
+void request_run::abandon_standby()
+{
+    this->standby_wanted = false;
+    if (!this->standby) {
+        return;
+    }
+    this->standby->superseded = true;
+    if (!this->standby_running) {
+        this->end_attempt(*this->standby, attempt_end::superseded);
+        this->standby.reset();
+    } else if (this->standby->bound.connection) {
+        this->standby->bound.connection->close();
+    }
+}
+
+bool request_run::wait_for_standby()
+{
+    const auto ends = [this] { return this->stopping || this->caller_disconnected; };
+    while (this->standby_running && !ends()) {
+        this->wait_for_change();
+    }
+    return this->standby != nullptr && !ends();
+}
+
+void request_run::wait_for_change()
+{
+    boost::system::error_code ignored;
+    this->standby_change.expires_at(time_point::max());
+    this->standby_change.async_wait(this->yield[ignored]);
+}
+
+void request_run::close_connections()
 {
-    auto* state = this->owner.fleet.find_target(target);
+    for (const auto& attempt : {this->primary, this->standby}) {
+        if (attempt && attempt->bound.connection) {
+            attempt->bound.connection->close();
+        }
+    }
+    this->standby_change.cancel();
+}
+
+void request_run::record_result(const target_attempt& attempt, attempt_end end)
+{
+    auto* state = this->owner.fleet.find_target(attempt.target.instance);
     if (state == nullptr || end == attempt_end::caller_disconnected) {
         return;
     }
-    if (end == attempt_end::not_run && this->refusal_status == wrong_target_status) {
+    if (end == attempt_end::not_run && attempt.refusal_status == wrong_target_status) {
         this->owner.record_fault(*state, target_fault::replaced, steady_clock::now());
     } else if (end == attempt_end::not_run && this->chosen_service->engines) {
         this->owner.record_fault(*state, target_fault::refused, steady_clock::now());
@@ -391,27 +544,37 @@
     state->failure_share += failure_smoothing * ((failed_there ? 1.0 : 0.0) - state->failure_share);
 }
 
-request_run::attempt_end request_run::attempt(target_state& state)
+std::shared_ptr<target_attempt> request_run::create_attempt(const target_state& state) const
+{
+    auto out = std::make_shared<target_attempt>();
+    out->target = state.entry;
+    out->events = this->primary ? this->primary->events : event_framer(this->resume_after);
+    out->events.restart();
+    return out;
+}
+
+std::optional<request_run::attempt_end> request_run::connect(target_attempt& attempt, http::yield_context in)
 {
     const auto now = steady_clock::now();
-    const auto target = state.entry; // the registry may change during the attempt
-    if (now<state.cold_until&& this->chosen_service->cold_requests_per_s> 0) {
+    const auto& target = attempt.target;
+    auto* state = this->owner.fleet.find_target(target.instance);
+    if (state != nullptr && now<state->cold_until&& this->chosen_service->cold_requests_per_s> 0) {
         const auto share = slow_start_share(this->chosen_service->cold_requests_per_s,
                                             this->owner.fleet.share_for(target.instance, now));
-        if (!state.cold_sends.take(share, now)) {
-            this->reason = "request rate limit of a cold target reached";
+        if (!state->cold_sends.take(share, now)) {
+            attempt.reason = "request rate limit of a cold target reached";
             return attempt_end::not_sent;
         }
     }
     const bool once = !this->chosen_route->idempotent();
     auto bound = this->owner.connections.take_idle(
         target.address, std::nullopt, once ? non_idempotent_idle_limit : limits::target_idle_time);
-    this->connection_kept = bound.connection != nullptr;
+    attempt.connection_kept = bound.connection != nullptr;
     if (!bound.connection) {
-        auto opened = this->owner.connections.open(
-            target.address, std::min(this->deadline, now + connect_timeout), this->yield);
+        auto opened =
+            this->owner.connections.open(target.address, std::min(this->deadline, now + connect_timeout), in);
         if (failed(opened)) {
-            this->reason = error(opened).context;
+            attempt.reason = error(opened).context;
             if (steady_clock::now() >= this->deadline) {
                 return attempt_end::timed_out;
             }
@@ -422,190 +585,238 @@
         }
         bound.connection = value(std::move(opened));
     }
-    if (this->caller_disconnected) {
+    if (this->caller_disconnected || attempt.superseded) {
         this->owner.connections.give_back(target.address, std::move(bound));
-        return attempt_end::caller_disconnected;
+        return this->caller_disconnected ? attempt_end::caller_disconnected : attempt_end::superseded;
     }
     if (this->stopping) {
-        this->reason = stopping_reason;
+        attempt.reason = stopping_reason;
         return attempt_end::not_sent;
     }
-    this->reroute_requested = false;
-    this->answer_begun = false;
-    this->current = bound.connection.get();
-    this->owner.fleet.in_flight.begin(target.instance, steady_clock::now());
-    this->owner.report_scarce_slots(target.instance, steady_clock::now());
-    this->owner.attempts[this->number] = {target.instance, this->chosen_route->idempotent(), [this] {
-                                              this->reroute_requested = true;
-                                              if (this->current != nullptr) {
-                                                  this->current->close();
-                                              }
-                                          }};
-    const auto end = this->exchange(*bound.connection, target);
-    this->owner.attempts.erase(this->number);
-    this->owner.fleet.in_flight.end(target.instance, this->answer_begun);
-    this->owner.report_scarce_slots(target.instance, steady_clock::now());
-    this->current = nullptr;
+    attempt.bound = std::move(bound);
+    return std::nullopt;
+}
+
+request_run::attempt_end request_run::begin(target_attempt& attempt, http::yield_context in)
+{
+    if (const auto end = this->connect(attempt, in); end) {
+        return *end;
+    }
+    const auto& target = attempt.target.instance;
+    attempt.open = true;
+    this->owner.fleet.in_flight.begin(target, steady_clock::now());
+    this->owner.report_scarce_slots(target, steady_clock::now());
+    this->owner.attempts[&attempt] = {target, this->chosen_route->idempotent(),
+                                      [this, &attempt] { this->on_stalled(attempt); }};
+    return this->exchange(attempt, in);
+}
+
+void request_run::end_attempt(target_attempt& attempt, attempt_end end)
+{
+    if (std::exchange(attempt.open, false)) {
+        this->owner.attempts.erase(&attempt);
+        this->owner.fleet.in_flight.end(attempt.target.instance, attempt.answer_begun);
+        this->owner.report_scarce_slots(attempt.target.instance, steady_clock::now());
+    }
     // A refusal may be written once more with the id of the next request, so its connection is not reused.
     if (end == attempt_end::answered) {
-        this->owner.connections.give_back(target.address, std::move(bound));
+        this->owner.connections.give_back(attempt.target.address, std::move(attempt.bound));
     }
-    return end;
+    attempt.bound = {};
+    this->record_result(attempt, end);
 }
 
-request_run::attempt_end request_run::exchange(http::client_connection& connection,
-                                               const target_entry& target)
+request_run::attempt_end request_run::exchange(target_attempt& attempt, http::yield_context in)
 {
     ++this->sends;
-    this->may_have_run_before = std::exchange(this->may_have_run, true);
+    ++this->possible_runs;
+    this->retry_reserved = false;
     if (const auto written =
-            connection.write_request(this->target_request(target), this->deadline, this->yield);
+            attempt.bound.connection->write_request(this->target_request(attempt), this->deadline, in);
         failed(written)) {
-        return this->failed_exchange(error(written));
+        return this->failed_exchange(attempt, error(written));
     }
-    return this->receive(connection, target);
+    return this->receive(attempt, in);
 }
 
-request_run::attempt_end request_run::failed_exchange(const failure& why)
+request_run::attempt_end request_run::failed_exchange(target_attempt& attempt, const failure& why)
 {
-    this->reason = why.context;
+    attempt.reason = why.context;
     if (this->caller_disconnected) {
         return attempt_end::caller_disconnected;
     }
     if (this->stopping) {
-        this->reason = stopping_reason;
+        attempt.reason = stopping_reason;
         return attempt_end::lost;
     }
-    if (this->reroute_requested) {
-        this->reason = "target stalled";
-        return attempt_end::rerouted;
+    if (attempt.superseded) {
+        attempt.reason = "target stalled";
+        return attempt_end::superseded;
     }
     return why.kind == failure_kind::timeout ? attempt_end::timed_out : attempt_end::lost;
 }
 
-void request_run::record_progress(const target_entry& target)
+bool request_run::record_progress(target_attempt& attempt)
 {
-    const bool first = !std::exchange(this->answer_begun, true);
-    this->owner.fleet.in_flight.progress(target.instance, first, steady_clock::now());
+    const bool first = !std::exchange(attempt.answer_begun, true);
+    this->owner.fleet.in_flight.progress(attempt.target.instance, first, steady_clock::now());
+    if (attempt.superseded) {
+        attempt.reason = "target stalled";
+        return false;
+    }
+    if (&attempt == this->primary.get()) {
+        this->abandon_standby();
+        this->standby_obstacle.clear();
+    }
+    return true;
 }
 
-bool request_run::is_valid_answer(const http::response& head)
+bool request_run::is_valid_answer(target_attempt& attempt)
 {
     const auto& names = this->owner.ports.headers;
+    const auto& head = attempt.head;
     const auto answered_id = http::find_header(head.headers, names.request_id);
     if (answered_id && *answered_id != this->request_id) {
-        this->reason = "answer names another request id";
+        attempt.reason = "answer names another request id";
         return false;
     }
     // A target may write an additional answer to an earlier request, order or status read.
-    if (!answered_id && this->connection_kept) {
-        this->reason = "answer on a kept connection names no request id";
+    if (!answered_id && attempt.connection_kept) {
+        attempt.reason = "answer on a kept connection names no request id";
         return false;
     }
     if (http::find_header(head.headers, "content-encoding")) {
-        this->reason = "answer has an unsupported content encoding";
+        attempt.reason = "answer has an unsupported content encoding";
         return false;
     }
     if (head.status >= 200 && head.status < 300 && !http::find_header(head.headers, names.answer_signature)) {
-        this->reason = "answer has no signature of a target";
+        attempt.reason = "answer has no signature of a target";
         return false;
     }
     return true;
 }
 
-request_run::attempt_end request_run::receive(http::client_connection& connection, const target_entry& target)
+request_run::attempt_end request_run::receive(target_attempt& attempt, http::yield_context in)
 {
-    auto head = connection.read_head(this->deadline, this->yield);
-    if (failed(head)) {
-        return this->failed_exchange(error(head));
+    auto read = attempt.bound.connection->read_head(this->deadline, in);
+    if (failed(read)) {
+        return this->failed_exchange(attempt, error(read));
     }
-    this->owner.fleet.in_flight.progress(target.instance, false, steady_clock::now());
-    const auto& received = value(head);
-    if (!this->is_valid_answer(received)) {
+    this->owner.fleet.in_flight.progress(attempt.target.instance, false, steady_clock::now());
+    attempt.head = value(std::move(read));
+    if (!this->is_valid_answer(attempt)) {
         return attempt_end::lost;
     }
+    const auto status = attempt.head.status;
     const auto& names = this->owner.ports.headers;
     const bool not_run =
-        received.status == wrong_target_status || http::find_header(received.headers, names.not_executed);
-    if (not_run && received.status >= 400) {
-        this->may_have_run = this->may_have_run_before;
-        this->refusal_status = received.status;
-        this->reason = "target refused with " + std::to_string(received.status);
+        status == wrong_target_status || http::find_header(attempt.head.headers, names.not_executed);
+    if (not_run && status >= 400) {
+        --this->possible_runs;
+        attempt.refusal_status = status;
+        attempt.reason = "target refused with " + std::to_string(status);
         return attempt_end::not_run;
     }
-    if (this->chosen_route->kind == route_kind::stream && received.status == 200) {
-        return this->relay_stream(connection, target, received);
+    if (this->chosen_route->kind == route_kind::stream && status == 200) {
+        attempt.streamed = true;
+        return this->read_events(attempt, in);
     }
-    if (this->head_sent) {
-        this->reason = "status " + std::to_string(received.status) + " instead of the rest of a stream";
+    const bool beside_another = &attempt != this->primary.get() && this->primary->open;
+    if (this->head_sent || (status >= 500 && beside_another)) {
+        attempt.reason = "status " + std::to_string(status) +
+                         (this->head_sent ? " instead of the rest of a stream" : " of another target");
         return attempt_end::lost;
     }
-    return this->relay_buffered(connection, target, value(std::move(head)));
+    return this->read_whole(attempt, in);
 }
 
-request_run::attempt_end request_run::relay_stream(http::client_connection& connection,
-                                                   const target_entry& target, const http::response& head)
+request_run::attempt_end request_run::read_events(target_attempt& attempt, http::yield_context in)
 {
-    while (true) {
-        auto part = connection.read_body_part(this->deadline, this->yield);
+    attempt.complete_events.clear();
+    while (attempt.complete_events.empty() && !attempt.complete) {
+        auto part = attempt.bound.connection->read_body_part(this->deadline, in);
         if (failed(part)) {
-            return this->failed_exchange(error(part));
+            return this->failed_exchange(attempt, error(part));
         }
-        this->record_progress(target);
-        if (!value(part) && this->events.partial()) {
-            this->reason = "answer ended within an event";
-            return attempt_end::lost;
+        if (!this->record_progress(attempt)) {
+            return attempt_end::superseded;
         }
-        auto complete = this->events.append(value(part).value_or(""));
-        if (failed(complete)) {
-            this->reason = error(complete).context;
+        attempt.complete = !value(part);
+        if (attempt.complete && attempt.events.partial()) {
+            attempt.reason = "answer ended within an event";
             return attempt_end::lost;
         }
-        const bool last = !value(part);
-        if (!this->head_sent && (last || !value(complete).empty())) {
-            // The head is sent with the first event: until then the request can be rerouted or refused.
-            this->head_sent = true;
-            this->final_status = head.status;
-            this->first_byte = this->since_arrival();
-            this->owner.first_byte.record(this->first_byte);
-            if (failed(this->writer.start(this->caller_response(head)))) {
-                return attempt_end::caller_disconnected;
-            }
-        }
-        if (!value(complete).empty() && failed(this->writer.write(value(complete)))) {
-            return attempt_end::caller_disconnected;
-        }
-        if (last) {
-            return failed(this->writer.finish()) ? attempt_end::caller_disconnected : attempt_end::answered;
+        auto events = attempt.events.append(value(part).value_or(""));
+        if (failed(events)) {
+            attempt.reason = error(events).context;
+            return attempt_end::lost;
         }
+        attempt.complete_events = value(std::move(events));
     }
+    return attempt_end::begun;
 }
 
-request_run::attempt_end request_run::relay_buffered(http::client_connection& connection,
-                                                     const target_entry& target, http::response head)
+request_run::attempt_end request_run::read_whole(target_attempt& attempt, http::yield_context in)
 {
-    connection.update_body_limit(max_buffered_body_bytes);
+    attempt.bound.connection->update_body_limit(max_buffered_body_bytes);
     while (true) {
-        auto part = connection.read_body_part(this->deadline, this->yield);
+        auto part = attempt.bound.connection->read_body_part(this->deadline, in);
         if (failed(part)) {
-            return this->failed_exchange(error(part));
+            return this->failed_exchange(attempt, error(part));
+        }
+        if (!this->record_progress(attempt)) {
+            return attempt_end::superseded;
         }
-        this->record_progress(target);
         if (!value(part)) {
-            break;
+            attempt.complete = true;
+            return attempt_end::begun;
         }
-        head.body += *value(part);
+        attempt.head.body += *value(part);
+    }
+}
+
+request_run::attempt_end request_run::relay()
+{
+    auto& attempt = *this->primary;
+    attempt.awaits_target = false;
+    if (!this->head_sent) {
+        this->final_status = attempt.head.status;
+        this->first_byte = this->since_arrival();
+        this->owner.first_byte.record(this->first_byte);
+    }
+    if (attempt.streamed) {
+        return this->relay_stream(attempt);
     }
-    this->final_status = head.status;
-    this->first_byte = this->since_arrival();
-    this->owner.first_byte.record(this->first_byte);
-    auto answer = this->caller_response(head);
-    answer.body = std::move(head.body);
+    auto answer = this->caller_response(attempt.head);
+    answer.body = std::move(attempt.head.body);
     this->head_sent = true;
     return failed(this->writer.send(answer)) ? attempt_end::caller_disconnected : attempt_end::answered;
 }
 
-http::request request_run::target_request(const target_entry& target) const
+request_run::attempt_end request_run::relay_stream(target_attempt& attempt)
+{
+    // The head is sent with the first event: until then the request can be rerouted or refused.
+    if (!std::exchange(this->head_sent, true) &&
+        failed(this->writer.start(this->caller_response(attempt.head)))) {
+        return attempt_end::caller_disconnected;
+    }
+    while (true) {
+        if (!attempt.complete_events.empty() && failed(this->writer.write(attempt.complete_events))) {
+            return attempt_end::caller_disconnected;
+        }
+        if (attempt.complete) {
+            return failed(this->writer.finish()) ? attempt_end::caller_disconnected : attempt_end::answered;
+        }
+        attempt.awaits_target = true;
+        const auto end = this->read_events(attempt, this->yield);
+        attempt.awaits_target = false;
+        if (end != attempt_end::begun) {
+            return end;
+        }
+    }
+}
+
+http::request request_run::target_request(const target_attempt& attempt) const
 {
     const auto& names = this->owner.ports.headers;
     http::request out{this->message.method, this->message.target, {}, this->message.body};
@@ -616,21 +827,21 @@
                          http::equal_names(entry.name, names.expected_target) ||
                          http::equal_names(entry.name, names.urgency) ||
                          http::equal_names(entry.name, "authorization") ||
-                         (http::equal_names(entry.name, names.last_event_id) && this->events.last_id());
+                         (http::equal_names(entry.name, names.last_event_id) && attempt.events.last_id());
         if (!own && !is_connection_header(entry.name) && !http::list_contains(listed, entry.name)) {
             out.headers.push_back(entry);
         }
     }
     const auto time = std::max<std::int64_t>(1, this->remaining_time(steady_clock::now()).count());
     out.headers.push_back({names.deadline_ms, std::to_string(time)});
-    out.headers.push_back({names.expected_target, target.instance.str()});
+    out.headers.push_back({names.expected_target, attempt.target.instance.str()});
     if (!this->account.empty()) {
         out.headers.push_back({names.account, this->account});
     }
     if (this->chosen_service->engines) {
         out.headers.push_back({names.urgency, std::to_string(std::min(max_urgency_value, this->priority))});
     }
-    if (const auto& last = this->events.last_id()) {
+    if (const auto& last = attempt.events.last_id()) {
         out.headers.push_back({names.last_event_id, std::to_string(*last)});
     }
     return out;
@@ -657,7 +868,7 @@
         this->writer.abort();
         return;
     }
-    if (!this->may_have_run) {
+    if (this->possible_runs == 0) {
         return this->refuse(this->stopping ? stopping_retry_after : min_retry_after, this->reason);
     }
     this->respond(steady_clock::now() >= this->deadline ? 504 : 502, this->reason);
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -4,12 +4,37 @@
 #include "gateway/event_framer.hpp"
 #include "gateway/forwarder.hpp"
 
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
 namespace rml::gateway::detail {
 
+/// An attempt of a request at one target.
+struct target_attempt
+{
+    target_entry target; ///< a copy: the registry may change during the attempt
+    target::bound_connection bound;
+    bool connection_kept{false}; ///< the connection has carried an earlier exchange
+    bool open{false};            ///< counts as a request in flight at the target
+    bool awaits_target{true};    ///< false while the caller is sent a part of the answer
+    bool superseded{false};      ///< its connection was closed in favour of another attempt
+    bool answer_begun{false};    ///< a part of the body was received
+    int refusal_status{0};       ///< status of a target that did not run the request
+    std::string reason;          ///< why it ended
+
+    http::response head; ///< of a plain answer also the body
+    bool streamed{false};
+    event_framer events;
+    std::string complete_events; ///< received, and not yet sent to the caller
+    bool complete{false};        ///< the end of the answer was received
+};
+
+/// Usually one attempt at a time, the primary one. When its target is silent for too long, a standby attempt
+/// at another target begins, and the primary attempt stays open. The first of the two that receives a part
+/// of its answer is relayed and the other one is closed.
 class request_run
 {
 public:
@@ -26,11 +51,12 @@
     /// How an attempt at one target ended.
     enum class attempt_end
     {
+        begun,               ///< not ended: a part of the answer was received that can be sent to the caller
         answered,            ///< the caller has the whole answer
         not_sent,            ///< nothing was sent: no connection, or a cold target at its limit
         not_run,             ///< the target answered that it did not run the request
         lost,                ///< may have run; the connection broke, or the answer is not valid
-        rerouted,            ///< ended by this daemon because the target stalled
+        superseded,          ///< ended by this daemon in favour of another attempt
         timed_out,           ///< the deadline of the request has passed; may have run
         caller_disconnected, ///< the caller closed its connection
     };
@@ -45,22 +71,47 @@
     void run_attempts();
     std::optional<instance_id> choose();
     std::optional<instance_id> choose_or_wait();
-    attempt_end attempt(target_state& state);
-    attempt_end exchange(http::client_connection& connection, const target_entry& target);
-    attempt_end receive(http::client_connection& connection, const target_entry& target);
-    void record_progress(const target_entry& target);
-    attempt_end relay_stream(http::client_connection& connection, const target_entry& target,
-                             const http::response& head);
-    /// Reads the whole answer before it is sent to the caller.
-    attempt_end relay_buffered(http::client_connection& connection, const target_entry& target,
-                               http::response head);
-    attempt_end failed_exchange(const failure& reason);
-    bool is_valid_answer(const http::response& head);
+    std::shared_ptr<target_attempt> create_attempt(const target_state& state) const;
+    /// Sends the request and reads the answer up to the first part that can be sent to the caller.
+    attempt_end begin(target_attempt& attempt, http::yield_context in);
+    /// Returns the end of the attempt when there is no connection.
+    std::optional<attempt_end> connect(target_attempt& attempt, http::yield_context in);
+    attempt_end exchange(target_attempt& attempt, http::yield_context in);
+    attempt_end receive(target_attempt& attempt, http::yield_context in);
+    /// Reads until at least one event is complete or the stream ends.
+    attempt_end read_events(target_attempt& attempt, http::yield_context in);
+    attempt_end read_whole(target_attempt& attempt, http::yield_context in);
+    /// Sends the answer of the primary attempt to the caller.
+    attempt_end relay();
+    attempt_end relay_stream(target_attempt& attempt);
+    void end_attempt(target_attempt& attempt, attempt_end end);
+    /// Runs an attempt and those that replace it.
+    attempt_end run_primary();
+
+    /// Called at an interval while the target of the attempt is stalled.
+    void on_stalled(target_attempt& attempt);
+    /// The target of a further attempt beside the one that is open, with a retry reserved for it.
+    std::optional<instance_id> choose_standby();
+    void run_standby(std::optional<instance_id> target, http::yield_context in);
+    /// Closes the standby attempt, if any.
+    void abandon_standby();
+    /// Waits while a standby attempt is in progress, and not for longer than the request. Returns true when
+    /// its answer has begun.
+    bool wait_for_standby();
+    void wait_for_change();
+    void close_connections();
+
+    /// Records received bytes. Returns false when the attempt was superseded; its bytes must not be used
+    /// then.
+    bool record_progress(target_attempt& attempt);
+    attempt_end failed_exchange(target_attempt& attempt, const failure& why);
+    bool is_valid_answer(target_attempt& attempt);
+    bool reserve_retry(time_point now);
     bool may_retry(attempt_end end);
     /// Updates the target's failure share and suspicion after an attempt.
-    void record_result(const instance_id& target, attempt_end end);
+    void record_result(const target_attempt& attempt, attempt_end end);
 
-    http::request target_request(const target_entry& target) const;
+    http::request target_request(const target_attempt& attempt) const;
     http::response caller_response(const http::response& from) const;
 
     void finish_unanswered();
@@ -87,20 +138,23 @@
     time_point deadline{};
 
     admission_queue* queued_in{nullptr};
-    http::client_connection* current{nullptr}; ///< connection of the attempt in progress
-    bool connection_kept{false};               ///< `current` has carried an earlier exchange
     bool caller_disconnected{false};
-    bool reroute_requested{false};
-    bool stopping{false};     ///< the process stops: no further attempt
-    int refusal_status{0};    ///< status of the last target that did not run the request
-    bool answer_begun{false}; ///< the attempt in progress has received a part of the body
+    bool stopping{false}; ///< the process stops: no further attempt
+
+    std::shared_ptr<target_attempt> primary; ///< the latest attempt whose answer is relayed
+    std::shared_ptr<target_attempt> standby;
+    bool standby_wanted{false};
+    bool standby_running{false};              ///< run_standby() has not returned
+    std::string standby_obstacle;             ///< why a stalled target could not be replaced
+    time_point next_standby{};                ///< earliest time to look for a target again
+    boost::asio::steady_timer standby_change; ///< cancelled when run_standby() returns or the request ends
 
     std::vector<instance_id> tried;
-    std::uint32_t sends{0}; ///< attempts in which the request was sent
-    bool may_have_run{false};
-    bool may_have_run_before{false}; ///< value of `may_have_run` before the attempt in progress
+    std::uint32_t sends{0};         ///< attempts in which the request was sent
+    std::uint32_t possible_runs{0}; ///< those whose target has not stated that it did not run the request
+    bool retry_reserved{false};     ///< the budget was charged for the next send
     bool head_sent{false};
-    event_framer events;
+    std::optional<std::uint64_t> resume_after; ///< last event that the caller had before this request
     milliseconds waited{0};
     milliseconds first_byte{-1}; ///< -1: no byte was sent
     int final_status{0};
--- a/tests/gateway/forwarder_test.cpp
+++ b/tests/gateway/forwarder_test.cpp
@@ -36,7 +36,9 @@
     status finish() override { return success(); }
     void abort() override { this->aborted = true; }
     bool started() const override { return this->answer.status != 0; }
+    void on_disconnect(const std::function<void()>& callback) override { this->disconnect = callback; }
 
+    std::function<void()> disconnect; ///< to be called when the caller leaves
     http::response answer{0, {}, {}};
     bool aborted{false};
 };
@@ -80,7 +82,9 @@
     return whole_answer("200 OK", id_line(id) + "x-signature: s\r\n", "answer to " + id);
 }
 
-/// A forwarder with the service "shop" and a route to it for each kind of request.
+constexpr milliseconds tick_interval{20};
+
+/// A forwarder with the plain service "shop", the engine service "pool" and a route for each kind of request.
 class forwarding_site
 {
 public:
@@ -91,7 +95,8 @@
         this->settings.daemon = daemon_id("d0");
         this->settings.bounds.retry_slack = 100;
         std::vector<gateway::route> routes;
-        const auto add = [&](const std::string& prefix, gateway::route_kind kind, bool resumable) {
+        const auto add = [&](const std::string& prefix, gateway::route_kind kind, bool resumable,
+                             const std::string& service = "shop", std::uint32_t max_attempts = 3) {
             gateway::route out;
             out.name = prefix;
             out.host = "site.example";
@@ -100,17 +105,24 @@
             out.resumable = resumable;
             out.timeout = caller_timeout;
             out.objective = seconds(1);
-            out.max_attempts = 3;
-            out.services.push_back({service_id("shop"), 1});
+            out.max_attempts = max_attempts;
+            out.services.push_back({service_id(service), 1});
             routes.push_back(out);
         };
         add("/orders/", gateway::route_kind::once, false);
         add("/stock/", gateway::route_kind::repeatable, false);
         add("/streams/", gateway::route_kind::stream, false);
+        add("/plans/", gateway::route_kind::stream, true, "pool");
+        add("/plans-at-one-target/", gateway::route_kind::stream, true, "pool", 1);
         gateway::service shop;
         shop.name = service_id("shop");
+        gateway::service pool;
+        pool.name = service_id("pool");
+        pool.engines.emplace();
+        pool.engines->batch_slots = 4;
+        pool.engines->models.push_back({model_id("planner"), 1, 1, 1, seconds(16), seconds(1)});
         this->fleet.update_config(std::make_shared<const gateway::site_config>(
-            1, routes, std::vector<gateway::service>{shop}, gateway::caller_limits{},
+            1, routes, std::vector<gateway::service>{shop, pool}, gateway::caller_limits{},
             std::unordered_map<std::string, gateway::client_account>{}));
     }
     ~forwarding_site() { this->connections.clear(); }
@@ -121,6 +133,20 @@
     recorded_answer& send(const std::string& path, const std::string& id, std::string body = "two planks",
                           const std::function<void()>& later = {})
     {
+        bool ended = false;
+        boost::asio::steady_timer interval(this->context);
+        std::function<void()> tick = [&] {
+            interval.expires_after(tick_interval);
+            interval.async_wait([&](const boost::system::error_code&) {
+                this->requests.tick();
+                if (!ended) {
+                    tick();
+                }
+            });
+        };
+        if (this->ticks) {
+            tick();
+        }
         boost::asio::steady_timer timer(this->context);
         if (later) {
             timer.expires_after(milliseconds(50));
@@ -129,10 +155,16 @@
         this->answers.push_back(std::make_unique<recorded_answer>());
         auto& writer = *this->answers.back();
         const http::request message{
-            "POST", path, {{"host", "site.example"}, {"x-id", id}, {"x-deadline", "3000"}}, std::move(body)};
+            "POST",
+            path,
+            {{"host", "site.example"}, {"x-id", id}, {"x-deadline", "3000"}, {"x-model", "planner"}},
+            std::move(body)};
         boost::asio::spawn(
             this->context,
-            [&](gateway::yield_context yield) { this->requests.handle(message, writer, yield); },
+            [&](gateway::yield_context yield) {
+                this->requests.handle(message, writer, yield);
+                ended = true;
+            },
             boost::coroutines::attributes(stack_bytes));
         this->context.run();
         this->context.restart();
@@ -148,6 +180,25 @@
         entry.started_ms = 1;
         this->fleet.update_target(entry, steady_clock::now());
     }
+    /// Adds an engine that is a group by itself.
+    void add_engine(const std::string& name, const endpoint& address)
+    {
+        gateway::target_entry entry;
+        entry.instance = instance_id(name);
+        entry.service = service_id("pool");
+        entry.address = address;
+        entry.model = model_id("planner");
+        entry.started_ms = 1;
+        entry.membership = gateway::group_membership{group_id("g-" + name), 1, 0, gateway::group_phase::open};
+        this->fleet.update_target(entry, steady_clock::now());
+    }
+    /// The caller of the last request leaves.
+    void leave() { this->answers.back()->disconnect(); }
+    /// Requests go to the target only when all others were tried.
+    void make_last_choice(const std::string& name)
+    {
+        this->fleet.suspect(instance_id(name), steady_clock::now() + seconds(10));
+    }
 
     boost::asio::io_context context;
     gateway::platform_ports ports;
@@ -156,6 +207,7 @@
     target::connection_pool connections{context};
     metric_registry metrics;
     gateway::forwarder requests{context, ports, fleet, connections, settings, metrics};
+    bool ticks{false}; ///< whether the forwarder looks for stalled targets
 
 private:
     std::vector<std::unique_ptr<recorded_answer>> answers;
@@ -461,3 +513,221 @@
         CHECK(got.aborted);
     }
 }
+
+namespace {
+
+/// Longer than the stall limit of a target that has begun to answer, 300 ms.
+constexpr milliseconds stream_silence{700};
+
+const std::string stream_head =
+    "HTTP/1.1 200 OK\r\nx-id: A\r\nx-signature: s\r\ntransfer-encoding: chunked\r\n\r\n";
+
+std::string event(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: step " + std::to_string(id) + "\n\n";
+}
+
+const std::string whole_stream = event(1) + event(2) + event(3);
+
+/// Sends the first event and half of the second one, is silent, and sends the rest.
+bool send_with_silence(const http::request&, raw_connection& connection)
+{
+    const auto second = event(2);
+    connection.send(stream_head + chunk(event(1) + second.substr(0, 8)));
+    std::this_thread::sleep_for(stream_silence);
+    connection.send(chunk(second.substr(8)) + chunk(event(3)) + last_chunk);
+    return true;
+}
+
+} // namespace
+
+// Guards against streams that end because a target was silent for a while, although it went on.
+TEST_CASE("a stream whose target is silent for a while is complete without another target",
+          "[gateway][forwarder]")
+{
+    std::atomic<int> runs{0};
+    raw_server silent([&](const http::request& message, raw_connection& connection) {
+        ++runs;
+        return send_with_silence(message, connection);
+    });
+    forwarding_site site;
+    site.ticks = true;
+    site.add_engine("silent", silent.address());
+    std::string path = "/plans/1";
+    std::unique_ptr<raw_server> other;
+    const auto add_other = [&](raw_server::script answer) {
+        other = std::make_unique<raw_server>(std::move(answer));
+        site.add_engine("other", other->address());
+        site.make_last_choice("other");
+    };
+    const auto answer_rest = [](const http::request&, raw_connection& connection) {
+        connection.send(stream_head + chunk(event(2) + event(3)) + last_chunk);
+        return true;
+    };
+    const closed_address nobody;
+
+    SECTION("there is no other target") {}
+    SECTION("the retry budget is spent")
+    {
+        site.settings.bounds.retry_share = 0;
+        site.settings.bounds.retry_slack = 0;
+        add_other(answer_rest);
+    }
+    SECTION("the route allows no further attempt")
+    {
+        path = "/plans-at-one-target/1";
+        add_other(answer_rest);
+    }
+    SECTION("the other target refuses")
+    {
+        add_other([](const http::request&, raw_connection& connection) {
+            connection.send(refusal("A"));
+            return true;
+        });
+    }
+    SECTION("the other target accepts no connection")
+    {
+        site.add_engine("other", nobody.address());
+        site.make_last_choice("other");
+    }
+    SECTION("the other target closes the connection")
+    {
+        add_other([](const http::request&, raw_connection&) { return false; });
+    }
+    SECTION("the other target fails")
+    {
+        add_other([](const http::request&, raw_connection& connection) {
+            connection.send(whole_answer("500 Error", "x-id: A\r\n", "out of memory"));
+            return true;
+        });
+    }
+    SECTION("the other target breaks off before its first event")
+    {
+        add_other([](const http::request&, raw_connection& connection) {
+            connection.send(stream_head + chunk("id: 2\nda"));
+            return false;
+        });
+    }
+    SECTION("the other target is silent too")
+    {
+        add_other([](const http::request&, raw_connection& connection) {
+            connection.wait_closed();
+            return false;
+        });
+    }
+    const auto& got = site.send(path, "A");
+    CHECK_FALSE(got.aborted);
+    CHECK(got.answer.status == 200);
+    CHECK(got.answer.body == whole_stream);
+    CHECK(runs == 1);
+    CHECK(site.fleet.in_flight.busy().empty());
+    CHECK(site.requests.open_requests() == 0);
+}
+
+// Guards against a stream that waits for a target which never answers, and against repeated or lost events.
+TEST_CASE("a stream whose target stays silent continues at another target", "[gateway][forwarder]")
+{
+    std::atomic<bool> closed{false};
+    raw_server silent([&](const http::request&, raw_connection& connection) {
+        connection.send(stream_head + chunk(event(1) + event(2).substr(0, 8)));
+        connection.wait_closed();
+        closed = true;
+        return false;
+    });
+    std::atomic<int> runs{0};
+    std::string last_event;
+    const auto answer_rest = [&](const http::request& message, raw_connection& connection) {
+        ++runs;
+        last_event = http::find_header(message.headers, "last-event").value_or("");
+        connection.send(stream_head + chunk(event(2) + event(3)) + last_chunk);
+        return true;
+    };
+    forwarding_site site;
+    site.ticks = true;
+    site.add_engine("silent", silent.address());
+    raw_server other(answer_rest);
+    site.add_engine("other", other.address());
+    site.make_last_choice("other");
+    raw_server refusing([](const http::request&, raw_connection& connection) {
+        connection.send(refusal("A"));
+        return true;
+    });
+
+    SECTION("at once") {}
+    SECTION("after a third one has refused")
+    {
+        site.add_engine("refusing", refusing.address());
+        site.fleet.suspect(instance_id("refusing"), steady_clock::now() + milliseconds(200));
+    }
+    const auto& got = site.send("/plans/1", "A");
+    CHECK_FALSE(got.aborted);
+    CHECK(got.answer.body == whole_stream);
+    CHECK(refusing.accepted() == (site.fleet.find_target(instance_id("refusing")) != nullptr ? 1 : 0));
+    CHECK(runs == 1);
+    CHECK(last_event == "1");
+    while (!closed) {
+        std::this_thread::sleep_for(milliseconds(1));
+    }
+    CHECK(site.fleet.in_flight.busy().empty());
+}
+
+TEST_CASE("a plain answer whose target is silent for a while arrives although the other target refuses",
+          "[gateway][forwarder]")
+{
+    raw_server silent([](const http::request& message, raw_connection& connection) {
+        std::this_thread::sleep_for(milliseconds(2300)); // the stall limit of plain services is 2 s
+        connection.send(real_answer(run_record::id_of(message)));
+        return true;
+    });
+    raw_server refusing([](const http::request& message, raw_connection& connection) {
+        connection.send(refusal(run_record::id_of(message)));
+        return true;
+    });
+    forwarding_site site;
+    site.ticks = true;
+    site.add_target("silent", silent.address());
+    site.add_target("refusing", refusing.address());
+    site.make_last_choice("refusing");
+    const auto& got = site.send("/stock/1", "A");
+    CHECK(got.answer.status == 200);
+    CHECK(got.answer.body == "answer to A");
+    CHECK(refusing.accepted() == 1);
+}
+
+TEST_CASE("a request with two attempts open closes both when it ends early", "[gateway][forwarder]")
+{
+    std::atomic<int> closed{0};
+    std::atomic<int> requests{0};
+    const auto never = [&](const http::request&, raw_connection& connection) {
+        ++requests;
+        connection.send(requests == 1 ? stream_head + chunk(event(1)) : "");
+        connection.wait_closed();
+        ++closed;
+        return false;
+    };
+    raw_server first(never);
+    raw_server second(never);
+    forwarding_site site;
+    site.ticks = true;
+    site.add_engine("first", first.address());
+    site.add_engine("second", second.address());
+    site.make_last_choice("second");
+    boost::asio::steady_timer end(site.context, stream_silence);
+
+    SECTION("the caller leaves")
+    {
+        end.async_wait([&](const boost::system::error_code&) { site.leave(); });
+    }
+    SECTION("the process stops")
+    {
+        end.async_wait([&](const boost::system::error_code&) { site.requests.end_requests(); });
+    }
+    const auto& got = site.send("/plans/1", "A");
+    CHECK(got.aborted);
+    CHECK(got.answer.body == event(1));
+    while (closed < 2) {
+        std::this_thread::sleep_for(milliseconds(1));
+    }
+    CHECK(requests == 2);
+    CHECK(site.fleet.in_flight.busy().empty());
+}
