--- a/tests/gateway/forwarder_test.cpp
+++ b/tests/gateway/forwarder_test.cpp
@@ -1,5 +1,6 @@
 #include "gateway/forwarder.hpp"
 
+#include "http/pause.hpp"
 #include "target/raw_server.hpp"
 
 #include <boost/asio/spawn.hpp>
@@ -31,6 +32,9 @@
     status write(std::string_view chunk) override
     {
         this->answer.body += chunk;
+        if (this->on_write) {
+            this->on_write();
+        }
         return success();
     }
     status finish() override { return success(); }
@@ -39,6 +43,7 @@
     void on_disconnect(const std::function<void()>& callback) override { this->disconnect = callback; }
 
     std::function<void()> disconnect; ///< to be called when the caller leaves
+    std::function<void()> on_write;   ///< called in the coroutine of the request
     http::response answer{0, {}, {}};
     bool aborted{false};
 };
@@ -162,6 +167,9 @@
         boost::asio::spawn(
             this->context,
             [&](gateway::yield_context yield) {
+                if (this->write_time.count() > 0) {
+                    writer.on_write = [&] { http::pause(this->write_time, yield); };
+                }
                 this->requests.handle(message, writer, yield);
                 ended = true;
             },
@@ -207,7 +215,8 @@
     target::connection_pool connections{context};
     metric_registry metrics;
     gateway::forwarder requests{context, ports, fleet, connections, settings, metrics};
-    bool ticks{false}; ///< whether the forwarder looks for stalled targets
+    bool ticks{false};          ///< whether the forwarder looks for stalled targets
+    milliseconds write_time{0}; ///< time that the caller takes to receive a part of a stream
 
 private:
     std::vector<std::unique_ptr<recorded_answer>> answers;
@@ -624,6 +633,36 @@
     CHECK(site.requests.open_requests() == 0);
 }
 
+// Guards against streams that end because their caller reads slowly.
+TEST_CASE("a target is not silent while the caller receives a part of its answer", "[gateway][forwarder]")
+{
+    raw_server target([](const http::request&, raw_connection& connection) {
+        connection.send(stream_head + chunk(event(1)));
+        std::this_thread::sleep_for(milliseconds(50)); // so that the rest is read later
+        connection.send(chunk(event(2)) + chunk(event(3)) + last_chunk);
+        return true;
+    });
+    raw_server other([](const http::request&, raw_connection& connection) {
+        connection.wait_closed();
+        return false;
+    });
+    forwarding_site site;
+    site.ticks = true;
+    site.write_time = stream_silence;
+    site.add_engine("target", target.address());
+
+    SECTION("there is no other target") {}
+    SECTION("there is another target")
+    {
+        site.add_engine("other", other.address());
+        site.make_last_choice("other");
+    }
+    const auto& got = site.send("/plans/1", "A");
+    CHECK_FALSE(got.aborted);
+    CHECK(got.answer.body == whole_stream);
+    CHECK(other.accepted() == 0);
+}
+
 // Guards against a stream that waits for a target which never answers, and against repeated or lost events.
 TEST_CASE("a stream whose target stays silent continues at another target", "[gateway][forwarder]")
 {
