--- a/tests/gateway/forwarder_test.cpp
+++ b/tests/gateway/forwarder_test.cpp
@@ -310,3 +310,251 @@
         CHECK(got.aborted);
     }
 }
+
+namespace {
+
+/// Longer than the stall limit of a target that has begun to answer, 300 ms.
+constexpr milliseconds stream_silence{700};
+
+const std::string stream_head =
+    "HTTP/1.1 200 OK\r\nx-id: A\r\nx-signature: s\r\ntransfer-encoding: chunked\r\n\r\n";
+
+std::string event(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: step " + std::to_string(id) + "\n\n";
+}
+
+const std::string whole_stream = event(1) + event(2) + event(3);
+
+/// Sends the first event and half of the second one, is silent, and sends the rest.
+bool send_with_silence(const http::request&, raw_connection& connection)
+{
+    const auto second = event(2);
+    connection.send(stream_head + chunk(event(1) + second.substr(0, 8)));
+    std::this_thread::sleep_for(stream_silence);
+    connection.send(chunk(second.substr(8)) + chunk(event(3)) + last_chunk);
+    return true;
+}
+
+} // namespace
+
+// Guards against streams that end because a target was silent for a while, although it went on.
+TEST_CASE("a stream whose target is silent for a while is complete without another target",
+          "[gateway][forwarder]")
+{
+    std::atomic<int> runs{0};
+    raw_server silent([&](const http::request& message, raw_connection& connection) {
+        ++runs;
+        return send_with_silence(message, connection);
+    });
+    forwarding_site site;
+    site.ticks = true;
+    site.add_engine("silent", silent.address());
+    std::string path = "/plans/1";
+    std::unique_ptr<raw_server> other;
+    const auto add_other = [&](raw_server::script answer) {
+        other = std::make_unique<raw_server>(std::move(answer));
+        site.add_engine("other", other->address());
+        site.make_last_choice("other");
+    };
+    const auto answer_rest = [](const http::request&, raw_connection& connection) {
+        connection.send(stream_head + chunk(event(2) + event(3)) + last_chunk);
+        return true;
+    };
+    const closed_address nobody;
+
+    SECTION("there is no other target") {}
+    SECTION("the retry budget is spent")
+    {
+        site.settings.bounds.retry_share = 0;
+        site.settings.bounds.retry_slack = 0;
+        add_other(answer_rest);
+    }
+    SECTION("the route allows no further attempt")
+    {
+        path = "/plans-at-one-target/1";
+        add_other(answer_rest);
+    }
+    SECTION("the other target refuses")
+    {
+        add_other([](const http::request&, raw_connection& connection) {
+            connection.send(refusal("A"));
+            return true;
+        });
+    }
+    SECTION("the other target accepts no connection")
+    {
+        site.add_engine("other", nobody.address());
+        site.make_last_choice("other");
+    }
+    SECTION("the other target closes the connection")
+    {
+        add_other([](const http::request&, raw_connection&) { return false; });
+    }
+    SECTION("the other target fails")
+    {
+        add_other([](const http::request&, raw_connection& connection) {
+            connection.send(whole_answer("500 Error", "x-id: A\r\n", "out of memory"));
+            return true;
+        });
+    }
+    SECTION("the other target breaks off before its first event")
+    {
+        add_other([](const http::request&, raw_connection& connection) {
+            connection.send(stream_head + chunk("id: 2\nda"));
+            return false;
+        });
+    }
+    SECTION("the other target is silent too")
+    {
+        add_other([](const http::request&, raw_connection& connection) {
+            connection.wait_closed();
+            return false;
+        });
+    }
+    const auto& got = site.send(path, "A");
+    CHECK_FALSE(got.aborted);
+    CHECK(got.answer.status == 200);
+    CHECK(got.answer.body == whole_stream);
+    CHECK(runs == 1);
+    CHECK(site.fleet.in_flight.busy().empty());
+    CHECK(site.requests.open_requests() == 0);
+}
+
+// Guards against streams that end because their caller reads slowly.
+TEST_CASE("a target is not silent while the caller receives a part of its answer", "[gateway][forwarder]")
+{
+    raw_server target([](const http::request&, raw_connection& connection) {
+        connection.send(stream_head + chunk(event(1)));
+        std::this_thread::sleep_for(milliseconds(50)); // so that the rest is read later
+        connection.send(chunk(event(2)) + chunk(event(3)) + last_chunk);
+        return true;
+    });
+    raw_server other([](const http::request&, raw_connection& connection) {
+        connection.wait_closed();
+        return false;
+    });
+    forwarding_site site;
+    site.ticks = true;
+    site.write_time = stream_silence;
+    site.add_engine("target", target.address());
+
+    SECTION("there is no other target") {}
+    SECTION("there is another target")
+    {
+        site.add_engine("other", other.address());
+        site.make_last_choice("other");
+    }
+    const auto& got = site.send("/plans/1", "A");
+    CHECK_FALSE(got.aborted);
+    CHECK(got.answer.body == whole_stream);
+    CHECK(other.accepted() == 0);
+}
+
+// Guards against a stream that waits for a target which never answers, and against repeated or lost events.
+TEST_CASE("a stream whose target stays silent continues at another target", "[gateway][forwarder]")
+{
+    std::atomic<bool> closed{false};
+    raw_server silent([&](const http::request&, raw_connection& connection) {
+        connection.send(stream_head + chunk(event(1) + event(2).substr(0, 8)));
+        connection.wait_closed();
+        closed = true;
+        return false;
+    });
+    std::atomic<int> runs{0};
+    std::string last_event;
+    const auto answer_rest = [&](const http::request& message, raw_connection& connection) {
+        ++runs;
+        last_event = http::find_header(message.headers, "last-event").value_or("");
+        connection.send(stream_head + chunk(event(2) + event(3)) + last_chunk);
+        return true;
+    };
+    forwarding_site site;
+    site.ticks = true;
+    site.add_engine("silent", silent.address());
+    raw_server other(answer_rest);
+    site.add_engine("other", other.address());
+    site.make_last_choice("other");
+    raw_server refusing([](const http::request&, raw_connection& connection) {
+        connection.send(refusal("A"));
+        return true;
+    });
+
+    SECTION("at once") {}
+    SECTION("after a third one has refused")
+    {
+        site.add_engine("refusing", refusing.address());
+        site.fleet.suspect(instance_id("refusing"), steady_clock::now() + milliseconds(200));
+    }
+    const auto& got = site.send("/plans/1", "A");
+    CHECK_FALSE(got.aborted);
+    CHECK(got.answer.body == whole_stream);
+    CHECK(refusing.accepted() == (site.fleet.find_target(instance_id("refusing")) != nullptr ? 1 : 0));
+    CHECK(runs == 1);
+    CHECK(last_event == "1");
+    while (!closed) {
+        std::this_thread::sleep_for(milliseconds(1));
+    }
+    CHECK(site.fleet.in_flight.busy().empty());
+}
+
+TEST_CASE("a plain answer whose target is silent for a while arrives although the other target refuses",
+          "[gateway][forwarder]")
+{
+    raw_server silent([](const http::request& message, raw_connection& connection) {
+        std::this_thread::sleep_for(milliseconds(2300)); // the stall limit of plain services is 2 s
+        connection.send(real_answer(run_record::id_of(message)));
+        return true;
+    });
+    raw_server refusing([](const http::request& message, raw_connection& connection) {
+        connection.send(refusal(run_record::id_of(message)));
+        return true;
+    });
+    forwarding_site site;
+    site.ticks = true;
+    site.add_target("silent", silent.address());
+    site.add_target("refusing", refusing.address());
+    site.make_last_choice("refusing");
+    const auto& got = site.send("/stock/1", "A");
+    CHECK(got.answer.status == 200);
+    CHECK(got.answer.body == "answer to A");
+    CHECK(refusing.accepted() == 1);
+}
+
+TEST_CASE("a request with two attempts open closes both when it ends early", "[gateway][forwarder]")
+{
+    std::atomic<int> closed{0};
+    std::atomic<int> requests{0};
+    const auto never = [&](const http::request&, raw_connection& connection) {
+        ++requests;
+        connection.send(requests == 1 ? stream_head + chunk(event(1)) : "");
+        connection.wait_closed();
+        ++closed;
+        return false;
+    };
+    raw_server first(never);
+    raw_server second(never);
+    forwarding_site site;
+    site.ticks = true;
+    site.add_engine("first", first.address());
+    site.add_engine("second", second.address());
+    site.make_last_choice("second");
+    boost::asio::steady_timer end(site.context, stream_silence);
+
+    SECTION("the caller leaves")
+    {
+        end.async_wait([&](const boost::system::error_code&) { site.leave(); });
+    }
+    SECTION("the process stops")
+    {
+        end.async_wait([&](const boost::system::error_code&) { site.requests.end_requests(); });
+    }
+    const auto& got = site.send("/plans/1", "A");
+    CHECK(got.aborted);
+    CHECK(got.answer.body == event(1));
+    while (closed < 2) {
+        std::this_thread::sleep_for(milliseconds(1));
+    }
+    CHECK(requests == 2);
+    CHECK(site.fleet.in_flight.busy().empty());
+}
--- a/tests/gateway/forwarding_site.hpp
+++ b/tests/gateway/forwarding_site.hpp
@@ -3,6 +3,7 @@
 
 #include "gateway/forwarder.hpp"
 #include "gateway/recorded_answer.hpp"
+#include "http/pause.hpp"
 #include "target/raw_server.hpp"
 
 #include <boost/asio/spawn.hpp>
@@ -54,7 +55,9 @@
     return whole_answer("200 OK", id_line(id) + "x-signature: s\r\n", "answer to " + id);
 }
 
-/// A forwarder with the service "shop" and a route to it for each kind of request.
+constexpr milliseconds tick_interval{20};
+
+/// A forwarder with the plain service "shop", the engine service "pool" and a route for each kind of request.
 class forwarding_site
 {
 public:
@@ -66,7 +69,8 @@
         this->settings.daemon = daemon_id("d0");
         this->settings.bounds.retry_slack = 100;
         std::vector<gateway::route> routes;
-        const auto add = [&](const std::string& prefix, gateway::route_kind kind, bool resumable) {
+        const auto add = [&](const std::string& prefix, gateway::route_kind kind, bool resumable,
+                             const std::string& service = "shop", std::uint32_t max_attempts = 3) {
             gateway::route out;
             out.name = prefix;
             out.host = "site.example";
@@ -75,18 +79,25 @@
             out.resumable = resumable;
             out.timeout = caller_timeout;
             out.objective = seconds(1);
-            out.max_attempts = 3;
-            out.services.push_back({service_id("shop"), 1});
+            out.max_attempts = max_attempts;
+            out.services.push_back({service_id(service), 1});
             routes.push_back(out);
         };
         add("/orders/", gateway::route_kind::once, false);
         add("/stock/", gateway::route_kind::repeatable, false);
         add("/streams/", gateway::route_kind::stream, false);
         add("/resumable/", gateway::route_kind::stream, true);
+        add("/plans/", gateway::route_kind::stream, true, "pool");
+        add("/plans-at-one-target/", gateway::route_kind::stream, true, "pool", 1);
         gateway::service shop;
         shop.name = service_id("shop");
+        gateway::service pool;
+        pool.name = service_id("pool");
+        pool.engines.emplace();
+        pool.engines->batch_slots = 4;
+        pool.engines->models.push_back({model_id("planner"), 1, 1, 1, seconds(16), seconds(1)});
         this->fleet.update_config(std::make_shared<const gateway::site_config>(
-            1, routes, std::vector<gateway::service>{shop}, gateway::caller_limits{},
+            1, routes, std::vector<gateway::service>{shop, pool}, gateway::caller_limits{},
             std::unordered_map<std::string, gateway::client_account>{}));
     }
     ~forwarding_site() { this->connections.clear(); }
@@ -97,6 +108,20 @@
     recorded_answer& send(const std::string& path, const std::string& id, std::string body = "two planks",
                           const std::function<void()>& later = {})
     {
+        bool ended = false;
+        boost::asio::steady_timer interval(this->context);
+        std::function<void()> tick = [&] {
+            interval.expires_after(tick_interval);
+            interval.async_wait([&](const boost::system::error_code&) {
+                this->requests.tick();
+                if (!ended) {
+                    tick();
+                }
+            });
+        };
+        if (this->ticks) {
+            tick();
+        }
         boost::asio::steady_timer timer(this->context);
         if (later) {
             timer.expires_after(milliseconds(50));
@@ -105,10 +130,19 @@
         this->answers.push_back(std::make_unique<recorded_answer>());
         auto& writer = *this->answers.back();
         const http::request message{
-            "POST", path, {{"host", "site.example"}, {"x-id", id}, {"x-deadline", "3000"}}, std::move(body)};
+            "POST",
+            path,
+            {{"host", "site.example"}, {"x-id", id}, {"x-deadline", "3000"}, {"x-model", "planner"}},
+            std::move(body)};
         boost::asio::spawn(
             this->context,
-            [&](gateway::yield_context yield) { this->requests.handle(message, writer, yield); },
+            [&](gateway::yield_context yield) {
+                if (this->write_time.count() > 0) {
+                    writer.on_write = [&] { http::pause(this->write_time, yield); };
+                }
+                this->requests.handle(message, writer, yield);
+                ended = true;
+            },
             boost::coroutines::attributes(stack_bytes));
         this->context.run();
         this->context.restart();
@@ -124,6 +158,25 @@
         entry.started_ms = 1;
         this->fleet.update_target(entry, steady_clock::now());
     }
+    /// Adds an engine that is a group by itself.
+    void add_engine(const std::string& name, const endpoint& address)
+    {
+        gateway::target_entry entry;
+        entry.instance = instance_id(name);
+        entry.service = service_id("pool");
+        entry.address = address;
+        entry.model = model_id("planner");
+        entry.started_ms = 1;
+        entry.membership = gateway::group_membership{group_id("g-" + name), 1, 0, gateway::group_phase::open};
+        this->fleet.update_target(entry, steady_clock::now());
+    }
+    /// The caller of the last request leaves.
+    void leave() { this->answers.back()->disconnect(); }
+    /// Requests go to the target only when all others were tried.
+    void make_last_choice(const std::string& name)
+    {
+        this->fleet.suspect(instance_id(name), steady_clock::now() + seconds(10));
+    }
 
     boost::asio::io_context context;
     gateway::platform_ports ports;
@@ -132,6 +185,8 @@
     target::connection_pool connections{context};
     metric_registry metrics;
     gateway::forwarder requests{context, ports, fleet, connections, settings, metrics};
+    bool ticks{false};          ///< whether the forwarder looks for stalled targets
+    milliseconds write_time{0}; ///< time that the caller takes to receive a part of a stream
 
 private:
     std::vector<std::unique_ptr<recorded_answer>> answers;
--- a/tests/gateway/recorded_answer.hpp
+++ b/tests/gateway/recorded_answer.hpp
@@ -2,6 +2,7 @@
 
 #include "http/server.hpp"
 
+#include <functional>
 #include <string_view>
 
 namespace rml::test {
@@ -24,6 +25,9 @@
     status write(std::string_view chunk) override
     {
         this->answer.body += chunk;
+        if (this->on_write) {
+            this->on_write();
+        }
         return success();
     }
     status finish() override
@@ -33,7 +37,10 @@
     }
     void abort() override { this->aborted = true; }
     bool started() const override { return this->answer.status != 0; }
+    void on_disconnect(const std::function<void()>& callback) override { this->disconnect = callback; }
 
+    std::function<void()> disconnect; ///< to be called when the caller leaves
+    std::function<void()> on_write;   ///< called in the coroutine of the request
     http::response answer{0, {}, {}};
     bool finished{false}; ///< the answer looks complete
     bool aborted{false};
