Answer 408 to a request that comes too slowly

Reads now have a timer that cancels the read and leaves the socket open. When the timer fires while bytes have arrived, which happens when the event loop was busy, they are read before the request counts as too slow.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -2,8 +2,10 @@
 
 #include "base/log.hpp"
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -22,8 +24,6 @@
 namespace bhttp = boost::beast::http;
 using tcp = asio::ip::tcp;
 
-constexpr std::size_t first_read_bytes = 1024;
-
 } // namespace
 
 namespace detail {
@@ -36,16 +36,68 @@
 };
 
 /// An open connection; used on its strand only.
-struct connection
+class connection
 {
-    explicit connection(tcp::socket socket) : stream(std::move(socket)) {}
+public:
+    explicit connection(tcp::socket socket)
+        : stream(std::move(socket)), limit(std::make_shared<read_limit>(this->stream.get_executor()))
+    {
+    }
+
+    /// Appends bytes to the buffer. Returns `beast::error::timeout` when none have arrived at the deadline;
+    /// the socket stays open, unlike at a timeout of the stream, so that an answer can still be written.
+    boost::system::error_code read_some(time_point deadline, yield_context yield);
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     connection_phase phase{connection_phase::idle};
     bool refuse{false}; ///< the request that is being read is to be refused
+
+private:
+    /// Outlives the connection in the handler of its timer.
+    struct read_limit
+    {
+        explicit read_limit(const beast::tcp_stream::executor_type& executor) : timer(executor) {}
+
+        asio::steady_timer timer;
+        std::uint64_t reads{0}; ///< number of the latest read
+        bool pending{false};    ///< the latest read has not ended
+        bool expired{false};    ///< the latest read was cancelled at its deadline
+    };
+
+    std::shared_ptr<read_limit> limit;
 };
 
+boost::system::error_code connection::read_some(time_point deadline, yield_context yield)
+{
+    constexpr std::size_t least_bytes = 1024;
+    constexpr std::size_t most_bytes = 65536;
+    boost::system::error_code code;
+    do {
+        this->limit->pending = true;
+        this->limit->expired = false;
+        this->limit->timer.expires_at(deadline);
+        this->limit->timer.async_wait([this, shared = this->limit,
+                                       read = ++this->limit->reads](const boost::system::error_code& failed) {
+            if (!failed && shared->pending && shared->reads == read) {
+                boost::system::error_code ignored;
+                shared->expired = true;
+                this->stream.socket().cancel(ignored);
+            }
+        });
+        const auto size = std::max(least_bytes, beast::read_size(this->buffer, most_bytes));
+        const auto count = this->stream.socket().async_read_some(this->buffer.prepare(size), yield[code]);
+        this->buffer.commit(count);
+        this->limit->pending = false;
+        this->limit->timer.cancel();
+        if (!code || !this->limit->expired) {
+            return code;
+        }
+        // Bytes that arrived in time while the event loop was busy are still read.
+    } while (this->stream.socket().available(code) > 0);
+    return beast::error::timeout;
+}
+
 } // namespace detail
 
 struct server::state
@@ -285,37 +337,6 @@
     return out;
 }
 
-/// Reads one request, of which the buffer may hold a part. Returns the error code of the read that failed.
-boost::system::error_code read_request(beast::tcp_stream& stream, beast::flat_buffer& buffer,
-                                       bhttp::request_parser<bhttp::string_body>& parser,
-                                       const server_options& options, yield_context yield)
-{
-    boost::system::error_code code;
-    parser.header_limit(static_cast<std::uint32_t>(options.header_bytes));
-    parser.body_limit(options.body_bytes);
-    stream.expires_after(options.head_timeout);
-    bhttp::async_read_header(stream, buffer, parser, yield[code]);
-    if (code) {
-        return code;
-    }
-    if (const auto coding = parser.get()[bhttp::field::transfer_encoding];
-        !coding.empty() && !beast::iequals(coding, "chunked")) {
-        // The length of such a body is unknown: bytes of the body could be taken for another request.
-        return bhttp::error::bad_transfer_encoding;
-    }
-    if (const auto expectation = parser.get()[bhttp::field::expect];
-        beast::iequals(expectation, "100-continue")) {
-        bhttp::response<bhttp::empty_body> continue_response{bhttp::status::continue_, 11};
-        bhttp::async_write(stream, continue_response, yield[code]);
-        if (code) {
-            return code;
-        }
-    }
-    stream.expires_after(options.body_timeout);
-    bhttp::async_read(stream, buffer, parser, yield[code]);
-    return code;
-}
-
 } // namespace
 
 namespace detail {
@@ -344,6 +365,63 @@
     std::uint64_t number{0};
 };
 
+/// Reads until `done` returns true for the parser.
+template <class Condition>
+boost::system::error_code read_until(connection& link, bhttp::request_parser<bhttp::string_body>& parser,
+                                     time_point deadline, Condition done, yield_context yield)
+{
+    bool more = link.buffer.size() == 0;
+    while (!done(parser)) {
+        boost::system::error_code code;
+        if (more) {
+            code = link.read_some(deadline, yield);
+            if (code) {
+                return code;
+            }
+        }
+        link.buffer.consume(parser.put(link.buffer.data(), code));
+        if (code && code != bhttp::error::need_more) {
+            return code;
+        }
+        more = code == bhttp::error::need_more || link.buffer.size() == 0;
+    }
+    return {};
+}
+
+/// Reads one request, of which the buffer may hold a part. Returns the error code of the read that failed.
+inline boost::system::error_code read_request(connection& link,
+                                              bhttp::request_parser<bhttp::string_body>& parser,
+                                              const server_options& options, yield_context yield)
+{
+    using parser_type = bhttp::request_parser<bhttp::string_body>;
+    parser.header_limit(static_cast<std::uint32_t>(options.header_bytes));
+    parser.body_limit(options.body_bytes);
+    if (const auto code = read_until(
+            link, parser, steady_clock::now() + options.head_timeout,
+            [](const parser_type& head) { return head.is_header_done(); }, yield)) {
+        return code;
+    }
+    if (const auto coding = parser.get()[bhttp::field::transfer_encoding];
+        !coding.empty() && !beast::iequals(coding, "chunked")) {
+        // The length of such a body is unknown: bytes of the body could be taken for another request.
+        return bhttp::error::bad_transfer_encoding;
+    }
+    if (const auto expectation = parser.get()[bhttp::field::expect];
+        beast::iequals(expectation, "100-continue")) {
+        bhttp::response<bhttp::empty_body> continue_response{bhttp::status::continue_, 11};
+        boost::system::error_code code;
+        link.stream.expires_after(options.write_timeout);
+        bhttp::async_write(link.stream, continue_response, yield[code]);
+        if (code) {
+            return code;
+        }
+    }
+    parser.eager(true);
+    return read_until(
+        link, parser, steady_clock::now() + options.body_timeout,
+        [](const parser_type& whole) { return whole.is_done(); }, yield);
+}
+
 /// Waits for the first bytes of a request. Returns false when the connection is to be closed.
 template <class State>
 bool wait_for_request(State& shared, connection& link, yield_context yield)
@@ -352,9 +430,7 @@
     boost::system::error_code code;
     // A request that arrived before the server stopped is still served.
     while (link.buffer.size() == 0 && (!shared.stopped || link.stream.socket().available(code) > 0)) {
-        link.stream.expires_after(shared.current_options().idle_timeout);
-        const auto count = link.stream.async_read_some(link.buffer.prepare(first_read_bytes), yield[code]);
-        link.buffer.commit(count);
+        code = link.read_some(steady_clock::now() + shared.current_options().idle_timeout, yield);
         if (code && code != asio::error::operation_aborted) {
             break;
         }
@@ -409,7 +485,7 @@
         {
             const counter_guard reading_guard(shared->reading);
             const auto options = shared->current_options();
-            if (const auto code = read_request(link.stream, link.buffer, parser, options, yield)) {
+            if (const auto code = read_request(link, parser, options, yield)) {
                 refuse_unread(*shared, link, parser, code, yield);
                 break;
             }
