Close answered connections in stages

After a 400, 408, 413 or 431, or an answer with `Connection: close`, the server shut down both directions while bytes of the peer could be unread. The system answers these with a reset, which can reach the client before it has read the answer: it saw a broken connection and not the refusal.

The server now shuts down sending only, discards what still comes for up to 1 s and 4 MiB, and then closes (RFC 9112, 9.6). At most a quarter of the connections wait like this at the same time, and a stopping daemon does not wait for them. Idle connections and those whose answer was broken off are still closed at once.

Evidence: with the new step left out the test fails for each of the four answers at the client's send: CHECK( !code ) false

--- a/src/gateway/daemon.cpp
+++ b/src/gateway/daemon.cpp
@@ -286,7 +286,8 @@
             this->caller_server->stop();
             this->stopping = true;
         }
-        if ((this->stopping && stats.open == 0) || now >= this->requests_end + last_answers_time) {
+        if ((this->stopping && stats.open == stats.closing) ||
+            now >= this->requests_end + last_answers_time) {
             this->requests.log_open_requests();
             this->context.stop();
         }
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -24,6 +24,9 @@
 namespace bhttp = boost::beast::http;
 using tcp = asio::ip::tcp;
 
+/// Share of the connections, as a divisor, that may be closing in stages at the same time.
+constexpr std::size_t closing_connections_divisor = 4;
+
 } // namespace
 
 namespace detail {
@@ -33,6 +36,7 @@
     idle,
     reading,
     handling,
+    closing,
 };
 
 /// An open connection; used on its strand only.
@@ -121,6 +125,7 @@
     std::atomic<std::uint64_t> reading{0};
     std::atomic<std::uint64_t> in_flight{0};
     std::atomic<std::uint64_t> open{0};
+    std::atomic<std::uint64_t> closing{0};
     server_options current_options() const
     {
         const std::scoped_lock lock(this->options_mutex);
@@ -439,9 +444,9 @@
     return link.buffer.size() != 0;
 }
 
-/// Answers a request that was not read completely, and reports it.
+/// Answers a request that was not read completely, and reports it. Returns true when the answer was written.
 template <class State>
-void refuse_unread(State& shared, connection& link, const bhttp::request_parser<bhttp::string_body>& parser,
+bool refuse_unread(State& shared, connection& link, const bhttp::request_parser<bhttp::string_body>& parser,
                    const boost::system::error_code& code, yield_context yield)
 {
     ++shared.malformed;
@@ -454,6 +459,7 @@
     shared.request_handler.on_unserved({reason, writer.complete() ? status : 0,
                                         head_read ? std::string(parser.get().target()) : std::string(),
                                         link.buffer.size()});
+    return writer.complete();
 }
 
 /// Hands a request to the handler. Returns true when it was answered completely.
@@ -473,25 +479,53 @@
     return writer.complete();
 }
 
+/// Closes the sending side and discards what the peer still sends, for a short time. Closing at once would
+/// answer unread bytes with a reset, which can reach the peer before it has read the answer (RFC 9112, 9.6).
+template <class State>
+void close_in_stages(State& shared, connection& link, yield_context yield)
+{
+    boost::system::error_code code;
+    link.phase = connection_phase::closing;
+    link.stream.socket().shutdown(tcp::socket::shutdown_send, code);
+    if (code || shared.closing >= shared.current_options().connections / closing_connections_divisor) {
+        return;
+    }
+    const counter_guard closing_guard(shared.closing);
+    const auto deadline = steady_clock::now() + limits::http_closing_time;
+    for (std::size_t discarded = 0; !code && discarded < limits::http_closing_bytes;) {
+        link.buffer.clear();
+        code = link.read_some(deadline, yield);
+        discarded += link.buffer.size();
+    }
+}
+
 template <class State>
 void serve_connection(const std::shared_ptr<State>& shared, tcp::socket socket, yield_context yield)
 {
     const counter_guard open_guard(shared->open);
     connection link(std::move(socket));
     const connection_entry<State> entry(*shared, link);
+    bool answered = true;
     bool keep_alive = true;
-    while (keep_alive && wait_for_request(*shared, link, yield)) {
+    while (answered && keep_alive) {
+        if (!wait_for_request(*shared, link, yield)) {
+            answered = false;
+            break;
+        }
         bhttp::request_parser<bhttp::string_body> parser;
         {
             const counter_guard reading_guard(shared->reading);
             const auto options = shared->current_options();
             if (const auto code = read_request(link, parser, options, yield)) {
-                refuse_unread(*shared, link, parser, code, yield);
+                answered = refuse_unread(*shared, link, parser, code, yield);
                 break;
             }
         }
         keep_alive = parser.get().keep_alive() && !shared->draining;
-        keep_alive = handle_request(*shared, link, parser.get(), keep_alive, yield) && keep_alive;
+        answered = handle_request(*shared, link, parser.get(), keep_alive, yield);
+    }
+    if (answered) {
+        close_in_stages(*shared, link, yield);
     }
     boost::system::error_code ignored;
     link.stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
@@ -619,7 +653,8 @@
 server_stats server::stats() const
 {
     return server_stats{this->inner->accepted, this->inner->refused,   this->inner->malformed,
-                        this->inner->reading,  this->inner->in_flight, this->inner->open};
+                        this->inner->reading,  this->inner->in_flight, this->inner->open,
+                        this->inner->closing};
 }
 
 void server::update_options(const server_options& options)
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -103,6 +103,7 @@
     std::uint64_t reading{0};   ///< requests of which a part has been read
     std::uint64_t in_flight{0}; ///< requests being handled
     std::uint64_t open{0};      ///< open connections
+    std::uint64_t closing{0};   ///< open connections that are answered and wait for the peer to close
 };
 
 /// A listening socket and its connections. The handler must outlive the last run of the io_context.
--- a/tests/http/server_edge_test.cpp
+++ b/tests/http/server_edge_test.cpp
@@ -326,3 +326,48 @@
         socket, boost::asio::buffer(std::string("GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")));
     CHECK(count(read_all(socket), "HTTP/1.1 200") == 1);
 }
+
+TEST_CASE("an answer is readable although its request was not read to the end", "[http][server]")
+{
+    // Guards against a reset for unread bytes that reaches the client before the answer.
+    http::server_options options;
+    options.body_bytes = 10;
+    edge_server server(options);
+    boost::asio::io_context client_context;
+    const std::string rest(3 * 1024 * 1024, 'x');
+    struct unread_request
+    {
+        std::string head;
+        std::string status;
+    };
+    for (const auto& [head, status] : std::vector<unread_request>{
+             {"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3145728\r\n\r\n", "413"},
+             {"not a request\r\n\r\n", "400"},
+             {"GET /a HTTP/1.1\r\nX-Long: ", "431"},
+             {"GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", "200"}}) {
+        INFO(head);
+        auto socket = server.connect(client_context);
+        boost::system::error_code code;
+        boost::asio::write(socket, boost::asio::buffer(head + rest), code);
+        CHECK(!code);
+        socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, code);
+        std::string answer;
+        boost::asio::read(socket, boost::asio::dynamic_buffer(answer), code);
+        CHECK(code == boost::asio::error::eof);
+        CHECK(count(answer, "HTTP/1.1 " + status) == 1);
+    }
+    SECTION("and a peer that neither reads on nor closes does not hold the connection for long")
+    {
+        auto socket = server.connect(client_context);
+        boost::asio::write(socket, boost::asio::buffer(std::string("not a request\r\n\r\n")));
+        const auto eventually = [](const auto& condition) {
+            const auto end = steady_clock::now() + seconds(10);
+            while (!condition() && steady_clock::now() < end) {
+                std::this_thread::sleep_for(milliseconds(1));
+            }
+            return condition();
+        };
+        CHECK(eventually([&] { return server.server->stats().closing == 1; }));
+        CHECK(eventually([&] { return server.server->stats().open == 0; }));
+    }
+}
