Let a longer idle time count on connections that are idle already

A connection whose wait for the next request had begun under an older configuration was closed at the older idle time, although its client may rely on the longer one that is in force. When the wait ends the idle time is now read again, and the rest is waited for.

Evidence: with the previous server.cpp the new test failed with CHECK( count(read_all(socket), "HTTP/1.1 200") == 1 ) 0 == 1

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -432,11 +432,15 @@
 bool wait_for_request(State& shared, connection& link, yield_context yield)
 {
     link.phase = connection_phase::idle;
+    const auto idle_since = steady_clock::now();
+    const auto idle_end = [&] { return idle_since + shared.current_options().idle_timeout; };
     boost::system::error_code code;
     // A request that arrived before the server stopped is still served.
     while (link.buffer.size() == 0 && (!shared.stopped || link.stream.socket().available(code) > 0)) {
-        code = link.read_some(steady_clock::now() + shared.current_options().idle_timeout, yield);
-        if (code && code != asio::error::operation_aborted) {
+        code = link.read_some(idle_end(), yield);
+        // The idle time may have been extended meanwhile.
+        const bool extended = code == beast::error::timeout && steady_clock::now() < idle_end();
+        if (code && code != asio::error::operation_aborted && !extended) {
             break;
         }
     }
--- a/tests/http/server_edge_test.cpp
+++ b/tests/http/server_edge_test.cpp
@@ -371,3 +371,22 @@
         CHECK(eventually([&] { return server.server->stats().open == 0; }));
     }
 }
+
+TEST_CASE("a longer idle time counts for connections that are idle already", "[http][server]")
+{
+    // Guards against connections that are closed by an idle time that is no longer in force.
+    http::server_options options;
+    options.idle_timeout = milliseconds(300);
+    edge_server server(options);
+    boost::asio::io_context client_context;
+    auto socket = server.connect(client_context);
+    while (server.server->stats().open == 0) {
+        std::this_thread::sleep_for(milliseconds(1));
+    }
+    options.idle_timeout = seconds(60);
+    server.server->update_options(options);
+    std::this_thread::sleep_for(milliseconds(600));
+    boost::asio::write(
+        socket, boost::asio::buffer(std::string("GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")));
+    CHECK(count(read_all(socket), "HTTP/1.1 200") == 1);
+}
