Take no empty answer without length for a success

Cause: without a length or chunks the body ends with the connection, so the parser reports a complete answer whatever has arrived.

A signed success that has neither framing nor body, and a stream without framing that ends before its first event, are now lost attempts. Answers that are meant to be empty state a length of 0 or have a status without body; they pass as before, and so does a failure without body. A reset was already told from an end.

--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -36,6 +36,11 @@
 /// 421 Misdirected Request: the target is not the one that the request names, or is not the head of a group.
 constexpr int wrong_target_status = 421;
 
+bool is_success(int status)
+{
+    return status >= 200 && status < 300;
+}
+
 /// Hop-by-hop headers, and `expect` and `content-length`, which are not forwarded either.
 bool is_connection_header(std::string_view name)
 {
@@ -519,7 +524,7 @@
         this->reason = "answer has an unsupported content encoding";
         return false;
     }
-    if (head.status >= 200 && head.status < 300 && !http::find_header(head.headers, names.answer_signature)) {
+    if (is_success(head.status) && !http::find_header(head.headers, names.answer_signature)) {
         this->reason = "answer has no signature of a target";
         return false;
     }
@@ -569,6 +574,10 @@
         if (failed(part)) {
             return this->failed_exchange(error(part));
         }
+        if (!value(part) && !this->head_sent && connection.ends_with_connection()) {
+            this->reason = "answer without length ended before its first event";
+            return attempt_end::lost;
+        }
         this->record_progress(target);
         if (!value(part) && this->events.partial()) {
             this->reason = "answer ended within an event";
@@ -613,6 +622,11 @@
         if (failed(part)) {
             return this->failed_exchange(error(part));
         }
+        if (!value(part) && head.body.empty() && is_success(head.status) &&
+            connection.ends_with_connection()) {
+            this->reason = "success without length and body";
+            return attempt_end::lost;
+        }
         this->record_progress(target);
         if (!value(part)) {
             break;
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -254,6 +254,11 @@
     return std::optional<std::string>(std::move(part));
 }
 
+bool client_connection::ends_with_connection() const
+{
+    return this->inner->parser && this->inner->parser->need_eof();
+}
+
 result<response> client_connection::exchange(const request& message, time_point deadline, yield_context yield)
 {
     if (auto written = this->write_request(message, deadline, yield); failed(written)) {
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -38,6 +38,10 @@
     /// limit set by update_body_limit().
     result<std::optional<std::string>> read_body_part(time_point deadline, yield_context yield);
 
+    /// True when the last response has neither a length nor chunks, so that its body ends with the connection
+    /// and looks the same when the peer stopped before its end.
+    bool ends_with_connection() const;
+
     /// Writes a request and reads the complete response.
     result<response> exchange(const request& message, time_point deadline, yield_context yield);
 
--- a/tests/gateway/broken_answer_test.cpp
+++ b/tests/gateway/broken_answer_test.cpp
@@ -265,6 +265,37 @@
     }
 }
 
+// Guards against a success with an empty body for an answer of which only the head arrived.
+TEST_CASE("an answer of which only the head arrives is no success", "[gateway][broken]")
+{
+    for (const std::string& framing : {std::string("content-length: 9\r\n"), std::string(), chunked}) {
+        for (const auto how : {ending::close, ending::reset}) {
+            for (const std::string path : {"/orders/1", "/stock/1", "/streams/1", "/resumable/1"}) {
+                INFO(path << ", framing '" << framing << (how == ending::reset ? "', reset" : "', closed"));
+                check_failed(send(path, {{{stream_head + framing + "\r\n"}, how}}, 1));
+            }
+        }
+    }
+    SECTION("a failure without length and body is passed on, since no caller takes it for a success")
+    {
+        for (const std::string path : {"/orders/1", "/stock/1", "/streams/1", "/resumable/1"}) {
+            INFO(path);
+            const auto got = send(path, {{{"HTTP/1.1 500 Internal Server Error\r\nx-id: A\r\n\r\n"}}}, 1);
+            CHECK(got.answer.status == 500);
+            CHECK(got.answer.body.empty());
+        }
+    }
+    SECTION("an empty answer with a length, or with a status that has no body, is complete")
+    {
+        for (const std::string path : {"/orders/1", "/stock/1", "/streams/1"}) {
+            INFO(path);
+            CHECK(send(path, {{{stream_head + "content-length: 0\r\n\r\n"}}}, 1).answer.status == 200);
+            CHECK(send(path, {{{"HTTP/1.1 204 No Content\r\nx-id: A\r\nx-signature: s\r\n\r\n"}}}, 1)
+                      .answer.status == 204);
+        }
+    }
+}
+
 // Guards against a partial answer that looks complete: without a length, only the way it ends tells.
 TEST_CASE("an answer without length is complete only when its connection is closed at its end",
           "[gateway][broken]")
