Reject answers with a transfer coding other than chunked

No target is known to do so; found while checking where bytes of a target reach a caller.

Cause: the parser removes only the chunked coding, and takes an answer whose last coding is another one for one that ends with its connection; the gateway then forwards the body without the header that names the coding.

Evidence: before the fix, for each of the three values on routes of each kind:

CHECK( got.answer.status == 502 ) 200 == 502

The client now fails with `malformed`, which makes the attempt lost. No request asks for a coding (TE is not forwarded). The test also covers what held before: different lengths, a length beside chunks in either order, and chunked twice are no success; bytes beyond the length, trailers and the headers of a resumed answer do not reach the caller.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -217,6 +217,12 @@
         this->inner->broken = true;
         return failure{failure_kind::malformed, "read response head: protocol switch without a request"};
     }
+    const auto coding = received.find(bhttp::field::transfer_encoding);
+    if (coding != received.end() && !beast::iequals(coding->value(), "chunked")) {
+        this->inner->broken = true;
+        return failure{failure_kind::malformed,
+                       "read response head: transfer coding " + std::string(coding->value())};
+    }
     response head;
     head.status = static_cast<int>(received.result_int());
     for (const auto& field : received) {
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -31,7 +31,8 @@
     /// Writes the request. After a failure the peer may have received any part of the request.
     status write_request(const request& message, time_point deadline, yield_context yield);
 
-    /// Reads status and headers of the response, not the body.
+    /// Reads status and headers of the response, not the body. Fails with `malformed` when the response has a
+    /// transfer coding other than `chunked`.
     result<response> read_head(time_point deadline, yield_context yield);
 
     /// Reads the next part of the body; nullopt at its end. Fails with `too_large` when the body exceeds the
--- a/tests/gateway/broken_answer_test.cpp
+++ b/tests/gateway/broken_answer_test.cpp
@@ -347,3 +347,51 @@
         }
     }
 }
+
+// Guards against bytes of a target beyond the content of its answer.
+TEST_CASE("an answer whose framing is contradictory or unknown is no success", "[gateway][broken]")
+{
+    const std::string body = events(1, 4);
+    const auto length = "content-length: " + std::to_string(body.size()) + "\r\n";
+    const auto chunks = "\r\n" + chunk(body) + last_chunk;
+    for (const std::string path : {"/orders/1", "/stock/1", "/streams/1", "/resumable/1"}) {
+        DYNAMIC_SECTION(path)
+        {
+            check_failed(send(path, {{{stream_head + length + "content-length: 9\r\n\r\n" + body}}}, 1));
+            check_failed(send(path, {{{stream_head + "content-length: 9, 10\r\n\r\n" + body}}}, 1));
+            check_failed(send(path, {{{stream_head + length + chunked + chunks}}}, 1));
+            check_failed(send(path, {{{stream_head + chunked + length + chunks}}}, 1));
+            check_failed(send(path, {{{stream_head + chunked + chunked + chunks}}}, 1));
+            check_failed(send(path, {{{stream_head + "transfer-encoding: gzip\r\n\r\n" + body}}}, 1));
+            check_failed(send(path, {{{stream_head + "transfer-encoding: gzip, chunked\r\n" + chunks}}}, 1));
+            check_failed(send(path, {{{stream_head + "transfer-encoding: chunked, gzip\r\n" + chunks}}}, 1));
+        }
+    }
+}
+
+TEST_CASE("only the content of an answer reaches the caller", "[gateway][broken]")
+{
+    const std::string body = events(1, 4);
+    const auto length = "content-length: " + std::to_string(body.size()) + "\r\n";
+
+    SECTION("bytes beyond the length, and trailers, are dropped")
+    {
+        for (const std::string path : {"/orders/1", "/stock/1", "/streams/1", "/resumable/1"}) {
+            INFO(path);
+            check_whole(send(path, {{{stream_head + length + "\r\n" + body + "engine failed\n\n"}}}, 1));
+            check_whole(send(path, {{{stream_head + length + length + "\r\n" + body}}}, 1));
+            const auto got = send(
+                path, {{{stream_head + chunked + "\r\n" + chunk(body) + "0\r\nx-signature: t\r\n\r\n"}}}, 1);
+            check_whole(got);
+            CHECK(http::find_header(got.answer.headers, "x-signature") == "s");
+        }
+    }
+    SECTION("a resumed stream keeps the headers with which it began")
+    {
+        const auto got = resume({{"HTTP/1.1 200 OK\r\nx-id: A\r\nx-signature: other\r\nx-extra: 1\r\n" +
+                                  event_stream + "\r\n" + events(3, 4)}});
+        check_whole(got);
+        CHECK(http::find_header(got.answer.headers, "x-signature") == "s");
+        CHECK_FALSE(http::find_header(got.answer.headers, "x-extra"));
+    }
+}
