Expect no body in the answer to HEAD

Callers of HEAD got a 504 after their whole deadline: the target had answered with a length, as it would for GET, and the client waited for that body (LOST). On a kept connection the head of the next answer would have been read as the body.

Cause: the response parser was not told that the request was a HEAD.

Evidence: before the fix, with a target that answers HEAD with a length of 12 and keeps the connection:

CHECK( got.answer.status == 200 ) 504 == 200 CHECK( target.accepted() == 1 ) 2 == 1

The client now skips the body for HEAD, so the answer ends with its head and the connection is reused. This also keeps a HEAD answer without length apart from a success that has lost its body.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -128,6 +128,7 @@
     std::optional<bhttp::response_parser<bhttp::buffer_body>> parser;
     std::string host;
     std::size_t body_limit{limits::http_body_bytes};
+    bool without_body{false}; ///< the answer has no body, whatever its headers state
     bool broken{false};
 
     /// Fails after the deadline. When the peer sends faster than this process reads, each read completes
@@ -175,6 +176,7 @@
 status client_connection::write_request(const request& message, time_point deadline, yield_context yield)
 {
     auto out = to_beast(message, this->inner->host);
+    this->inner->without_body = out.method() == bhttp::verb::head;
     boost::system::error_code code;
     {
         const deadline_guard guard(this->inner->socket, deadline, yield);
@@ -199,6 +201,7 @@
         auto& parser = this->inner->parser.emplace();
         parser.header_limit(static_cast<std::uint32_t>(allowed_bytes));
         parser.body_limit(this->inner->body_limit);
+        parser.skip(this->inner->without_body);
         boost::system::error_code code;
         {
             const deadline_guard guard(this->inner->socket, deadline, yield);
--- a/tests/gateway/broken_answer_test.cpp
+++ b/tests/gateway/broken_answer_test.cpp
@@ -395,3 +395,33 @@
         CHECK_FALSE(http::find_header(got.answer.headers, "x-extra"));
     }
 }
+
+// Guards against a request that waits for a body that never comes, and against the next answer as that body.
+TEST_CASE("the answer to HEAD has no body", "[gateway][broken]")
+{
+    raw_server target([](const http::request&, raw_connection& connection) {
+        connection.send(signed_head + "content-length: 12\r\n\r\n");
+        return true;
+    });
+    forwarding_site site;
+    site.add_target("t", target.address());
+    site.method = "HEAD";
+    for (int round = 0; round < 2; ++round) {
+        const auto& got = site.send("/stock/1", "A", "");
+        CHECK(got.answer.status == 200);
+        CHECK(got.answer.body.empty());
+    }
+    CHECK(target.accepted() == 1);
+
+    SECTION("also where it states neither a length nor chunks")
+    {
+        raw_server unframed([](const http::request&, raw_connection& connection) {
+            connection.send(signed_head + "\r\n");
+            return false;
+        });
+        forwarding_site other;
+        other.add_target("t", unframed.address());
+        other.method = "HEAD";
+        CHECK(other.send("/orders/1", "A", "").answer.status == 200);
+    }
+}
--- a/tests/gateway/forwarding_site.hpp
+++ b/tests/gateway/forwarding_site.hpp
@@ -135,8 +135,10 @@
         }
         this->answers.push_back(std::make_unique<recorded_answer>());
         auto& writer = *this->answers.back();
-        const http::request message{
-            "POST", path, {{"host", "site.example"}, {"x-id", id}, {"x-deadline", "3000"}}, std::move(body)};
+        const http::request message{this->method,
+                                    path,
+                                    {{"host", "site.example"}, {"x-id", id}, {"x-deadline", "3000"}},
+                                    std::move(body)};
         boost::asio::spawn(
             this->context,
             [&](gateway::yield_context yield) { this->requests.handle(message, writer, yield); },
@@ -156,6 +158,7 @@
         this->fleet.update_target(entry, steady_clock::now());
     }
 
+    std::string method{"POST"}; ///< of the requests sent
     boost::asio::io_context context;
     gateway::platform_ports ports;
     gateway::fleet_state fleet{daemon_id("d0")};
