--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -42,6 +42,11 @@
 /// 421 Misdirected Request: the target is not the one that the request names, or is not the head of a group.
 constexpr int wrong_target_status = 421;
 
+bool is_success(int status)
+{
+    return status >= 200 && status < 300;
+}
+
 /// Hop-by-hop headers, and `expect` and `content-length`, which are not forwarded either.
 bool is_connection_header(std::string_view name)
 {
@@ -819,7 +824,7 @@
         attempt.reason = "answer has an unsupported content encoding";
         return false;
     }
-    if (head.status >= 200 && head.status < 300 && !http::find_header(head.headers, names.answer_signature)) {
+    if (is_success(head.status) && !http::find_header(head.headers, names.answer_signature)) {
         attempt.reason = "answer has no signature of a target";
         return false;
     }
@@ -873,6 +878,10 @@
         if (failed(part)) {
             return this->failed_exchange(attempt, error(part));
         }
+        if (!value(part) && !this->head_sent && attempt.bound.connection->ends_with_connection()) {
+            attempt.reason = "answer without length ended before its first event";
+            return attempt_end::lost;
+        }
         if (!this->record_progress(attempt)) {
             return attempt_end::superseded;
         }
@@ -904,6 +913,11 @@
         if (failed(part)) {
             return this->failed_exchange(attempt, error(part));
         }
+        if (!value(part) && attempt.head.body.empty() && is_success(attempt.head.status) &&
+            attempt.bound.connection->ends_with_connection()) {
+            attempt.reason = "success without length and body";
+            return attempt_end::lost;
+        }
         if (!this->record_progress(attempt)) {
             return attempt_end::superseded;
         }
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -31,13 +31,18 @@
     /// Writes the request. After a failure the peer may have received any part of the request.
     status write_request(const request& message, time_point deadline, yield_context yield);
 
-    /// Reads status and headers of the response, not the body.
+    /// Reads status and headers of the response, not the body. Fails with `malformed` when the response has a
+    /// transfer coding other than `chunked`.
     result<response> read_head(time_point deadline, yield_context yield);
 
     /// Reads the next part of the body; nullopt at its end. Fails with `too_large` when the body exceeds the
     /// limit set by update_body_limit().
     result<std::optional<std::string>> read_body_part(time_point deadline, yield_context yield);
 
+    /// True when the last response has neither a length nor chunks, so that its body ends with the connection
+    /// and looks the same when the peer stopped before its end.
+    bool ends_with_connection() const;
+
     /// Writes a request and reads the complete response.
     result<response> exchange(const request& message, time_point deadline, yield_context yield);
 
--- a/tests/gateway/broken_answer_test.cpp
+++ b/tests/gateway/broken_answer_test.cpp
@@ -265,6 +265,37 @@
     }
 }
 
+// Guards against a success with an empty body for an answer of which only the head arrived.
+TEST_CASE("an answer of which only the head arrives is no success", "[gateway][broken]")
+{
+    for (const std::string& framing : {std::string("content-length: 9\r\n"), std::string(), chunked}) {
+        for (const auto how : {ending::close, ending::reset}) {
+            for (const std::string path : {"/orders/1", "/stock/1", "/streams/1", "/resumable/1"}) {
+                INFO(path << ", framing '" << framing << (how == ending::reset ? "', reset" : "', closed"));
+                check_failed(send(path, {{{stream_head + framing + "\r\n"}, how}}, 1));
+            }
+        }
+    }
+    SECTION("a failure without length and body is passed on, since no caller takes it for a success")
+    {
+        for (const std::string path : {"/orders/1", "/stock/1", "/streams/1", "/resumable/1"}) {
+            INFO(path);
+            const auto got = send(path, {{{"HTTP/1.1 500 Internal Server Error\r\nx-id: A\r\n\r\n"}}}, 1);
+            CHECK(got.answer.status == 500);
+            CHECK(got.answer.body.empty());
+        }
+    }
+    SECTION("an empty answer with a length, or with a status that has no body, is complete")
+    {
+        for (const std::string path : {"/orders/1", "/stock/1", "/streams/1"}) {
+            INFO(path);
+            CHECK(send(path, {{{stream_head + "content-length: 0\r\n\r\n"}}}, 1).answer.status == 200);
+            CHECK(send(path, {{{"HTTP/1.1 204 No Content\r\nx-id: A\r\nx-signature: s\r\n\r\n"}}}, 1)
+                      .answer.status == 204);
+        }
+    }
+}
+
 // Guards against a partial answer that looks complete: without a length, only the way it ends tells.
 TEST_CASE("an answer without length is complete only when its connection is closed at its end",
           "[gateway][broken]")
@@ -316,3 +347,81 @@
         }
     }
 }
+
+// Guards against bytes of a target beyond the content of its answer.
+TEST_CASE("an answer whose framing is contradictory or unknown is no success", "[gateway][broken]")
+{
+    const std::string body = events(1, 4);
+    const auto length = "content-length: " + std::to_string(body.size()) + "\r\n";
+    const auto chunks = "\r\n" + chunk(body) + last_chunk;
+    for (const std::string path : {"/orders/1", "/stock/1", "/streams/1", "/resumable/1"}) {
+        DYNAMIC_SECTION(path)
+        {
+            check_failed(send(path, {{{stream_head + length + "content-length: 9\r\n\r\n" + body}}}, 1));
+            check_failed(send(path, {{{stream_head + "content-length: 9, 10\r\n\r\n" + body}}}, 1));
+            check_failed(send(path, {{{stream_head + length + chunked + chunks}}}, 1));
+            check_failed(send(path, {{{stream_head + chunked + length + chunks}}}, 1));
+            check_failed(send(path, {{{stream_head + chunked + chunked + chunks}}}, 1));
+            check_failed(send(path, {{{stream_head + "transfer-encoding: gzip\r\n\r\n" + body}}}, 1));
+            check_failed(send(path, {{{stream_head + "transfer-encoding: gzip, chunked\r\n" + chunks}}}, 1));
+            check_failed(send(path, {{{stream_head + "transfer-encoding: chunked, gzip\r\n" + chunks}}}, 1));
+        }
+    }
+}
+
+TEST_CASE("only the content of an answer reaches the caller", "[gateway][broken]")
+{
+    const std::string body = events(1, 4);
+    const auto length = "content-length: " + std::to_string(body.size()) + "\r\n";
+
+    SECTION("bytes beyond the length, and trailers, are dropped")
+    {
+        for (const std::string path : {"/orders/1", "/stock/1", "/streams/1", "/resumable/1"}) {
+            INFO(path);
+            check_whole(send(path, {{{stream_head + length + "\r\n" + body + "engine failed\n\n"}}}, 1));
+            check_whole(send(path, {{{stream_head + length + length + "\r\n" + body}}}, 1));
+            const auto got = send(
+                path, {{{stream_head + chunked + "\r\n" + chunk(body) + "0\r\nx-signature: t\r\n\r\n"}}}, 1);
+            check_whole(got);
+            CHECK(http::find_header(got.answer.headers, "x-signature") == "s");
+        }
+    }
+    SECTION("a resumed stream keeps the headers with which it began")
+    {
+        const auto got = resume({{"HTTP/1.1 200 OK\r\nx-id: A\r\nx-signature: other\r\nx-extra: 1\r\n" +
+                                  event_stream + "\r\n" + events(3, 4)}});
+        check_whole(got);
+        CHECK(http::find_header(got.answer.headers, "x-signature") == "s");
+        CHECK_FALSE(http::find_header(got.answer.headers, "x-extra"));
+    }
+}
+
+// Guards against a request that waits for a body that never comes, and against the next answer as that body.
+TEST_CASE("the answer to HEAD has no body", "[gateway][broken]")
+{
+    raw_server target([](const http::request&, raw_connection& connection) {
+        connection.send(signed_head + "content-length: 12\r\n\r\n");
+        return true;
+    });
+    forwarding_site site;
+    site.add_target("t", target.address());
+    site.method = "HEAD";
+    for (int round = 0; round < 2; ++round) {
+        const auto& got = site.send("/stock/1", "A", "");
+        CHECK(got.answer.status == 200);
+        CHECK(got.answer.body.empty());
+    }
+    CHECK(target.accepted() == 1);
+
+    SECTION("also where it states neither a length nor chunks")
+    {
+        raw_server unframed([](const http::request&, raw_connection& connection) {
+            connection.send(signed_head + "\r\n");
+            return false;
+        });
+        forwarding_site other;
+        other.add_target("t", unframed.address());
+        other.method = "HEAD";
+        CHECK(other.send("/orders/1", "A", "").answer.status == 200);
+    }
+}
--- a/tests/gateway/forwarding_site.hpp
+++ b/tests/gateway/forwarding_site.hpp
@@ -130,7 +130,7 @@
         this->answers.push_back(std::make_unique<recorded_answer>());
         auto& writer = *this->answers.back();
         const http::request message{
-            "POST",
+            this->method,
             path,
             {{"host", "site.example"}, {"x-id", id}, {"x-deadline", "3000"}, {"x-model", "planner"}},
             std::move(body)};
@@ -178,6 +178,7 @@
         this->fleet.suspect(instance_id(name), steady_clock::now() + seconds(10));
     }
 
+    std::string method{"POST"}; ///< of the requests sent
     boost::asio::io_context context;
     gateway::platform_ports ports;
     gateway::fleet_state fleet{daemon_id("d0")};
