Split the crash attribution by job

Its types are now in crash_notice, the evidence on one request or part in crash_record, the table of the records with the verdicts in crash_records; crash_attribution keeps what is in flight. The interface and the behaviour are unchanged: the tests of [crash] pass as before (38 assertions).

--- a/src/decision/crash_attribution.hpp
+++ b/src/decision/crash_attribution.hpp
@@ -17,83 +17,17 @@
 #include "base/ids.hpp"
 #include "base/limits.hpp"
 #include "base/time.hpp"
-#include "decision/acquitted_parts.hpp"
+#include "decision/crash_notice.hpp"
+#include "decision/crash_records.hpp"
 
 #include <cstddef>
 #include <cstdint>
 #include <deque>
-#include <optional>
-#include <string_view>
 #include <unordered_map>
 #include <vector>
 
 namespace rml {
 
-/// Hash of account, path and body.
-struct request_fingerprint
-{
-    std::uint64_t value{0};
-
-    friend bool operator==(const request_fingerprint& a, const request_fingerprint& b)
-    {
-        return a.value == b.value;
-    }
-};
-
-request_fingerprint make_fingerprint(const account_id& account, std::string_view path, std::string_view body);
-
-/// Fingerprint of a part of a prompt. Differs from that of any request.
-request_fingerprint make_part_fingerprint(std::string_view part);
-
-/// What a request can be recognised by when it crashes groups.
-struct crash_features
-{
-    request_fingerprint whole;
-    /// Parts of the prompt that other requests may share; at most `limits::crash_parts` are used.
-    std::vector<request_fingerprint> parts;
-};
-
-/// One incarnation of a group and its failure domains. `incarnation` is the one of decision/ramp.
-struct group_run
-{
-    group_id group;
-    std::uint64_t incarnation{0};
-    fabric_domain_id fabric;
-    failure_domain_id domain;
-};
-
-/// Whether a request may run now.
-enum class crash_verdict
-{
-    run,     ///< may run on any slot
-    trial,   ///< suspected, may run only with a trial slot
-    hold,    ///< has an unclassified loss; check again after `limits::classification_delay`
-    refuse,  ///< has two unexplained losses that may still be explained; must not run now
-    blocked, ///< must not run
-};
-
-/// One loss that counts against a fingerprint, as exchanged between daemons.
-struct crash_loss
-{
-    std::uint64_t loss{0}; ///< identifies the group and its incarnation
-    bool explained{false}; ///< final decision that the loss was correlated with another
-    milliseconds age{0};   ///< time since the loss; parts only
-};
-
-/// State of a fingerprint, as exchanged between daemons. For a whole request, a notice of a higher version
-/// replaces the state and one of the same version is merged with it. For a part, the losses are united and
-/// the latest acquittal applies, so that the result does not depend on order, loss or repetition of notices.
-struct crash_notice
-{
-    request_fingerprint fingerprint;
-    std::uint64_t version{0}; ///< raised when a trial clears the request
-    bool blocked{false};
-    std::vector<crash_loss> losses;              ///< at most `crash_attribution::max_losses`
-    milliseconds ttl{0};                         ///< remaining lifetime at the time of sending
-    bool part{false};                            ///< the fingerprint is that of a part of a prompt
-    std::optional<milliseconds> acquitted_age{}; ///< time since the last acquittal; parts only
-};
-
 /// Result of the classification of a request of this daemon whose group was lost.
 struct classified_request
 {
@@ -125,9 +59,9 @@
 class crash_attribution
 {
 public:
-    static constexpr std::size_t max_losses = 4;
-    /// Losses that are kept of a part, the latest ones.
-    static constexpr std::size_t max_part_losses = 8;
+    /// Bounds on the losses in a notice, of a whole request and of a part.
+    static constexpr std::size_t max_losses = crash_record::max_losses;
+    static constexpr std::size_t max_part_losses = crash_record::max_part_losses;
 
     /// Verdict for a request that arrives or is retried.
     crash_verdict check(request_fingerprint fingerprint, time_point now) const;
@@ -163,34 +97,6 @@
     const crash_attribution_stats& stats() const { return this->counts; }
 
 private:
-    struct counted_loss
-    {
-        std::uint64_t loss{0};
-        time_point at{};
-        bool decided{false};
-        bool explained{false}; ///< valid once decided
-    };
-    struct record
-    {
-        std::uint64_t version{0};
-        bool blocked{false};
-        bool local{false}; ///< a request of this daemon was in flight on a lost group
-        std::vector<counted_loss> counted_losses;
-        time_point expires{};
-        bool part{false};
-        std::optional<time_point> acquitted; ///< parts: losses up to then do not count
-
-        bool counts(const counted_loss& loss) const { return !this->acquitted || loss.at > *this->acquitted; }
-        std::size_t weight() const;
-        bool lists(std::uint64_t loss) const;
-    };
-    struct loss_event
-    {
-        std::uint64_t loss{0};
-        fabric_domain_id fabric;
-        failure_domain_id domain;
-        time_point at{};
-    };
     struct in_flight_request
     {
         crash_features features;
@@ -205,37 +111,14 @@
         time_point due{};
     };
 
-    static std::uint64_t loss_key(const group_run& run);
-    bool explained(const record& known, const counted_loss& counted) const;
-    /// Whether a part that was in flight on the lost group has more losses than this record.
-    bool explained_by_part(const record& known, const counted_loss& counted) const;
-    /// Whether a feature that the request does not have has the same losses.
-    bool ambiguous(const record& known, const crash_features& features) const;
-    /// Whether a record with several losses lists the loss, so that it is no sign of a correlated loss.
-    bool attributed(std::uint64_t loss) const;
-    crash_verdict verdict_of(const record& known, time_point now) const;
-    crash_verdict part_verdict(const record& known, const crash_features& features, time_point now) const;
-    void count_loss(request_fingerprint fingerprint, record& known, std::uint64_t loss, time_point at);
-    record& find_or_create(request_fingerprint fingerprint, time_point now);
-    record& find_or_create_part(request_fingerprint part, time_point now);
+    void acquit(request_fingerprint part, time_point at, time_point now, crash_changes& changes);
     void count_request(const in_flight_request& request, std::uint64_t loss, time_point at, time_point now,
                        crash_changes& changes);
-    void acquit(request_fingerprint part, time_point at, time_point now, crash_changes& changes);
-    static void update_part_expiry(record& known);
-    void apply_part(const crash_notice& notice, time_point now);
-    std::vector<failure_domain_id> recent_domains(request_fingerprint fingerprint) const;
-    crash_notice make_notice(request_fingerprint fingerprint, const record& known, time_point now) const;
-    void decide(crash_changes& changes, time_point now);
-    void evict_record();
-
-    std::unordered_map<std::uint64_t, record> records;              ///< by fingerprint
+
+    crash_records records;
     std::unordered_map<std::uint64_t, in_flight_request> in_flight; ///< by ticket
     std::unordered_map<group_id, std::vector<std::uint64_t>> by_group;
-    std::deque<loss_event> recent_losses;
     std::deque<pending_classification> unclassified;
-    std::vector<request_fingerprint> undecided;
-    acquitted_parts acquitted;
-    time_point next_expiry{};
     crash_attribution_stats counts;
 };
 
--- /dev/null
+++ b/src/decision/crash_records.cpp
@@ -0,0 +1,408 @@
+#include "decision/crash_records.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace rml {
+
+namespace {
+
+/// Unexplained losses after which a request is blocked. The second one normally happens in a trial.
+constexpr std::size_t blocking_losses = 2;
+/// Interval between removals of expired records.
+constexpr seconds expiry_interval{10};
+
+duration time_between(time_point a, time_point b)
+{
+    return a > b ? a - b : b - a;
+}
+
+/// Time for which a part is blocked; doubles with each loss beyond the first that blocked it.
+duration part_block_time(std::size_t further_losses)
+{
+    constexpr std::size_t max_doublings = 6;
+    const auto time = limits::part_block_time * (1 << std::min(further_losses, max_doublings));
+    return std::min<duration>(time, limits::block_lifetime);
+}
+
+} // namespace
+
+bool crash_records::explained(const crash_record& known, const counted_loss& counted) const
+{
+    if (counted.decided) {
+        return counted.explained;
+    }
+    const auto own = std::find_if(this->recent_losses.begin(), this->recent_losses.end(),
+                                  [&](const loss_event& event) { return event.loss == counted.loss; });
+    if (own == this->recent_losses.end()) {
+        return false;
+    }
+    return std::any_of(this->recent_losses.begin(), this->recent_losses.end(), [&](const loss_event& event) {
+        // Losses in which the same request was in flight cannot explain each other: a query of death causes
+        // several losses that look correlated.
+        return !known.lists(event.loss) &&
+               time_between(event.at, own->at) <= limits::correlated_loss_window &&
+               (event.fabric == own->fabric || event.domain == own->domain) &&
+               !(known.part && this->attributed(event.loss));
+    });
+}
+
+bool crash_records::attributed(std::uint64_t loss) const
+{
+    return std::any_of(this->records.begin(), this->records.end(), [&](const auto& entry) {
+        return entry.second.lists(loss) && entry.second.weight() >= blocking_losses;
+    });
+}
+
+bool crash_records::explained_by_part(const crash_record& known, const counted_loss& counted) const
+{
+    const auto weight = known.weight();
+    return std::any_of(this->records.begin(), this->records.end(), [&](const auto& entry) {
+        return entry.second.part && entry.second.lists(counted.loss) && entry.second.weight() > weight;
+    });
+}
+
+bool crash_records::ambiguous(const crash_record& known, const crash_features& features) const
+{
+    const auto weight = known.weight();
+    const auto carried = [&](std::uint64_t print) {
+        return print == features.whole.value ||
+               std::any_of(features.parts.begin(), features.parts.end(),
+                           [&](request_fingerprint part) { return part.value == print; });
+    };
+    return std::any_of(this->records.begin(), this->records.end(), [&](const auto& entry) {
+        const auto& [print, other] = entry;
+        return !carried(print) && other.weight() == weight &&
+               std::all_of(known.counted_losses.begin(), known.counted_losses.end(),
+                           [&, &other = other](const counted_loss& loss) {
+                               return !known.counts(loss) || other.lists(loss.loss);
+                           });
+    });
+}
+
+crash_verdict crash_records::verdict_of(const crash_record& known, time_point now) const
+{
+    if (known.blocked) {
+        return crash_verdict::blocked;
+    }
+    std::size_t unexplained = 0;
+    bool decided = true;
+    for (const auto& counted : known.counted_losses) {
+        if (now < counted.at + limits::classification_delay) {
+            return crash_verdict::hold;
+        }
+        unexplained += this->explained(known, counted) || this->explained_by_part(known, counted) ? 0 : 1;
+        decided = decided && (counted.decided || now >= counted.at + decision_delay);
+    }
+    if (unexplained >= blocking_losses) {
+        return decided ? crash_verdict::blocked : crash_verdict::refuse;
+    }
+    return unexplained > 0 || known.counted_losses.size() >= 2 ? crash_verdict::trial : crash_verdict::run;
+}
+
+crash_verdict crash_records::part_verdict(const crash_record& known, const crash_features& features,
+                                          time_point now) const
+{
+    // A sound part that many requests share is in flight at most losses, and its next acquittal follows.
+    const bool known_sound = known.acquitted && now < *known.acquitted + limits::crash_acquittal_lifetime;
+    const std::size_t ignored = known_sound ? 1 : 0;
+    std::size_t losses = 0;
+    std::size_t unexplained = 0;
+    bool decided = true;
+    bool unclassified = false;
+    time_point latest{};
+    for (const auto& counted : known.counted_losses) {
+        if (!known.counts(counted)) {
+            continue;
+        }
+        if (now < counted.at + limits::classification_delay) {
+            unclassified = true;
+            continue;
+        }
+        ++losses;
+        latest = std::max(latest, counted.at);
+        const bool has_cause = this->explained(known, counted) || this->explained_by_part(known, counted);
+        unexplained += has_cause ? 0 : 1;
+        decided = decided && (counted.decided || now >= counted.at + decision_delay);
+    }
+    const auto blocking = blocking_losses + ignored;
+    const bool refused = unexplained >= blocking && !this->ambiguous(known, features);
+    if (refused && now < latest + part_block_time(unexplained - blocking)) {
+        return decided ? crash_verdict::blocked : crash_verdict::refuse;
+    }
+    if (unclassified && !known_sound) {
+        return crash_verdict::hold;
+    }
+    return unexplained > ignored || losses >= blocking ? crash_verdict::trial : crash_verdict::run;
+}
+
+crash_verdict crash_records::check_features(const crash_features& features, time_point now) const
+{
+    const auto whole = this->check(features.whole, now);
+    auto worst = whole >= crash_verdict::refuse ? whole : crash_verdict::run;
+    for (const auto part : features.parts) {
+        const auto known = this->records.find(part.value);
+        if (known != this->records.end() && now < known->second.expires) {
+            worst = std::max(worst, this->part_verdict(known->second, features, now));
+        }
+    }
+    return worst;
+}
+
+crash_verdict crash_records::check(request_fingerprint fingerprint, time_point now) const
+{
+    const auto known = this->records.find(fingerprint.value);
+    if (known == this->records.end() || now >= known->second.expires) {
+        return crash_verdict::run;
+    }
+    return this->verdict_of(known->second, now);
+}
+
+void crash_records::evict_record()
+{
+    // Evicts suspected before blocked requests, and of these the one that expires first.
+    const auto before = [](const auto& a, const auto& b) {
+        return std::make_pair(a.second.blocked, a.second.expires) <
+               std::make_pair(b.second.blocked, b.second.expires);
+    };
+    this->records.erase(std::min_element(this->records.begin(), this->records.end(), before));
+    ++this->evictions;
+}
+
+crash_record& crash_records::find_or_create(request_fingerprint fingerprint, time_point now)
+{
+    const auto known = this->records.find(fingerprint.value);
+    if (known != this->records.end()) {
+        if (now >= known->second.expires) {
+            known->second = crash_record{};
+        }
+        return known->second;
+    }
+    if (this->records.size() >= limits::crash_records) {
+        this->evict_record();
+    }
+    return this->records[fingerprint.value];
+}
+
+crash_record& crash_records::find_or_create_part(request_fingerprint part, time_point now)
+{
+    auto& known = this->find_or_create(part, now);
+    known.part = true;
+    if (const auto sound = this->acquitted.find(part.value); sound) {
+        known.acquitted = std::max(known.acquitted.value_or(*sound), *sound);
+    }
+    return known;
+}
+
+void crash_records::count_loss(request_fingerprint fingerprint, crash_record& known, std::uint64_t loss,
+                               time_point at)
+{
+    if (known.add_loss(loss, at)) {
+        this->undecided.push_back(fingerprint);
+    }
+}
+
+bool crash_records::add_event(std::uint64_t loss, const group_run& lost, time_point at)
+{
+    if (std::any_of(this->recent_losses.begin(), this->recent_losses.end(),
+                    [&](const loss_event& event) { return event.loss == loss; })) {
+        return false;
+    }
+    this->recent_losses.push_back({loss, lost.fabric, lost.domain, at});
+    if (this->recent_losses.size() > limits::crash_recent_losses) {
+        this->recent_losses.pop_front();
+    }
+    return true;
+}
+
+const crash_record& crash_records::count_request(request_fingerprint whole, std::uint64_t loss,
+                                                 time_point now)
+{
+    auto& known = this->find_or_create(whole, now);
+    known.local = true;
+    known.expires = now + limits::block_lifetime;
+    this->count_loss(whole, known, loss, now);
+    return known;
+}
+
+const crash_record& crash_records::count_part(request_fingerprint part, std::uint64_t loss, time_point at,
+                                              time_point now)
+{
+    auto& known = this->find_or_create_part(part, now);
+    known.local = true;
+    this->count_loss(part, known, loss, at);
+    known.update_part_expiry();
+    return known;
+}
+
+const crash_record* crash_records::acquit(request_fingerprint part, time_point at)
+{
+    this->acquitted.record(part.value, at);
+    const auto found = this->records.find(part.value);
+    if (found == this->records.end() || found->second.acquitted >= at) {
+        return nullptr;
+    }
+    auto& known = found->second;
+    const bool suspected = known.weight() > 0;
+    known.acquitted = at;
+    known.update_part_expiry();
+    return suspected && known.weight() == 0 ? &known : nullptr;
+}
+
+const crash_record* crash_records::clear(request_fingerprint whole)
+{
+    const auto known = this->records.find(whole.value);
+    if (known == this->records.end() || known->second.blocked) {
+        return nullptr;
+    }
+    ++known->second.version;
+    known->second.counted_losses.clear();
+    return &known->second;
+}
+
+const crash_record* crash_records::find(request_fingerprint fingerprint) const
+{
+    const auto known = this->records.find(fingerprint.value);
+    return known == this->records.end() ? nullptr : &known->second;
+}
+
+std::vector<failure_domain_id> crash_records::recent_domains(request_fingerprint fingerprint) const
+{
+    std::vector<failure_domain_id> domains;
+    const auto known = this->records.find(fingerprint.value);
+    if (known == this->records.end()) {
+        return domains;
+    }
+    for (const auto& event : this->recent_losses) {
+        const bool is_counted =
+            std::any_of(known->second.counted_losses.begin(), known->second.counted_losses.end(),
+                        [&](const counted_loss& counted) { return counted.loss == event.loss; });
+        if (is_counted && std::find(domains.begin(), domains.end(), event.domain) == domains.end()) {
+            domains.push_back(event.domain);
+        }
+    }
+    return domains;
+}
+
+void crash_records::decide(decisions& made, time_point now)
+{
+    std::vector<request_fingerprint> still_undecided;
+    for (const auto fingerprint : this->undecided) {
+        const auto found = this->records.find(fingerprint.value);
+        if (found == this->records.end()) {
+            continue;
+        }
+        auto& known = found->second;
+        bool all_decided = true;
+        for (auto& counted : known.counted_losses) {
+            if (!counted.decided && now >= counted.at + decision_delay) {
+                counted.explained = this->explained(known, counted);
+                counted.decided = true;
+            }
+            all_decided = all_decided && counted.decided;
+        }
+        if (!all_decided) {
+            still_undecided.push_back(fingerprint);
+            continue;
+        }
+        const bool blocks =
+            !known.part && !known.blocked && this->verdict_of(known, now) == crash_verdict::blocked;
+        if (blocks) {
+            known.blocked = true;
+            known.expires = now + limits::block_lifetime;
+            ++made.blocked;
+        }
+        if (known.local && (blocks || known.counted_losses.size() >= 2)) {
+            made.notices.push_back(known.make_notice(fingerprint, now));
+        }
+    }
+    this->undecided = std::move(still_undecided);
+}
+
+crash_records::decisions crash_records::poll(time_point now)
+{
+    decisions made;
+    this->decide(made, now);
+    const auto ended = [&](const loss_event& event) {
+        return now >= event.at + decision_delay + limits::correlated_loss_window + limits::loss_report_delay;
+    };
+    this->recent_losses.erase(std::remove_if(this->recent_losses.begin(), this->recent_losses.end(), ended),
+                              this->recent_losses.end());
+    if (now >= this->next_expiry) {
+        this->next_expiry = now + expiry_interval;
+        for (auto entry = this->records.begin(); entry != this->records.end();) {
+            entry = now >= entry->second.expires ? this->records.erase(entry) : std::next(entry);
+        }
+    }
+    return made;
+}
+
+void crash_records::apply(const crash_notice& notice, time_point now)
+{
+    if (notice.ttl <= milliseconds(0)) {
+        return;
+    }
+    if (notice.part) {
+        this->apply_part(notice, now);
+        return;
+    }
+    const auto found = this->records.find(notice.fingerprint.value);
+    if (found != this->records.end() && notice.version < found->second.version) {
+        return;
+    }
+    auto& known = this->find_or_create(notice.fingerprint, now);
+    if (notice.version > known.version) {
+        known.version = notice.version;
+        known.counted_losses.clear();
+    }
+    known.expires = std::max(known.expires, now + std::min<milliseconds>(notice.ttl, limits::block_lifetime));
+    known.blocked = known.blocked || notice.blocked;
+    for (const auto& loss : notice.losses) {
+        // The sender has classified the loss, so the classification delay is over.
+        this->count_loss(notice.fingerprint, known, loss.loss, now - limits::classification_delay);
+        if (loss.explained) {
+            known.mark_explained(loss.loss);
+        }
+    }
+}
+
+void crash_records::apply_part(const crash_notice& notice, time_point now)
+{
+    auto& known = this->find_or_create_part(notice.fingerprint, now);
+    if (notice.acquitted_age) {
+        const auto at = now - *notice.acquitted_age;
+        known.acquitted = std::max(known.acquitted.value_or(at), at);
+        this->acquitted.record(notice.fingerprint.value, at);
+    }
+    for (const auto& loss : notice.losses) {
+        this->count_loss(notice.fingerprint, known, loss.loss, now - loss.age);
+        if (loss.explained) {
+            known.mark_explained(loss.loss);
+        }
+    }
+    known.update_part_expiry();
+}
+
+std::vector<crash_notice> crash_records::notices(time_point now) const
+{
+    std::vector<crash_notice> out;
+    for (const auto& [print, known] : this->records) {
+        // A single loss of a whole request is common, and its notice was sent when it was classified.
+        const bool relevant = known.part || known.blocked || known.counted_losses.size() >= blocking_losses;
+        if (now < known.expires && relevant) {
+            out.push_back(known.make_notice({print}, now));
+        }
+    }
+    return out;
+}
+
+std::size_t crash_records::memory() const
+{
+    std::size_t sum = this->recent_losses.size() * sizeof(loss_event);
+    for (const auto& [fingerprint, known] : this->records) {
+        sum += sizeof(fingerprint) + sizeof(known) + known.counted_losses.capacity() * sizeof(counted_loss);
+    }
+    return sum;
+}
+
+} // namespace rml
--- /dev/null
+++ b/src/decision/crash_records.hpp
@@ -0,0 +1,100 @@
+/// Records of the requests and parts of prompts that were in flight on lost groups, in bounded memory, and
+/// the verdicts that follow from them.
+#pragma once
+
+#include "base/ids.hpp"
+#include "base/limits.hpp"
+#include "base/time.hpp"
+#include "decision/acquitted_parts.hpp"
+#include "decision/crash_notice.hpp"
+#include "decision/crash_record.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <unordered_map>
+#include <vector>
+
+namespace rml {
+
+class crash_records
+{
+public:
+    /// Time after a loss until which another loss that explains it can be reported.
+    static constexpr milliseconds decision_delay = limits::correlated_loss_window + limits::loss_report_delay;
+
+    /// What `decide` found out.
+    struct decisions
+    {
+        std::vector<crash_notice> notices;
+        std::size_t blocked{0};
+    };
+
+    crash_verdict check(request_fingerprint fingerprint, time_point now) const;
+    crash_verdict check_features(const crash_features& features, time_point now) const;
+
+    /// Adds a loss to those that explain others. Returns false if it is known.
+    bool add_event(std::uint64_t loss, const group_run& lost, time_point at);
+    /// Counts a loss against a whole request of this daemon.
+    const crash_record& count_request(request_fingerprint whole, std::uint64_t loss, time_point now);
+    /// Counts a loss against a part of a request of this daemon.
+    const crash_record& count_part(request_fingerprint part, std::uint64_t loss, time_point at,
+                                   time_point now);
+    /// The part did not crash a group at `at`. Returns the record if its losses count no more since then.
+    const crash_record* acquit(request_fingerprint part, time_point at);
+    /// Removes the losses of a request that is not blocked. Returns its record, if there is one.
+    const crash_record* clear(request_fingerprint whole);
+
+    /// Decides on losses whose delay is over, and removes what has expired.
+    decisions poll(time_point now);
+
+    void apply(const crash_notice& notice, time_point now);
+    std::vector<crash_notice> notices(time_point now) const;
+
+    const crash_record* find(request_fingerprint fingerprint) const;
+    /// Failure domains of the recent losses of a request.
+    std::vector<failure_domain_id> recent_domains(request_fingerprint fingerprint) const;
+
+    std::size_t size() const { return this->records.size(); }
+    /// Records evicted at the limit of `limits::crash_records`.
+    std::uint64_t evicted() const { return this->evictions; }
+    /// Bytes of the records and losses, without allocator overhead.
+    std::size_t memory() const;
+
+private:
+    using counted_loss = crash_record::counted_loss;
+
+    struct loss_event
+    {
+        std::uint64_t loss{0};
+        fabric_domain_id fabric;
+        failure_domain_id domain;
+        time_point at{};
+    };
+
+    bool explained(const crash_record& known, const counted_loss& counted) const;
+    /// Whether a part that was in flight on the lost group has more losses than this record.
+    bool explained_by_part(const crash_record& known, const counted_loss& counted) const;
+    /// Whether a feature that the request does not have has the same losses.
+    bool ambiguous(const crash_record& known, const crash_features& features) const;
+    /// Whether a record with several losses lists the loss, so that it is no sign of a correlated loss.
+    bool attributed(std::uint64_t loss) const;
+    crash_verdict verdict_of(const crash_record& known, time_point now) const;
+    crash_verdict part_verdict(const crash_record& known, const crash_features& features,
+                               time_point now) const;
+    void count_loss(request_fingerprint fingerprint, crash_record& known, std::uint64_t loss, time_point at);
+    crash_record& find_or_create(request_fingerprint fingerprint, time_point now);
+    crash_record& find_or_create_part(request_fingerprint part, time_point now);
+    void apply_part(const crash_notice& notice, time_point now);
+    void decide(decisions& made, time_point now);
+    void evict_record();
+
+    std::unordered_map<std::uint64_t, crash_record> records; ///< by fingerprint
+    std::deque<loss_event> recent_losses;
+    std::vector<request_fingerprint> undecided;
+    acquitted_parts acquitted;
+    time_point next_expiry{};
+    std::uint64_t evictions{0};
+};
+
+} // namespace rml
