--- a/src/decision/crash_record.hpp
+++ b/src/decision/crash_record.hpp
@@ -13,6 +13,8 @@
 
 struct crash_record
 {
+    /// Unexplained losses after which a request is blocked. The second one normally happens in a trial.
+    static constexpr std::size_t blocking_losses = 2;
     static constexpr std::size_t max_losses = 4;
     /// Losses that are kept of a part, the latest ones.
     static constexpr std::size_t max_part_losses = 8;
--- /dev/null
+++ b/src/decision/crash_records_verdicts.cpp
@@ -0,0 +1,155 @@
+#include "decision/crash_records.hpp"
+
+#include <algorithm>
+
+namespace rml {
+
+namespace {
+
+duration time_between(time_point a, time_point b)
+{
+    return a > b ? a - b : b - a;
+}
+
+/// Time for which a part is blocked; doubles with each loss beyond the first that blocked it.
+duration part_block_time(std::size_t further_losses)
+{
+    constexpr std::size_t max_doublings = 6;
+    const auto time = limits::part_block_time * (1 << std::min(further_losses, max_doublings));
+    return std::min<duration>(time, limits::block_lifetime);
+}
+
+} // namespace
+
+bool crash_records::explained(const crash_record& known, const counted_loss& counted) const
+{
+    if (counted.decided) {
+        return counted.explained;
+    }
+    const auto own = std::find_if(this->recent_losses.begin(), this->recent_losses.end(),
+                                  [&](const loss_event& event) { return event.loss == counted.loss; });
+    if (own == this->recent_losses.end()) {
+        return false;
+    }
+    return std::any_of(this->recent_losses.begin(), this->recent_losses.end(), [&](const loss_event& event) {
+        // Losses in which the same request was in flight cannot explain each other: a query of death causes
+        // several losses that look correlated.
+        return !known.lists(event.loss) &&
+               time_between(event.at, own->at) <= limits::correlated_loss_window &&
+               (event.fabric == own->fabric || event.domain == own->domain) &&
+               !(known.part && this->attributed(event.loss));
+    });
+}
+
+bool crash_records::attributed(std::uint64_t loss) const
+{
+    return std::any_of(this->records.begin(), this->records.end(), [&](const auto& entry) {
+        return entry.second.lists(loss) && entry.second.weight() >= crash_record::blocking_losses;
+    });
+}
+
+bool crash_records::explained_by_part(const crash_record& known, const counted_loss& counted) const
+{
+    const auto weight = known.weight();
+    return std::any_of(this->records.begin(), this->records.end(), [&](const auto& entry) {
+        return entry.second.part && entry.second.lists(counted.loss) && entry.second.weight() > weight;
+    });
+}
+
+bool crash_records::ambiguous(const crash_record& known, const crash_features& features) const
+{
+    const auto weight = known.weight();
+    const auto carried = [&](std::uint64_t print) {
+        return print == features.whole.value ||
+               std::any_of(features.parts.begin(), features.parts.end(),
+                           [&](request_fingerprint part) { return part.value == print; });
+    };
+    return std::any_of(this->records.begin(), this->records.end(), [&](const auto& entry) {
+        const auto& [print, other] = entry;
+        return !carried(print) && other.weight() == weight &&
+               std::all_of(known.counted_losses.begin(), known.counted_losses.end(),
+                           [&, &other = other](const counted_loss& loss) {
+                               return !known.counts(loss) || other.lists(loss.loss);
+                           });
+    });
+}
+
+crash_verdict crash_records::verdict_of(const crash_record& known, time_point now) const
+{
+    if (known.blocked) {
+        return crash_verdict::blocked;
+    }
+    std::size_t unexplained = 0;
+    bool decided = true;
+    for (const auto& counted : known.counted_losses) {
+        if (now < counted.at + limits::classification_delay) {
+            return crash_verdict::hold;
+        }
+        unexplained += this->explained(known, counted) || this->explained_by_part(known, counted) ? 0 : 1;
+        decided = decided && (counted.decided || now >= counted.at + decision_delay);
+    }
+    if (unexplained >= crash_record::blocking_losses) {
+        return decided ? crash_verdict::blocked : crash_verdict::refuse;
+    }
+    return unexplained > 0 || known.counted_losses.size() >= 2 ? crash_verdict::trial : crash_verdict::run;
+}
+
+crash_verdict crash_records::part_verdict(const crash_record& known, const crash_features& features,
+                                          time_point now) const
+{
+    // A sound part that many requests share is in flight at most losses, and its next acquittal follows.
+    const bool known_sound = known.acquitted && now < *known.acquitted + limits::crash_acquittal_lifetime;
+    const std::size_t ignored = known_sound ? 1 : 0;
+    std::size_t losses = 0;
+    std::size_t unexplained = 0;
+    bool decided = true;
+    bool unclassified = false;
+    time_point latest{};
+    for (const auto& counted : known.counted_losses) {
+        if (!known.counts(counted)) {
+            continue;
+        }
+        if (now < counted.at + limits::classification_delay) {
+            unclassified = true;
+            continue;
+        }
+        ++losses;
+        latest = std::max(latest, counted.at);
+        const bool has_cause = this->explained(known, counted) || this->explained_by_part(known, counted);
+        unexplained += has_cause ? 0 : 1;
+        decided = decided && (counted.decided || now >= counted.at + decision_delay);
+    }
+    const auto blocking = crash_record::blocking_losses + ignored;
+    const bool refused = unexplained >= blocking && !this->ambiguous(known, features);
+    if (refused && now < latest + part_block_time(unexplained - blocking)) {
+        return decided ? crash_verdict::blocked : crash_verdict::refuse;
+    }
+    if (unclassified && !known_sound) {
+        return crash_verdict::hold;
+    }
+    return unexplained > ignored || losses >= blocking ? crash_verdict::trial : crash_verdict::run;
+}
+
+crash_verdict crash_records::check_features(const crash_features& features, time_point now) const
+{
+    const auto whole = this->check(features.whole, now);
+    auto worst = whole >= crash_verdict::refuse ? whole : crash_verdict::run;
+    for (const auto part : features.parts) {
+        const auto known = this->records.find(part.value);
+        if (known != this->records.end() && now < known->second.expires) {
+            worst = std::max(worst, this->part_verdict(known->second, features, now));
+        }
+    }
+    return worst;
+}
+
+crash_verdict crash_records::check(request_fingerprint fingerprint, time_point now) const
+{
+    const auto known = this->records.find(fingerprint.value);
+    if (known == this->records.end() || now >= known->second.expires) {
+        return crash_verdict::run;
+    }
+    return this->verdict_of(known->second, now);
+}
+
+} // namespace rml
