Keep evidence on crashing parts from changing as daemons pass it on

Callers would have seen a blocked part come back to life: daemons sent the age of the last acquittal of a part on, each hop added the network delay, and the acquittal moved past the losses. In a trace of a random fleet an acquittal that was 2.3 s old at 1008.550 s was 6.05 s old at 1015.400 s. Besides, the first time of a loss that arrived applied, so the result depended on the order; each answer renewed the record of a sound part, so daemons exchanged it for ever; and a daemon with old losses never learned of an acquittal whose record had expired.

Now a daemon sends only acquittals by its own requests, and only losses that count. The earliest time of a loss and the latest time of an acquittal apply, which does not depend on the order. Only a change renews a record. A daemon that gets a loss which its own requests have refuted sends the acquittal again.

--- a/src/decision/acquitted_parts.cpp
+++ b/src/decision/acquitted_parts.cpp
@@ -18,12 +18,13 @@
 
 std::optional<time_point> acquitted_parts::find(std::uint64_t part) const
 {
+    std::optional<time_point> latest;
     for (const auto* generation : {&this->newer, &this->older}) {
         if (const auto found = generation->find(part); found != generation->end()) {
-            return found->second;
+            latest = std::max(latest, std::optional(found->second));
         }
     }
-    return std::nullopt;
+    return latest;
 }
 
 } // namespace rml
--- a/src/decision/crash_attribution.cpp
+++ b/src/decision/crash_attribution.cpp
@@ -48,7 +48,7 @@
 void crash_attribution::acquit(request_fingerprint part, time_point at, time_point now,
                                crash_changes& changes)
 {
-    if (const auto* cleared = this->records.acquit(part, at); cleared != nullptr) {
+    if (const auto* cleared = this->records.acquit(part, at, now); cleared != nullptr) {
         ++this->counts.cleared;
         changes.notices.push_back(cleared->make_notice(part, now));
     }
--- a/src/decision/crash_record.cpp
+++ b/src/decision/crash_record.cpp
@@ -7,6 +7,13 @@
 
 namespace rml {
 
+bool crash_record::acquit(time_point at)
+{
+    const auto before = this->weight();
+    this->acquitted = std::max(this->acquitted.value_or(at), at);
+    return this->weight() < before;
+}
+
 std::size_t crash_record::weight() const
 {
     return static_cast<std::size_t>(
@@ -20,30 +27,51 @@
                        [&](const counted_loss& other) { return other.loss == loss; });
 }
 
+std::vector<time_point> crash_record::times() const
+{
+    std::vector<time_point> out;
+    for (const auto& counted : this->counted_losses) {
+        if (this->counts(counted)) {
+            out.push_back(counted.at);
+        }
+    }
+    std::sort(out.begin(), out.end());
+    return out;
+}
+
+time_point crash_record::blocked_until(std::size_t blocking) const
+{
+    const auto at = this->times();
+    duration block = limits::part_block_time;
+    for (std::size_t i = blocking; i < at.size(); ++i) {
+        block = std::min<duration>(2 * block, limits::block_lifetime);
+    }
+    return at.empty() ? time_point{} : at.back() + block;
+}
+
 bool crash_record::add_loss(std::uint64_t loss, time_point at)
 {
     bool undecided = false;
-    for (const auto& entry : this->counted_losses) {
+    for (auto& entry : this->counted_losses) {
         if (entry.loss == loss) {
+            entry.at = this->part ? std::min(entry.at, at) : entry.at;
             return false;
         }
         undecided = undecided || !entry.decided;
     }
-    if (this->part && this->counted_losses.size() >= max_part_losses) {
-        const auto oldest =
-            std::min_element(this->counted_losses.begin(), this->counted_losses.end(),
-                             [](const counted_loss& a, const counted_loss& b) {
-                                 return std::make_pair(a.at, a.loss) < std::make_pair(b.at, b.loss);
-                             });
-        if (oldest->at < at) {
-            *oldest = {loss, at, false, false};
-        }
-        return false;
+    if (!this->full()) {
+        this->counted_losses.push_back({loss, at, false, false});
+        return !undecided;
     }
-    if (!this->part && this->counted_losses.size() >= max_losses) {
+    const auto oldest =
+        std::min_element(this->counted_losses.begin(), this->counted_losses.end(),
+                         [](const counted_loss& a, const counted_loss& b) {
+                             return std::make_pair(a.at, a.loss) < std::make_pair(b.at, b.loss);
+                         });
+    if (!this->part || std::make_pair(at, loss) <= std::make_pair(oldest->at, oldest->loss)) {
         return false;
     }
-    this->counted_losses.push_back({loss, at, false, false});
+    *oldest = {loss, at, false, false};
     return !undecided;
 }
 
@@ -57,9 +85,9 @@
     }
 }
 
-void crash_record::update_part_expiry()
+void crash_record::update_part_expiry(time_point now)
 {
-    this->expires = this->acquitted ? *this->acquitted + limits::crash_cleared_lifetime : time_point{};
+    this->expires = now + limits::crash_cleared_lifetime;
     for (const auto& counted : this->counted_losses) {
         if (this->counts(counted)) {
             this->expires = std::max(this->expires, counted.at + limits::block_lifetime);
@@ -74,6 +102,9 @@
     notice.version = this->version;
     notice.blocked = this->blocked;
     for (const auto& counted : this->counted_losses) {
+        if (!this->counts(counted)) {
+            continue;
+        }
         crash_loss loss{counted.loss, counted.decided && counted.explained};
         if (this->part) {
             loss.age = std::chrono::duration_cast<milliseconds>(now - counted.at);
@@ -81,8 +112,8 @@
         notice.losses.push_back(loss);
     }
     notice.part = this->part;
-    if (this->acquitted) {
-        notice.acquitted_age = std::chrono::duration_cast<milliseconds>(now - *this->acquitted);
+    if (this->own_acquittal) {
+        notice.acquitted_age = std::chrono::duration_cast<milliseconds>(now - *this->own_acquittal);
     }
     notice.ttl = std::chrono::duration_cast<milliseconds>(this->expires - now);
     return notice;
--- a/src/decision/crash_record.hpp
+++ b/src/decision/crash_record.hpp
@@ -34,21 +34,34 @@
     time_point expires{};
     bool part{false};
     std::optional<time_point> acquitted; ///< parts: losses up to then do not count
+    /// The last acquittal by a request of this daemon, the only one that it sends: the network delay makes
+    /// an acquittal appear later at each daemon that passes it on.
+    std::optional<time_point> own_acquittal;
 
     bool counts(const counted_loss& loss) const { return !this->acquitted || loss.at > *this->acquitted; }
+    /// Notes an acquittal. Returns whether losses that counted count no more.
+    bool acquit(time_point at);
     /// Number of losses that count.
     std::size_t weight() const;
     bool lists(std::uint64_t loss) const;
+    bool full() const { return this->counted_losses.size() >= (this->part ? max_part_losses : max_losses); }
+    /// End of the block of a part. The time doubles with each loss beyond the first that blocked it.
+    time_point blocked_until(std::size_t blocking) const;
 
-    /// Adds a loss unless it is listed or there are too many. Returns whether a new loss has to be decided
-    /// although all others are.
+    /// Adds a loss, or corrects the time of one that is listed: the network delay makes a loss appear later,
+    /// so the earliest time applies. If there are too many, whole requests keep the first ones and parts the
+    /// latest ones. Returns whether a loss has to be decided although all others were.
     bool add_loss(std::uint64_t loss, time_point at);
     /// Notes the final decision of another daemon that the loss was explained.
     void mark_explained(std::uint64_t loss);
-    /// Sets the lifetime of the record of a part from its evidence.
-    void update_part_expiry();
+    /// Sets the lifetime of the record of a part after a change of its evidence.
+    void update_part_expiry(time_point now);
 
     crash_notice make_notice(request_fingerprint fingerprint, time_point now) const;
+
+private:
+    /// Times of the losses that count, in order.
+    std::vector<time_point> times() const;
 };
 
 } // namespace rml
--- a/src/decision/crash_records.cpp
+++ b/src/decision/crash_records.cpp
@@ -43,7 +43,8 @@
     auto& known = this->find_or_create(part, now);
     known.part = true;
     if (const auto sound = this->acquitted.find(part.value); sound) {
-        known.acquitted = std::max(known.acquitted.value_or(*sound), *sound);
+        known.own_acquittal = std::max(known.own_acquittal.value_or(*sound), *sound);
+        known.acquit(*sound);
     }
     return known;
 }
@@ -85,22 +86,24 @@
     auto& known = this->find_or_create_part(part, now);
     known.local = true;
     this->count_loss(part, known, loss, at);
-    known.update_part_expiry();
+    known.update_part_expiry(now);
     return known;
 }
 
-const crash_record* crash_records::acquit(request_fingerprint part, time_point at)
+const crash_record* crash_records::acquit(request_fingerprint part, time_point at, time_point now)
 {
     this->acquitted.record(part.value, at);
     const auto found = this->records.find(part.value);
-    if (found == this->records.end() || found->second.acquitted >= at) {
+    if (found == this->records.end()) {
         return nullptr;
     }
     auto& known = found->second;
-    const bool suspected = known.weight() > 0;
-    known.acquitted = at;
-    known.update_part_expiry();
-    return suspected && known.weight() == 0 ? &known : nullptr;
+    known.own_acquittal = std::max(known.own_acquittal.value_or(at), at);
+    if (!known.acquit(at)) {
+        return nullptr;
+    }
+    known.update_part_expiry(now);
+    return known.weight() == 0 ? &known : nullptr;
 }
 
 const crash_record* crash_records::clear(request_fingerprint whole)
@@ -222,11 +225,14 @@
 
 void crash_records::apply_part(const crash_notice& notice, time_point now)
 {
+    // Without a loss there is nothing to clear, and a record would be sent back.
+    if (notice.losses.empty() && this->find(notice.fingerprint) == nullptr) {
+        return;
+    }
     auto& known = this->find_or_create_part(notice.fingerprint, now);
+    const bool suspected = known.weight() > 0;
     if (notice.acquitted_age) {
-        const auto at = now - *notice.acquitted_age;
-        known.acquitted = std::max(known.acquitted.value_or(at), at);
-        this->acquitted.record(notice.fingerprint.value, at);
+        known.acquit(now - *notice.acquitted_age);
     }
     for (const auto& loss : notice.losses) {
         this->count_loss(notice.fingerprint, known, loss.loss, now - loss.age);
@@ -234,7 +240,10 @@
             known.mark_explained(loss.loss);
         }
     }
-    known.update_part_expiry();
+    // The lifetime of a cleared record is not renewed, so that daemons do not keep one alive for each other.
+    if (suspected || known.weight() > 0 || known.expires == time_point{}) {
+        known.update_part_expiry(now);
+    }
 }
 
 std::vector<crash_notice> crash_records::notices(time_point now) const
@@ -243,7 +252,8 @@
     for (const auto& [print, known] : this->records) {
         // A single loss of a whole request is common, and its notice was sent when it was classified.
         const bool relevant =
-            known.part || known.blocked || known.counted_losses.size() >= crash_record::blocking_losses;
+            known.part ? known.weight() > 0 || known.own_acquittal
+                       : known.blocked || known.counted_losses.size() >= crash_record::blocking_losses;
         if (now < known.expires && relevant) {
             out.push_back(known.make_notice({print}, now));
         }
--- a/src/decision/crash_records.hpp
+++ b/src/decision/crash_records.hpp
@@ -41,7 +41,7 @@
     const crash_record& count_part(request_fingerprint part, std::uint64_t loss, time_point at,
                                    time_point now);
     /// The part did not crash a group at `at`. Returns the record if its losses count no more since then.
-    const crash_record* acquit(request_fingerprint part, time_point at);
+    const crash_record* acquit(request_fingerprint part, time_point at, time_point now);
     /// Removes the losses of a request that is not blocked. Returns its record, if there is one.
     const crash_record* clear(request_fingerprint whole);
 
--- a/src/decision/crash_records_verdicts.cpp
+++ b/src/decision/crash_records_verdicts.cpp
@@ -11,14 +11,6 @@
     return a > b ? a - b : b - a;
 }
 
-/// Time for which a part is blocked; doubles with each loss beyond the first that blocked it.
-duration part_block_time(std::size_t further_losses)
-{
-    constexpr std::size_t max_doublings = 6;
-    const auto time = limits::part_block_time * (1 << std::min(further_losses, max_doublings));
-    return std::min<duration>(time, limits::block_lifetime);
-}
-
 } // namespace
 
 bool crash_records::explained(const crash_record& known, const counted_loss& counted) const
@@ -104,7 +96,6 @@
     std::size_t unexplained = 0;
     bool decided = true;
     bool unclassified = false;
-    time_point latest{};
     for (const auto& counted : known.counted_losses) {
         if (!known.counts(counted)) {
             continue;
@@ -114,14 +105,13 @@
             continue;
         }
         ++losses;
-        latest = std::max(latest, counted.at);
         const bool has_cause = this->explained(known, counted) || this->explained_by_part(known, counted);
         unexplained += has_cause ? 0 : 1;
         decided = decided && (counted.decided || now >= counted.at + decision_delay);
     }
     const auto blocking = crash_record::blocking_losses + ignored;
     const bool refused = unexplained >= blocking && !this->ambiguous(known, features);
-    if (refused && now < latest + part_block_time(unexplained - blocking)) {
+    if (refused && now < known.blocked_until(blocking)) {
         return decided ? crash_verdict::blocked : crash_verdict::refuse;
     }
     if (unclassified && !known_sound) {
--- /dev/null
+++ b/tests/decision/crash_part_test.cpp
@@ -0,0 +1,287 @@
+#include "decision/crash_attribution.hpp"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <optional>
+#include <string>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+using namespace rml;
+
+namespace {
+
+constexpr request_fingerprint crashing = {1};
+constexpr request_fingerprint other = {2};
+
+group_run make_run(const std::string& id, const std::string& domain)
+{
+    return {group_id(id), 1, fabric_domain_id(id), failure_domain_id(domain)};
+}
+
+/// Daemon whose requests with given parts are lost or answered, each on a group and in a failure domain of
+/// its own.
+class part_daemon
+{
+public:
+    crash_attribution attribution;
+    time_point now{seconds(1000)};
+
+    void lose(const std::vector<request_fingerprint>& parts, bool trial = false)
+    {
+        const auto name = std::to_string(++this->tickets);
+        const auto run = make_run("g" + name, "d" + name);
+        this->attribution.begin(this->tickets, {{1000 + this->tickets}, parts}, run, trial);
+        this->attribution.group_lost(run, this->now, this->now);
+        this->pass(limits::classification_delay);
+    }
+    void answer(const std::vector<request_fingerprint>& parts)
+    {
+        const auto run = make_run("a" + std::to_string(++this->tickets), "a");
+        this->attribution.begin(this->tickets, {{1000 + this->tickets}, parts}, run, false);
+        this->attribution.answer_continued(this->tickets, this->now, this->now);
+        this->attribution.end(this->tickets, true, this->now);
+    }
+    void pass(milliseconds time)
+    {
+        this->now += time;
+        this->attribution.poll(this->now);
+    }
+    crash_verdict check(const std::vector<request_fingerprint>& parts) const
+    {
+        return this->attribution.check_features({{999}, parts}, this->now);
+    }
+
+private:
+    std::uint64_t tickets{0};
+};
+
+/// What two daemons that know the same have in common.
+std::vector<std::tuple<std::uint64_t, milliseconds, bool>> losses_of(const crash_attribution& daemon,
+                                                                     time_point now)
+{
+    std::vector<std::tuple<std::uint64_t, milliseconds, bool>> out;
+    for (const auto& notice : daemon.notices(now)) {
+        for (const auto& loss : notice.losses) {
+            out.emplace_back(loss.loss, loss.age, loss.explained);
+        }
+    }
+    std::sort(out.begin(), out.end());
+    return out;
+}
+
+crash_notice make_part_notice(std::vector<crash_loss> losses, std::optional<milliseconds> acquitted = {})
+{
+    return {crashing, 0, false, std::move(losses), milliseconds(1'000'000), true, acquitted};
+}
+
+} // namespace
+
+TEST_CASE("a part is suspected, tried, blocked and tried again", "[crash]")
+{
+    part_daemon daemon;
+    SECTION("an unknown part is tried after one loss and refused after two")
+    {
+        daemon.lose({crashing});
+        CHECK(daemon.check({crashing}) == crash_verdict::trial);
+        daemon.lose({crashing}, true);
+        CHECK(daemon.check({crashing}) == crash_verdict::refuse);
+        daemon.pass(crash_records::decision_delay);
+        CHECK(daemon.check({crashing}) == crash_verdict::blocked);
+
+        SECTION("and is tried again after its block, which doubles with the loss of that trial")
+        {
+            daemon.pass(limits::part_block_time);
+            CHECK(daemon.check({crashing}) == crash_verdict::trial);
+            daemon.lose({crashing}, true);
+            daemon.pass(limits::part_block_time);
+            CHECK(daemon.check({crashing}) == crash_verdict::blocked);
+            daemon.pass(limits::part_block_time);
+            CHECK(daemon.check({crashing}) == crash_verdict::trial);
+            daemon.answer({crashing});
+            CHECK(daemon.check({crashing}) == crash_verdict::run);
+        }
+    }
+    SECTION(
+        "a part that was answered recently runs after one loss, is tried after two and refused after three")
+    {
+        daemon.answer({crashing});
+        daemon.pass(milliseconds(50));
+        daemon.lose({crashing});
+        CHECK(daemon.check({crashing}) == crash_verdict::run);
+        daemon.lose({crashing});
+        CHECK(daemon.check({crashing}) == crash_verdict::trial);
+        daemon.lose({crashing}, true);
+        CHECK(daemon.check({crashing}) == crash_verdict::refuse);
+    }
+    SECTION("crashes by one part do not explain those by another in the same failure domain")
+    {
+        daemon.lose({crashing});
+        daemon.lose({crashing});
+        for (std::uint64_t ticket = 100; ticket < 102; ++ticket) {
+            const auto run = make_run("x" + std::to_string(ticket), "d");
+            daemon.attribution.begin(ticket, {{ticket}, {ticket == 100 ? crashing : other}}, run, false);
+            daemon.attribution.group_lost(run, daemon.now, daemon.now);
+        }
+        daemon.pass(limits::classification_delay);
+        CHECK(daemon.check({crashing}) == crash_verdict::refuse);
+        CHECK(daemon.check({other}) == crash_verdict::trial);
+    }
+    SECTION("two parts that were always lost together are refused together and tried alone")
+    {
+        daemon.lose({crashing, other});
+        daemon.lose({crashing, other}, true);
+        CHECK(daemon.check({crashing, other}) == crash_verdict::refuse);
+        CHECK(daemon.check({crashing}) == crash_verdict::trial);
+        CHECK(daemon.check({other}) == crash_verdict::trial);
+        daemon.answer({other});
+        CHECK(daemon.check({other}) == crash_verdict::run);
+        CHECK(daemon.check({crashing}) == crash_verdict::refuse);
+    }
+    SECTION("losses with a part that has more of them do not count against the others")
+    {
+        daemon.lose({crashing, other});
+        daemon.lose({crashing, other}, true);
+        daemon.lose({crashing});
+        CHECK(daemon.check({crashing}) == crash_verdict::refuse);
+        CHECK(daemon.check({other}) == crash_verdict::trial);
+    }
+}
+
+TEST_CASE("evidence on parts is merged", "[crash]")
+{
+    const time_point now{seconds(1000)};
+    SECTION("with the same result whatever the order and repetition of notices")
+    {
+        std::vector<crash_notice> notices{
+            make_part_notice({{11, false, milliseconds(900)}, {12, true, milliseconds(500)}}),
+            make_part_notice({{11, false, milliseconds(950)}, {13, false, milliseconds(2000)}}),
+            make_part_notice({{12, false, milliseconds(520)}}, milliseconds(1500)),
+            make_part_notice({{14, false, milliseconds(400)}}, milliseconds(1800))};
+        const std::vector<std::tuple<std::uint64_t, milliseconds, bool>> expected{
+            {11, milliseconds(950), false}, {12, milliseconds(520), true}, {14, milliseconds(400), false}};
+        std::vector<std::size_t> order{0, 1, 2, 3};
+        do {
+            crash_attribution daemon;
+            for (const auto i : order) {
+                daemon.apply(notices[i], now);
+                daemon.apply(notices[order.front()], now);
+            }
+            CAPTURE(order);
+            CHECK(losses_of(daemon, now) == expected);
+        } while (std::next_permutation(order.begin(), order.end()));
+    }
+    SECTION("and an answer does not seem later with each exchange")
+    {
+        // Guards against acquittals that pass back and forth until they are later than the losses.
+        part_daemon first;
+        part_daemon second;
+        first.answer({crashing});
+        for (auto* daemon : {&first, &second}) {
+            daemon->pass(milliseconds(50));
+        }
+        for (int i = 0; i < 3; ++i) {
+            first.lose({crashing});
+            second.pass(limits::classification_delay);
+        }
+        REQUIRE(first.check({crashing}) == crash_verdict::refuse);
+        for (int i = 0; i < 20; ++i) {
+            const auto from_first = first.attribution.notices(first.now);
+            const auto from_second = second.attribution.notices(second.now);
+            first.pass(milliseconds(100));
+            second.pass(milliseconds(100));
+            for (const auto& notice : from_first) {
+                second.attribution.apply(notice, second.now);
+            }
+            for (const auto& notice : from_second) {
+                first.attribution.apply(notice, first.now);
+            }
+        }
+        CHECK(first.check({crashing}) >= crash_verdict::refuse);
+        CHECK(second.check({crashing}) >= crash_verdict::refuse);
+    }
+    SECTION("and the records of sound parts end although daemons exchange them")
+    {
+        part_daemon first;
+        part_daemon second;
+        first.lose({crashing});
+        second.pass(limits::classification_delay);
+        for (int i = 0; i < 300; ++i) {
+            for (const auto& notice : first.attribution.notices(first.now)) {
+                second.attribution.apply(notice, second.now);
+            }
+            for (const auto& notice : second.attribution.notices(second.now)) {
+                first.attribution.apply(notice, first.now);
+            }
+            for (auto* daemon : {&first, &second}) {
+                daemon->answer({crashing});
+                daemon->pass(milliseconds(100));
+            }
+        }
+        CHECK(first.attribution.notices(first.now).empty());
+        CHECK(second.attribution.notices(second.now).empty());
+    }
+    SECTION("and a daemon with old evidence learns of an answer that the others have forgotten")
+    {
+        part_daemon first;
+        part_daemon second;
+        first.lose({crashing});
+        for (const auto& notice : first.attribution.notices(first.now)) {
+            second.attribution.apply(notice, second.now + limits::classification_delay);
+        }
+        second.pass(limits::classification_delay);
+        for (auto* daemon : {&first, &second}) {
+            daemon->pass(milliseconds(100));
+        }
+        first.answer({crashing});
+        for (auto* daemon : {&first, &second}) {
+            daemon->pass(2 * limits::crash_cleared_lifetime);
+        }
+        REQUIRE(second.check({crashing}) == crash_verdict::trial);
+        for (const auto& notice : second.attribution.notices(second.now)) {
+            first.attribution.apply(notice, first.now);
+        }
+        for (const auto& notice : first.attribution.notices(first.now)) {
+            second.attribution.apply(notice, second.now);
+        }
+        CHECK(second.check({crashing}) == crash_verdict::run);
+    }
+}
+
+TEST_CASE("the state on parts is bounded", "[crash]")
+{
+    part_daemon daemon;
+    SECTION("a part keeps its latest losses, and each is decided")
+    {
+        for (std::size_t i = 0; i < 2 * crash_attribution::max_part_losses; ++i) {
+            daemon.lose({crashing});
+        }
+        for (const auto& notice : daemon.attribution.notices(daemon.now)) {
+            CHECK(notice.losses.size() <= crash_attribution::max_part_losses);
+        }
+    }
+    SECTION("parts beyond the limit of a request are not counted")
+    {
+        std::vector<request_fingerprint> parts;
+        for (std::uint64_t i = 0; i <= limits::crash_parts; ++i) {
+            parts.push_back({100 + i});
+        }
+        daemon.lose(parts);
+        CHECK(daemon.check({parts[limits::crash_parts - 1]}) == crash_verdict::trial);
+        CHECK(daemon.check({parts[limits::crash_parts]}) == crash_verdict::run);
+    }
+    SECTION("answered parts are remembered up to a limit, the latest ones")
+    {
+        acquitted_parts parts;
+        for (std::uint64_t i = 0; i < 2 * limits::crash_acquitted_parts; ++i) {
+            parts.record(i, daemon.now);
+            REQUIRE(parts.size() <= limits::crash_acquitted_parts);
+        }
+        CHECK(parts.find(2 * limits::crash_acquitted_parts - 1) == daemon.now);
+        CHECK_FALSE(parts.find(0).has_value());
+        parts.record(0, daemon.now + limits::crash_acquittal_lifetime);
+        parts.record(0, daemon.now);
+        CHECK(parts.find(0) == daemon.now + limits::crash_acquittal_lifetime);
+    }
+}
