Judge whether a part was sound by the time of its first loss

A part that was answered within 60 s before a loss may lose one target. The time was compared with now, so a part became suspected 60 s after its last answer though nothing had happened, and its requests waited for trials.

Before, 60 s after the loss: CHECK( daemon.check({crashing}) == crash_verdict::run ) -> 1 == 0 After: passes.

--- a/src/decision/crash_record.cpp
+++ b/src/decision/crash_record.cpp
@@ -39,6 +39,12 @@
     return out;
 }
 
+time_point crash_record::first_loss() const
+{
+    const auto at = this->times();
+    return at.empty() ? time_point::max() : at.front();
+}
+
 time_point crash_record::blocked_until(std::size_t blocking) const
 {
     const auto at = this->times();
--- a/src/decision/crash_record.hpp
+++ b/src/decision/crash_record.hpp
@@ -45,6 +45,8 @@
     std::size_t weight() const;
     bool lists(std::uint64_t loss) const;
     bool full() const { return this->counted_losses.size() >= (this->part ? max_part_losses : max_losses); }
+    /// Time of the first loss that counts; `time_point::max()` without one.
+    time_point first_loss() const;
     /// End of the block of a part. The time doubles with each loss beyond the first that blocked it.
     time_point blocked_until(std::size_t blocking) const;
 
--- a/src/decision/crash_records_verdicts.cpp
+++ b/src/decision/crash_records_verdicts.cpp
@@ -90,7 +90,8 @@
                                           time_point now) const
 {
     // A sound part that many requests share is in flight at most losses, and its next acquittal follows.
-    const bool known_sound = known.acquitted && now < *known.acquitted + limits::crash_acquittal_lifetime;
+    const bool known_sound =
+        known.acquitted && known.first_loss() < *known.acquitted + limits::crash_acquittal_lifetime;
     const std::size_t ignored = known_sound ? 1 : 0;
     std::size_t losses = 0;
     std::size_t unexplained = 0;
--- a/tests/decision/crash_part_test.cpp
+++ b/tests/decision/crash_part_test.cpp
@@ -114,6 +114,16 @@
         CHECK(daemon.check({crashing}) == crash_verdict::trial);
         daemon.lose({crashing}, true);
         CHECK(daemon.check({crashing}) == crash_verdict::refuse);
+
+        SECTION("and that does not change when the answer is long ago")
+        {
+            daemon.pass(limits::part_block_time);
+            daemon.answer({crashing});
+            daemon.pass(milliseconds(50));
+            daemon.lose({crashing});
+            daemon.pass(limits::crash_acquittal_lifetime);
+            CHECK(daemon.check({crashing}) == crash_verdict::run);
+        }
     }
     SECTION("crashes by one part do not explain those by another in the same failure domain")
     {
