Double the block of a part with failed trials only

The block doubled with each loss beyond the second. A part that is often used crashes many targets before the first daemon can refuse it, and sound parts that were in flight there were refused for up to an hour: the random fleets found such parts 100 s later (RC_ASSERT(system.refused_sound_parts() == 0U) -> 1 == 0). Now it doubles with each loss that came a block time or more after the one before it, as that of a trial does.

--- a/src/decision/crash_record.cpp
+++ b/src/decision/crash_record.cpp
@@ -45,12 +45,14 @@
     return at.empty() ? time_point::max() : at.front();
 }
 
-time_point crash_record::blocked_until(std::size_t blocking) const
+time_point crash_record::blocked_until() const
 {
     const auto at = this->times();
     duration block = limits::part_block_time;
-    for (std::size_t i = blocking; i < at.size(); ++i) {
-        block = std::min<duration>(2 * block, limits::block_lifetime);
+    for (std::size_t i = 1; i < at.size(); ++i) {
+        if (at[i] - at[i - 1] >= limits::part_block_time) {
+            block = std::min<duration>(2 * block, limits::block_lifetime);
+        }
     }
     return at.empty() ? time_point{} : at.back() + block;
 }
--- a/src/decision/crash_record.hpp
+++ b/src/decision/crash_record.hpp
@@ -47,8 +47,9 @@
     bool full() const { return this->counted_losses.size() >= (this->part ? max_part_losses : max_losses); }
     /// Time of the first loss that counts; `time_point::max()` without one.
     time_point first_loss() const;
-    /// End of the block of a part. The time doubles with each loss beyond the first that blocked it.
-    time_point blocked_until(std::size_t blocking) const;
+    /// End of the block of a part that its losses justify. The time doubles with each loss that came after
+    /// the end of a block, as that of a trial does.
+    time_point blocked_until() const;
 
     /// Adds a loss, or corrects the time of one that is listed: the network delay makes a loss appear later,
     /// so the earliest time applies. If there are too many, whole requests keep the first ones and parts the
--- a/src/decision/crash_records_verdicts.cpp
+++ b/src/decision/crash_records_verdicts.cpp
@@ -112,7 +112,7 @@
     }
     const auto blocking = crash_record::blocking_losses + ignored;
     const bool refused = unexplained >= blocking && !this->ambiguous(known, features);
-    if (refused && now < known.blocked_until(blocking)) {
+    if (refused && now < known.blocked_until()) {
         return decided ? crash_verdict::blocked : crash_verdict::refuse;
     }
     if (unclassified && !known_sound) {
--- a/tests/decision/crash_part_test.cpp
+++ b/tests/decision/crash_part_test.cpp
@@ -102,6 +102,14 @@
             daemon.answer({crashing});
             CHECK(daemon.check({crashing}) == crash_verdict::run);
         }
+        SECTION("and many losses at once do not prolong its block")
+        {
+            for (int i = 0; i < 6; ++i) {
+                daemon.lose({crashing});
+            }
+            daemon.pass(limits::part_block_time);
+            CHECK(daemon.check({crashing}) == crash_verdict::trial);
+        }
     }
     SECTION(
         "a part that was answered recently runs after one loss, is tried after two and refused after three")
