Do not explain the losses of a part by losses that its record has dropped

A record kept the last 8 losses of a part. With more of them in a few seconds, the dropped ones looked like losses of the failure domain in which the part was not in flight, and explained the kept ones, so that the part was not refused. Now 16 are kept, and those of a full record are not explained by others.

Before, after more losses than fit: CHECK( daemon.check({crashing}) == crash_verdict::blocked ) -> 1 == 4 After: passes.

--- a/src/decision/crash_record.hpp
+++ b/src/decision/crash_record.hpp
@@ -17,7 +17,7 @@
     static constexpr std::size_t blocking_losses = 2;
     static constexpr std::size_t max_losses = 4;
     /// Losses that are kept of a part, the latest ones.
-    static constexpr std::size_t max_part_losses = 8;
+    static constexpr std::size_t max_part_losses = 16;
 
     struct counted_loss
     {
--- a/src/decision/crash_records_verdicts.cpp
+++ b/src/decision/crash_records_verdicts.cpp
@@ -20,7 +20,8 @@
     }
     const auto own = std::find_if(this->recent_losses.begin(), this->recent_losses.end(),
                                   [&](const loss_event& event) { return event.loss == counted.loss; });
-    if (own == this->recent_losses.end()) {
+    // A full record may have dropped losses, which would then look like losses without this part.
+    if (own == this->recent_losses.end() || (known.part && known.full())) {
         return false;
     }
     return std::any_of(this->recent_losses.begin(), this->recent_losses.end(), [&](const loss_event& event) {
--- a/tests/decision/crash_part_test.cpp
+++ b/tests/decision/crash_part_test.cpp
@@ -279,6 +279,17 @@
             CHECK(notice.losses.size() <= crash_attribution::max_part_losses);
         }
     }
+    SECTION("and losses that it has dropped do not explain the others")
+    {
+        for (std::size_t i = 0; i < crash_attribution::max_part_losses + 4; ++i) {
+            const auto run = make_run("x" + std::to_string(i), "d");
+            daemon.attribution.begin(1000 + i, {{1000 + i}, {crashing}}, run, false);
+            daemon.attribution.group_lost(run, daemon.now, daemon.now);
+            daemon.pass(milliseconds(20));
+        }
+        daemon.pass(crash_records::decision_delay);
+        CHECK(daemon.check({crashing}) == crash_verdict::blocked);
+    }
     SECTION("parts beyond the limit of a request are not counted")
     {
         std::vector<request_fingerprint> parts;
