Do not explain the loss of a trial by another loss

A trial runs alone, on a target chosen for it, so its loss is strong evidence. It was explained like any other by a loss in the same failure domain at that time, such as a crash of the same part at a daemon that is cut off. In random fleets a part then got trial after trial within a second (RC_ASSERT(system.late_losses() <= 3U) -> 4 <= 3). crash_loss now says whether the loss was that of a trial.

Before: CHECK( daemon.check({crashing}) == crash_verdict::refuse ) -> 1 == 3 After: passes.

--- a/src/decision/crash_attribution.cpp
+++ b/src/decision/crash_attribution.cpp
@@ -138,7 +138,7 @@
         return;
     }
     for (const auto part : request.features.parts) {
-        const auto& known = this->records.count_part(part, loss, at, now);
+        const auto& known = this->records.count_part(part, loss, at, now, request.trial);
         changes.notices.push_back(known.make_notice(part, now));
     }
 }
--- a/src/decision/crash_notice.hpp
+++ b/src/decision/crash_notice.hpp
@@ -60,6 +60,7 @@
     std::uint64_t loss{0}; ///< identifies the group and its incarnation
     bool explained{false}; ///< final decision that the loss was correlated with another
     milliseconds age{0};   ///< time since the loss; parts only
+    bool trial{false};     ///< of a trial, which no other loss explains; parts only
 };
 
 /// State of a fingerprint, as exchanged between daemons. For a whole request, a notice of a higher version
--- a/src/decision/crash_record.cpp
+++ b/src/decision/crash_record.cpp
@@ -57,18 +57,19 @@
     return at.empty() ? time_point{} : at.back() + block;
 }
 
-bool crash_record::add_loss(std::uint64_t loss, time_point at)
+bool crash_record::add_loss(std::uint64_t loss, time_point at, bool trial)
 {
     bool undecided = false;
     for (auto& entry : this->counted_losses) {
         if (entry.loss == loss) {
+            entry.trial = entry.trial || trial;
             entry.at = this->part ? std::min(entry.at, at) : entry.at;
             return false;
         }
         undecided = undecided || !entry.decided;
     }
     if (!this->full()) {
-        this->counted_losses.push_back({loss, at, false, false});
+        this->counted_losses.push_back({loss, at, false, false, trial});
         return !undecided;
     }
     const auto oldest =
@@ -79,7 +80,7 @@
     if (!this->part || std::make_pair(at, loss) <= std::make_pair(oldest->at, oldest->loss)) {
         return false;
     }
-    *oldest = {loss, at, false, false};
+    *oldest = {loss, at, false, false, trial};
     return !undecided;
 }
 
@@ -115,6 +116,7 @@
         }
         crash_loss loss{counted.loss, counted.decided && counted.explained};
         if (this->part) {
+            loss.trial = counted.trial;
             loss.age = std::chrono::duration_cast<milliseconds>(now - counted.at);
         }
         notice.losses.push_back(loss);
--- a/src/decision/crash_record.hpp
+++ b/src/decision/crash_record.hpp
@@ -25,6 +25,7 @@
         time_point at{};
         bool decided{false};
         bool explained{false}; ///< valid once decided
+        bool trial{false};     ///< of a trial, which no other loss explains
     };
 
     std::uint64_t version{0};
@@ -54,7 +55,7 @@
     /// Adds a loss, or corrects the time of one that is listed: the network delay makes a loss appear later,
     /// so the earliest time applies. If there are too many, whole requests keep the first ones and parts the
     /// latest ones. Returns whether a loss has to be decided although all others were.
-    bool add_loss(std::uint64_t loss, time_point at);
+    bool add_loss(std::uint64_t loss, time_point at, bool trial);
     /// Notes the final decision of another daemon that the loss was explained.
     void mark_explained(std::uint64_t loss);
     /// Sets the lifetime of the record of a part after a change of its evidence.
--- a/src/decision/crash_records.cpp
+++ b/src/decision/crash_records.cpp
@@ -50,9 +50,9 @@
 }
 
 void crash_records::count_loss(request_fingerprint fingerprint, crash_record& known, std::uint64_t loss,
-                               time_point at)
+                               time_point at, bool trial)
 {
-    if (known.add_loss(loss, at)) {
+    if (known.add_loss(loss, at, trial)) {
         this->undecided.push_back(fingerprint);
     }
 }
@@ -76,16 +76,16 @@
     auto& known = this->find_or_create(whole, now);
     known.local = true;
     known.expires = now + limits::block_lifetime;
-    this->count_loss(whole, known, loss, now);
+    this->count_loss(whole, known, loss, now, false);
     return known;
 }
 
 const crash_record& crash_records::count_part(request_fingerprint part, std::uint64_t loss, time_point at,
-                                              time_point now)
+                                              time_point now, bool trial)
 {
     auto& known = this->find_or_create_part(part, now);
     known.local = true;
-    this->count_loss(part, known, loss, at);
+    this->count_loss(part, known, loss, at, trial);
     known.update_part_expiry(now);
     return known;
 }
@@ -216,7 +216,7 @@
     known.blocked = known.blocked || notice.blocked;
     for (const auto& loss : notice.losses) {
         // The sender has classified the loss, so the classification delay is over.
-        this->count_loss(notice.fingerprint, known, loss.loss, now - limits::classification_delay);
+        this->count_loss(notice.fingerprint, known, loss.loss, now - limits::classification_delay, false);
         if (loss.explained) {
             known.mark_explained(loss.loss);
         }
@@ -235,7 +235,7 @@
         known.acquit(now - *notice.acquitted_age);
     }
     for (const auto& loss : notice.losses) {
-        this->count_loss(notice.fingerprint, known, loss.loss, now - loss.age);
+        this->count_loss(notice.fingerprint, known, loss.loss, now - loss.age, loss.trial);
         if (loss.explained) {
             known.mark_explained(loss.loss);
         }
--- a/src/decision/crash_records.hpp
+++ b/src/decision/crash_records.hpp
@@ -39,7 +39,7 @@
     const crash_record& count_request(request_fingerprint whole, std::uint64_t loss, time_point now);
     /// Counts a loss against a part of a request of this daemon.
     const crash_record& count_part(request_fingerprint part, std::uint64_t loss, time_point at,
-                                   time_point now);
+                                   time_point now, bool trial);
     /// The part did not crash a group at `at`. Returns the record if its losses count no more since then.
     const crash_record* acquit(request_fingerprint part, time_point at, time_point now);
     /// Removes the losses of a request that is not blocked. Returns its record, if there is one.
@@ -82,7 +82,8 @@
     crash_verdict verdict_of(const crash_record& known, time_point now) const;
     crash_verdict part_verdict(const crash_record& known, const crash_features& features,
                                time_point now) const;
-    void count_loss(request_fingerprint fingerprint, crash_record& known, std::uint64_t loss, time_point at);
+    void count_loss(request_fingerprint fingerprint, crash_record& known, std::uint64_t loss, time_point at,
+                    bool trial);
     crash_record& find_or_create(request_fingerprint fingerprint, time_point now);
     crash_record& find_or_create_part(request_fingerprint part, time_point now);
     void apply_part(const crash_notice& notice, time_point now);
--- a/src/decision/crash_records_verdicts.cpp
+++ b/src/decision/crash_records_verdicts.cpp
@@ -15,8 +15,8 @@
 
 bool crash_records::explained(const crash_record& known, const counted_loss& counted) const
 {
-    if (counted.decided) {
-        return counted.explained;
+    if (counted.decided || counted.trial) {
+        return counted.explained && !counted.trial;
     }
     const auto own = std::find_if(this->recent_losses.begin(), this->recent_losses.end(),
                                   [&](const loss_event& event) { return event.loss == counted.loss; });
--- a/tests/decision/crash_part_test.cpp
+++ b/tests/decision/crash_part_test.cpp
@@ -133,6 +133,15 @@
             CHECK(daemon.check({crashing}) == crash_verdict::run);
         }
     }
+    SECTION("the loss of a trial is not explained by another loss in its failure domain")
+    {
+        const auto first = make_run("x1", "d");
+        daemon.attribution.begin(100, {{100}, {crashing}}, first, true);
+        daemon.attribution.group_lost(first, daemon.now, daemon.now);
+        daemon.attribution.group_lost(make_run("x2", "d"), daemon.now, daemon.now);
+        daemon.lose({crashing}, true);
+        CHECK(daemon.check({crashing}) == crash_verdict::refuse);
+    }
     SECTION("crashes by one part do not explain those by another in the same failure domain")
     {
         daemon.lose({crashing});
