Start no trial of a part before the loss of the last one is classified

A part that had been answered before never waited for the classification of a loss, not even in trials, so a new trial began at once after one that had lost its target. Now only parts that need no trial pass without a wait.

Before: CHECK( daemon.check({crashing}) == crash_verdict::hold ) -> 1 == 2 After: passes.

--- a/src/decision/crash_records_verdicts.cpp
+++ b/src/decision/crash_records_verdicts.cpp
@@ -116,10 +116,11 @@
     if (refused && now < known.blocked_until()) {
         return decided ? crash_verdict::blocked : crash_verdict::refuse;
     }
-    if (unclassified && !known_sound) {
+    const bool suspected = unexplained > ignored || losses >= blocking;
+    if (unclassified && (suspected || !known_sound)) {
         return crash_verdict::hold;
     }
-    return unexplained > ignored || losses >= blocking ? crash_verdict::trial : crash_verdict::run;
+    return suspected ? crash_verdict::trial : crash_verdict::run;
 }
 
 crash_verdict crash_records::check_features(const crash_features& features, time_point now) const
--- a/tests/decision/crash_part_test.cpp
+++ b/tests/decision/crash_part_test.cpp
@@ -133,6 +133,17 @@
             CHECK(daemon.check({crashing}) == crash_verdict::run);
         }
     }
+    SECTION("no other trial starts before the loss of one is classified")
+    {
+        daemon.answer({crashing});
+        daemon.pass(milliseconds(50));
+        daemon.lose({crashing});
+        daemon.lose({crashing});
+        const auto run = make_run("g", "d");
+        daemon.attribution.begin(100, {{100}, {crashing}}, run, true);
+        daemon.attribution.group_lost(run, daemon.now, daemon.now);
+        CHECK(daemon.check({crashing}) == crash_verdict::hold);
+    }
     SECTION("the loss of a trial is not explained by another loss in its failure domain")
     {
         const auto first = make_run("x1", "d");
