Do not explain losses by a part that was answered since

A loss is explained by another part that was in flight there and has more losses. The losses of that part were counted since its last answer, but those before it still explained others: a sound part with three newer losses hid a crashing one. The same holds for ties and for losses that are taken for uncorrelated.

Before: CHECK( daemon.check({crashing}) == crash_verdict::refuse ) -> 1 == 3 After: passes.

--- a/src/decision/crash_record.cpp
+++ b/src/decision/crash_record.cpp
@@ -27,6 +27,12 @@
                        [&](const counted_loss& other) { return other.loss == loss; });
 }
 
+bool crash_record::counts_loss(std::uint64_t loss) const
+{
+    return std::any_of(this->counted_losses.begin(), this->counted_losses.end(),
+                       [&](const counted_loss& other) { return other.loss == loss && this->counts(other); });
+}
+
 std::vector<time_point> crash_record::times() const
 {
     std::vector<time_point> out;
--- a/src/decision/crash_record.hpp
+++ b/src/decision/crash_record.hpp
@@ -44,7 +44,9 @@
     bool acquit(time_point at);
     /// Number of losses that count.
     std::size_t weight() const;
+    /// Whether the loss is listed, and whether it counts as well.
     bool lists(std::uint64_t loss) const;
+    bool counts_loss(std::uint64_t loss) const;
     bool full() const { return this->counted_losses.size() >= (this->part ? max_part_losses : max_losses); }
     /// Time of the first loss that counts; `time_point::max()` without one.
     time_point first_loss() const;
--- a/src/decision/crash_records.hpp
+++ b/src/decision/crash_records.hpp
@@ -77,7 +77,8 @@
     bool explained_by_part(const crash_record& known, const counted_loss& counted) const;
     /// Whether a feature that the request does not have has the same losses.
     bool ambiguous(const crash_record& known, const crash_features& features) const;
-    /// Whether a record with several losses lists the loss, so that it is no sign of a correlated loss.
+    /// Whether a record with several losses that are not known to have another cause lists the loss, so that
+    /// it is no sign of a correlated loss.
     bool attributed(std::uint64_t loss) const;
     crash_verdict verdict_of(const crash_record& known, time_point now) const;
     crash_verdict part_verdict(const crash_record& known, const crash_features& features,
--- a/src/decision/crash_records_verdicts.cpp
+++ b/src/decision/crash_records_verdicts.cpp
@@ -37,7 +37,14 @@
 bool crash_records::attributed(std::uint64_t loss) const
 {
     return std::any_of(this->records.begin(), this->records.end(), [&](const auto& entry) {
-        return entry.second.lists(loss) && entry.second.weight() >= crash_record::blocking_losses;
+        const auto& known = entry.second;
+        const auto unexplained = [&](const counted_loss& counted) {
+            return known.counts(counted) && (!counted.decided || !counted.explained || counted.trial);
+        };
+        return known.counts_loss(loss) &&
+               static_cast<std::size_t>(
+                   std::count_if(known.counted_losses.begin(), known.counted_losses.end(), unexplained)) >=
+                   crash_record::blocking_losses;
     });
 }
 
@@ -45,7 +52,7 @@
 {
     const auto weight = known.weight();
     return std::any_of(this->records.begin(), this->records.end(), [&](const auto& entry) {
-        return entry.second.part && entry.second.lists(counted.loss) && entry.second.weight() > weight;
+        return entry.second.part && entry.second.counts_loss(counted.loss) && entry.second.weight() > weight;
     });
 }
 
@@ -62,7 +69,7 @@
         return !carried(print) && other.weight() == weight &&
                std::all_of(known.counted_losses.begin(), known.counted_losses.end(),
                            [&, &other = other](const counted_loss& loss) {
-                               return !known.counts(loss) || other.lists(loss.loss);
+                               return !known.counts(loss) || other.counts_loss(loss.loss);
                            });
     });
 }
--- a/tests/decision/crash_part_test.cpp
+++ b/tests/decision/crash_part_test.cpp
@@ -185,6 +185,17 @@
         CHECK(daemon.check({crashing}) == crash_verdict::refuse);
         CHECK(daemon.check({other}) == crash_verdict::trial);
     }
+    SECTION("losses before an answer do not explain those of another part")
+    {
+        daemon.lose({crashing, other});
+        daemon.answer({other});
+        daemon.pass(milliseconds(50));
+        daemon.lose({other});
+        daemon.lose({other});
+        daemon.lose({other});
+        daemon.lose({crashing}, true);
+        CHECK(daemon.check({crashing}) == crash_verdict::refuse);
+    }
 }
 
 TEST_CASE("evidence on parts is merged", "[crash]")
