Evict the records of refused parts last

With full tables, blocked requests are evicted last, but refused parts were evicted like suspects, so a flood of losses made daemons forget a crashing part.

Before: CHECK( daemon.check({crashing}) == crash_verdict::refuse ) -> 0 == 3 After: passes.

--- a/src/decision/crash_records.cpp
+++ b/src/decision/crash_records.cpp
@@ -14,11 +14,12 @@
 
 void crash_records::evict_record()
 {
-    // Evicts suspected before blocked requests, and of these the one that expires first.
-    const auto before = [](const auto& a, const auto& b) {
-        return std::make_pair(a.second.blocked, a.second.expires) <
-               std::make_pair(b.second.blocked, b.second.expires);
+    // Evicts suspected before blocked requests and parts, and of these the one that expires first.
+    const auto rank = [](const crash_record& known) {
+        return std::make_pair(
+            known.blocked || (known.part && known.weight() >= crash_record::blocking_losses), known.expires);
     };
+    const auto before = [&](const auto& a, const auto& b) { return rank(a.second) < rank(b.second); };
     this->records.erase(std::min_element(this->records.begin(), this->records.end(), before));
     ++this->evictions;
 }
--- a/tests/decision/crash_part_test.cpp
+++ b/tests/decision/crash_part_test.cpp
@@ -301,6 +301,18 @@
 TEST_CASE("the state on parts is bounded", "[crash]")
 {
     part_daemon daemon;
+    SECTION("a refused part keeps its record when other records are evicted")
+    {
+        daemon.lose({crashing});
+        daemon.lose({crashing}, true);
+        for (std::uint64_t i = 0; i < limits::crash_records + 100; ++i) {
+            daemon.attribution.apply({{1'000'000 + i}, 0, false, {{i, false}}, milliseconds(10'000'000)},
+                                     daemon.now);
+        }
+        daemon.pass(milliseconds(100));
+        CHECK(daemon.attribution.stats().records == limits::crash_records);
+        CHECK(daemon.check({crashing}) == crash_verdict::refuse);
+    }
     SECTION("a part keeps its latest losses, and each is decided")
     {
         for (std::size_t i = 0; i < 2 * crash_attribution::max_part_losses; ++i) {
