Let the block of a whole request expire although daemons resend it

The receiver of a notice took over the remaining lifetime without the network delay. Now that notices are sent again each second, a block was prolonged with each exchange. The receiver takes limits::loss_report_delay off, which is longer than a notice is under way.

Before, 20 s after a block of 10 s with a delay of 0.5 s: CHECK( first.check(crashing, now + 2 * lifetime) == crash_verdict::run ) -> 4 == 0 After: passes.

--- a/src/decision/crash_records.cpp
+++ b/src/decision/crash_records.cpp
@@ -197,7 +197,9 @@
 
 void crash_records::apply(const crash_notice& notice, time_point now)
 {
-    if (notice.ttl <= milliseconds(0)) {
+    // Without the network delay, a notice that is passed on again and again would never expire.
+    const auto lifetime = notice.part ? notice.ttl : notice.ttl - limits::loss_report_delay;
+    if (lifetime <= milliseconds(0)) {
         return;
     }
     if (notice.part) {
@@ -213,7 +215,7 @@
         known.version = notice.version;
         known.counted_losses.clear();
     }
-    known.expires = std::max(known.expires, now + std::min<milliseconds>(notice.ttl, limits::block_lifetime));
+    known.expires = std::max(known.expires, now + std::min<milliseconds>(lifetime, limits::block_lifetime));
     known.blocked = known.blocked || notice.blocked;
     for (const auto& loss : notice.losses) {
         // The sender has classified the loss, so the classification delay is over.
--- a/tests/decision/crash_part_test.cpp
+++ b/tests/decision/crash_part_test.cpp
@@ -271,6 +271,23 @@
         CHECK(first.attribution.notices(first.now).empty());
         CHECK(second.attribution.notices(second.now).empty());
     }
+    SECTION("and the block of a whole request is not prolonged by exchanging it")
+    {
+        crash_attribution first;
+        crash_attribution second;
+        constexpr seconds lifetime{10};
+        constexpr milliseconds delay{500};
+        first.apply({crashing, 0, true, {}, lifetime}, now);
+        for (auto time = now; time < now + 2 * lifetime; time += 2 * delay) {
+            for (const auto& notice : first.notices(time)) {
+                second.apply(notice, time + delay);
+            }
+            for (const auto& notice : second.notices(time + delay)) {
+                first.apply(notice, time + 2 * delay);
+            }
+        }
+        CHECK(first.check(crashing, now + 2 * lifetime) == crash_verdict::run);
+    }
     SECTION("and a daemon with old evidence learns of an answer that the others have forgotten")
     {
         part_daemon first;
