Hold a whole request whose second loss is not classified yet

check_features lets a whole request run after one loss. It also let it run for 300 ms after the second one, which is the one that blocks it.

Before: CHECK( daemon.check({}) == (ticket == 100 ? crash_verdict::run : crash_verdict::hold) ) -> 0 == 2 After: passes.

--- a/src/decision/crash_records_verdicts.cpp
+++ b/src/decision/crash_records_verdicts.cpp
@@ -133,7 +133,11 @@
 crash_verdict crash_records::check_features(const crash_features& features, time_point now) const
 {
     const auto whole = this->check(features.whole, now);
-    auto worst = whole >= crash_verdict::refuse ? whole : crash_verdict::run;
+    const auto* lost = this->find(features.whole);
+    // A request that was lost once may be repeated at once. After two losses it waits for the classification.
+    const bool waits =
+        whole == crash_verdict::hold && lost->counted_losses.size() >= crash_record::blocking_losses;
+    auto worst = whole >= crash_verdict::refuse || waits ? whole : crash_verdict::run;
     for (const auto part : features.parts) {
         const auto known = this->records.find(part.value);
         if (known != this->records.end() && now < known->second.expires) {
