Test crashing parts over random fleets

Four daemons exchange notices that come late, doubled or not at all, and send all evidence again each second. Parts have a skewed popularity; one or two of them crash each group that begins to answer, rare or frequent, in the first or a middle position, new or sound before, with companions that no other request has; failure domains are lost beside it, and one daemon may be cut off. Checked are at most three losses to a part later than 3 s after its fifth, half of the sound requests beside it served from 6 s on, and no sound part refused 65 s after the end.

--- a/tests/decision/crash_part_test.cpp
+++ b/tests/decision/crash_part_test.cpp
@@ -1,8 +1,11 @@
 #include "decision/crash_attribution.hpp"
+#include "decision/crash_part_fleet.hpp"
+#include "decision/random_source.hpp"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <optional>
+#include <rapidcheck.h>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -78,6 +81,42 @@
 
 } // namespace
 
+TEST_CASE("a part that crashes groups is stopped and sound requests beside it are served", "[crash]")
+{
+    // Guards against requests with one crashing part that end group after group, and against refusing what
+    // shares their other parts.
+    std::size_t losses = 0;
+    std::size_t blackout_losses = 0;
+    std::size_t shared = 0;
+    const bool held = rc::check("several daemons", [&] {
+        random_source random;
+        crash_part_fleet system(random, true);
+        constexpr int steps_with_faults = 1200;
+        for (int i = 0; i < steps_with_faults; ++i) {
+            system.advance();
+            RC_ASSERT(system.late_losses() <= 3U);
+        }
+        const auto served = system.shared_served();
+        if (served.all >= 20) {
+            RC_ASSERT(2 * served.begun >= served.all);
+        }
+        system.end_faults();
+        const auto healed_at = system.time() + limits::part_block_time + seconds(5);
+        while (system.time() < healed_at) {
+            system.advance();
+        }
+        RC_ASSERT(system.refused_sound_parts() == 0U);
+        losses += system.losses_by_parts();
+        blackout_losses += system.blackout_losses();
+        shared += served.all;
+    });
+    CAPTURE(losses, blackout_losses, shared);
+    CHECK(held);
+    CHECK(losses >= 200);
+    CHECK(blackout_losses >= 200);
+    CHECK(shared >= 10000);
+}
+
 TEST_CASE("a part is suspected, tried, blocked and tried again", "[crash]")
 {
     part_daemon daemon;
