--- /dev/null
+++ b/src/decision/crash_record.cpp
@@ -0,0 +1,138 @@
+#include "decision/crash_record.hpp"
+
+#include "base/limits.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace rml {
+
+bool crash_record::acquit(time_point at)
+{
+    const auto before = this->weight();
+    this->acquitted = std::max(this->acquitted.value_or(at), at);
+    return this->weight() < before;
+}
+
+std::size_t crash_record::weight() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(this->counted_losses.begin(), this->counted_losses.end(),
+                      [this](const counted_loss& loss) { return this->counts(loss); }));
+}
+
+bool crash_record::lists(std::uint64_t loss) const
+{
+    return std::any_of(this->counted_losses.begin(), this->counted_losses.end(),
+                       [&](const counted_loss& other) { return other.loss == loss; });
+}
+
+bool crash_record::counts_loss(std::uint64_t loss) const
+{
+    return std::any_of(this->counted_losses.begin(), this->counted_losses.end(),
+                       [&](const counted_loss& other) { return other.loss == loss && this->counts(other); });
+}
+
+std::vector<time_point> crash_record::times() const
+{
+    std::vector<time_point> out;
+    for (const auto& counted : this->counted_losses) {
+        if (this->counts(counted)) {
+            out.push_back(counted.at);
+        }
+    }
+    std::sort(out.begin(), out.end());
+    return out;
+}
+
+time_point crash_record::first_loss() const
+{
+    const auto at = this->times();
+    return at.empty() ? time_point::max() : at.front();
+}
+
+time_point crash_record::blocked_until() const
+{
+    const auto at = this->times();
+    duration block = limits::part_block_time;
+    for (std::size_t i = 1; i < at.size(); ++i) {
+        if (at[i] - at[i - 1] >= limits::part_block_time) {
+            block = std::min<duration>(2 * block, limits::block_lifetime);
+        }
+    }
+    return at.empty() ? time_point{} : at.back() + block;
+}
+
+bool crash_record::add_loss(std::uint64_t loss, time_point at, bool trial)
+{
+    bool undecided = false;
+    for (auto& entry : this->counted_losses) {
+        if (entry.loss == loss) {
+            entry.trial = entry.trial || trial;
+            entry.at = this->part ? std::min(entry.at, at) : entry.at;
+            return false;
+        }
+        undecided = undecided || !entry.decided;
+    }
+    if (!this->full()) {
+        this->counted_losses.push_back({loss, at, false, false, trial});
+        return !undecided;
+    }
+    const auto oldest =
+        std::min_element(this->counted_losses.begin(), this->counted_losses.end(),
+                         [](const counted_loss& a, const counted_loss& b) {
+                             return std::make_pair(a.at, a.loss) < std::make_pair(b.at, b.loss);
+                         });
+    if (!this->part || std::make_pair(at, loss) <= std::make_pair(oldest->at, oldest->loss)) {
+        return false;
+    }
+    *oldest = {loss, at, false, false, trial};
+    return !undecided;
+}
+
+void crash_record::mark_explained(std::uint64_t loss)
+{
+    for (auto& entry : this->counted_losses) {
+        if (entry.loss == loss) {
+            entry.explained = true;
+            entry.decided = true;
+        }
+    }
+}
+
+void crash_record::update_part_expiry(time_point now)
+{
+    this->expires = now + limits::crash_cleared_lifetime;
+    for (const auto& counted : this->counted_losses) {
+        if (this->counts(counted)) {
+            this->expires = std::max(this->expires, counted.at + limits::block_lifetime);
+        }
+    }
+}
+
+crash_notice crash_record::make_notice(request_fingerprint fingerprint, time_point now) const
+{
+    crash_notice notice;
+    notice.fingerprint = fingerprint;
+    notice.version = this->version;
+    notice.blocked = this->blocked;
+    for (const auto& counted : this->counted_losses) {
+        if (!this->counts(counted)) {
+            continue;
+        }
+        crash_loss loss{counted.loss, counted.decided && counted.explained};
+        if (this->part) {
+            loss.trial = counted.trial;
+            loss.age = std::chrono::duration_cast<milliseconds>(now - counted.at);
+        }
+        notice.losses.push_back(loss);
+    }
+    notice.part = this->part;
+    if (this->own_acquittal) {
+        notice.acquitted_age = std::chrono::duration_cast<milliseconds>(now - *this->own_acquittal);
+    }
+    notice.ttl = std::chrono::duration_cast<milliseconds>(this->expires - now);
+    return notice;
+}
+
+} // namespace rml
--- /dev/null
+++ b/src/decision/crash_record.hpp
@@ -0,0 +1,73 @@
+/// Evidence on one request or part of a prompt, and how it is merged with that of other daemons.
+#pragma once
+
+#include "base/time.hpp"
+#include "decision/crash_notice.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace rml {
+
+struct crash_record
+{
+    /// Unexplained losses after which a request is blocked. The second one normally happens in a trial.
+    static constexpr std::size_t blocking_losses = 2;
+    static constexpr std::size_t max_losses = 4;
+    /// Losses that are kept of a part, the latest ones.
+    static constexpr std::size_t max_part_losses = 16;
+
+    struct counted_loss
+    {
+        std::uint64_t loss{0};
+        time_point at{};
+        bool decided{false};
+        bool explained{false}; ///< valid once decided
+        bool trial{false};     ///< of a trial, which no other loss explains
+    };
+
+    std::uint64_t version{0};
+    bool blocked{false};
+    bool local{false}; ///< a request of this daemon was in flight on a lost group
+    std::vector<counted_loss> counted_losses;
+    time_point expires{};
+    bool part{false};
+    std::optional<time_point> acquitted; ///< parts: losses up to then do not count
+    /// The last acquittal by a request of this daemon, the only one that it sends: the network delay makes
+    /// an acquittal appear later at each daemon that passes it on.
+    std::optional<time_point> own_acquittal;
+
+    bool counts(const counted_loss& loss) const { return !this->acquitted || loss.at > *this->acquitted; }
+    /// Notes an acquittal. Returns whether losses that counted count no more.
+    bool acquit(time_point at);
+    /// Number of losses that count.
+    std::size_t weight() const;
+    /// Whether the loss is listed, and whether it counts as well.
+    bool lists(std::uint64_t loss) const;
+    bool counts_loss(std::uint64_t loss) const;
+    bool full() const { return this->counted_losses.size() >= (this->part ? max_part_losses : max_losses); }
+    /// Time of the first loss that counts; `time_point::max()` without one.
+    time_point first_loss() const;
+    /// End of the block of a part that its losses justify. The time doubles with each loss that came after
+    /// the end of a block, as that of a trial does.
+    time_point blocked_until() const;
+
+    /// Adds a loss, or corrects the time of one that is listed: the network delay makes a loss appear later,
+    /// so the earliest time applies. If there are too many, whole requests keep the first ones and parts the
+    /// latest ones. Returns whether a loss has to be decided although all others were.
+    bool add_loss(std::uint64_t loss, time_point at, bool trial);
+    /// Notes the final decision of another daemon that the loss was explained.
+    void mark_explained(std::uint64_t loss);
+    /// Sets the lifetime of the record of a part after a change of its evidence.
+    void update_part_expiry(time_point now);
+
+    crash_notice make_notice(request_fingerprint fingerprint, time_point now) const;
+
+private:
+    /// Times of the losses that count, in order.
+    std::vector<time_point> times() const;
+};
+
+} // namespace rml
