Log why a standby attempt was not used

The reason of an answered request that was rerouted stays in its log line, and a standby attempt that ends because the first target went on is logged as no longer needed.

--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -361,9 +361,11 @@
         if (end == attempt_end::begun) {
             end = this->relay();
         }
-        this->reason = this->primary->reason;
-        if (!this->standby_obstacle.empty()) {
-            this->reason = "target stalled, " + this->standby_obstacle + "; " + this->reason;
+        if (!this->primary->reason.empty()) {
+            this->reason = this->primary->reason;
+            if (!this->standby_obstacle.empty()) {
+                this->reason = "target stalled, " + this->standby_obstacle + "; " + this->reason;
+            }
         }
         this->end_attempt(*this->primary, end);
         const bool final = end == attempt_end::answered || end == attempt_end::caller_disconnected ||
@@ -477,7 +479,9 @@
             break;
         }
         log(log_level::info, "standby attempt ended",
-            {{"request_id", this->request_id}, {"target", target->str()}, {"reason", attempt->reason}});
+            {{"request_id", this->request_id},
+             {"target", target->str()},
+             {"reason", this->standby_wanted ? attempt->reason : "no longer needed"}});
         this->standby.reset();
         this->end_attempt(*attempt, end == attempt_end::begun ? attempt_end::superseded : end);
         target = this->primary->open ? this->choose_standby() : std::nullopt;
