--- a/src/gateway/peer_report.cpp
+++ b/src/gateway/peer_report.cpp
@@ -50,7 +50,7 @@
     for (const auto& notice : notices) {
         json losses = json::array();
         for (const auto& loss : notice.losses) {
-            losses.push_back({loss.loss, loss.explained, loss.age.count()});
+            losses.push_back({loss.loss, loss.explained, loss.age.count(), loss.trial});
         }
         out.push_back({{"k", notice.fingerprint.value},
                        {"v", notice.version},
@@ -83,8 +83,8 @@
         notice.ttl = decode_age(row.at("t"));
         notice.part = row.at("p").get<bool>();
         for (const auto& loss : row.at("l")) {
-            notice.losses.push_back(
-                {checked_integer(loss.at(0), max_uint64), loss.at(1).get<bool>(), decode_age(loss.at(2))});
+            notice.losses.push_back({checked_integer(loss.at(0), max_uint64), loss.at(1).get<bool>(),
+                                     decode_age(loss.at(2)), loss.at(3).get<bool>()});
         }
         if (row.contains("a")) {
             notice.acquitted_age = decode_age(row.at("a"));
