Answer 503 to a connection above the limit

A connection above the limit of connections was closed without an answer, so a request on it ended in a reset. It now gets a fixed 503 with the outcome not-run, sent without waiting and without a coroutine.

Evidence: with the closing at once in place of the answer the new test failed with CHECK( code == boost::asio::error::eof ) system:104 == 2 CHECK( count(answer, "HTTP/1.1 503") == 1 ) 0 == 1

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -3,6 +3,7 @@
 #include "base/log.hpp"
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -121,6 +122,7 @@
     std::atomic<bool> stopped{false};
     std::atomic<std::uint64_t> accepted{0};
     std::atomic<std::uint64_t> refused{0};
+    std::atomic<std::uint64_t> refusing{0}; ///< refused connections that wait for the peer to close
     std::atomic<std::uint64_t> malformed{0};
     std::atomic<std::uint64_t> reading{0};
     std::atomic<std::uint64_t> in_flight{0};
@@ -551,6 +553,35 @@
     }
 }
 
+/// Answers 503 without a coroutine, and keeps the socket for a short time, so that a reset for a request that
+/// is not read does not overtake the answer.
+template <class State>
+void refuse_connection(const std::shared_ptr<State>& shared, tcp::socket socket)
+{
+    ++shared->refused;
+    static const std::string answer = [] {
+        const auto refusal = error_response(503);
+        std::string out = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n";
+        for (const auto& entry : refusal.headers) {
+            out += entry.name + ": " + entry.value + "\r\n";
+        }
+        return out + "Content-Length: " + std::to_string(refusal.body.size()) + "\r\n\r\n" + refusal.body;
+    }();
+    boost::system::error_code code;
+    ::send(socket.native_handle(), answer.data(), answer.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    socket.shutdown(tcp::socket::shutdown_send, code);
+    if (shared->refusing >= limits::http_refused_connections) {
+        return;
+    }
+    const auto timer = std::make_shared<asio::steady_timer>(socket.get_executor(), limits::http_closing_time);
+    const auto peer = std::make_shared<tcp::socket>(std::move(socket));
+    timer->async_wait([shared, timer, peer, guard = std::make_shared<counter_guard>(shared->refusing)](
+                          const boost::system::error_code&) {
+        std::array<char, 16384> unread{};
+        ::recv(peer->native_handle(), unread.data(), unread.size(), MSG_DONTWAIT);
+    });
+}
+
 template <class State>
 void accept_connections(const std::shared_ptr<State>& shared, yield_context yield)
 {
@@ -565,7 +596,7 @@
             continue;
         }
         if (shared->open >= shared->current_options().connections) {
-            ++shared->refused;
+            refuse_connection(shared, std::move(socket));
             continue;
         }
         ++shared->accepted;
@@ -656,9 +687,15 @@
 
 server_stats server::stats() const
 {
-    return server_stats{this->inner->accepted, this->inner->refused,   this->inner->malformed,
-                        this->inner->reading,  this->inner->in_flight, this->inner->open,
-                        this->inner->closing};
+    server_stats out;
+    out.accepted = this->inner->accepted;
+    out.refused = this->inner->refused;
+    out.malformed = this->inner->malformed;
+    out.reading = this->inner->reading;
+    out.in_flight = this->inner->in_flight;
+    out.open = this->inner->open;
+    out.closing = this->inner->closing;
+    return out;
 }
 
 void server::update_options(const server_options& options)
--- a/tests/http/server_edge_test.cpp
+++ b/tests/http/server_edge_test.cpp
@@ -390,3 +390,27 @@
         socket, boost::asio::buffer(std::string("GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")));
     CHECK(count(read_all(socket), "HTTP/1.1 200") == 1);
 }
+
+TEST_CASE("a connection above the limit is refused with an answer", "[http][server]")
+{
+    // Guards against requests on a new connection that is closed without answer or refusal.
+    http::server_options options;
+    options.connections = 1;
+    edge_server server(options);
+    boost::asio::io_context client_context;
+    auto first = server.connect(client_context);
+    while (server.server->stats().open == 0) {
+        std::this_thread::sleep_for(milliseconds(1));
+    }
+    auto second = server.connect(client_context);
+    boost::system::error_code code;
+    boost::asio::write(second, boost::asio::buffer(std::string("GET /a HTTP/1.1\r\nHost: h\r\n\r\n")), code);
+    CHECK(!code);
+    std::string answer;
+    boost::asio::read(second, boost::asio::dynamic_buffer(answer), code);
+    CHECK(code == boost::asio::error::eof);
+    CHECK(count(answer, "HTTP/1.1 503") == 1);
+    CHECK(count(answer, "x-rml-outcome: not-run") == 1);
+    CHECK(server.handler.requests == 0);
+    CHECK(server.server->stats().refused == 1);
+}
