Pause after a failed accept

When the process has too many open files an accept fails at once and the connection stays in the backlog, so the server accepted again without end and kept its core busy. It now waits 100 ms after a failure; failures are counted in server_stats and logged.

--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -120,6 +120,7 @@
 constexpr milliseconds http_closing_time{1000};
 constexpr std::size_t http_closing_bytes = 4 * 1024 * 1024;
 constexpr std::size_t http_refused_connections = 64; // refused ones that wait for the peer to close
+constexpr milliseconds http_accept_pause{100};       // after a failure, such as too many open files
 constexpr std::size_t request_id_bytes = 128;
 constexpr milliseconds max_request_time{120000}; // end to end
 constexpr seconds address_lifetime{30};
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,6 +1,7 @@
 #include "http/server.hpp"
 
 #include "base/log.hpp"
+#include "http/pause.hpp"
 
 #include <algorithm>
 #include <array>
@@ -123,6 +124,7 @@
     std::atomic<std::uint64_t> accepted{0};
     std::atomic<std::uint64_t> refused{0};
     std::atomic<std::uint64_t> refusing{0}; ///< refused connections that wait for the peer to close
+    std::atomic<std::uint64_t> accept_failures{0};
     std::atomic<std::uint64_t> malformed{0};
     std::atomic<std::uint64_t> reading{0};
     std::atomic<std::uint64_t> in_flight{0};
@@ -593,6 +595,10 @@
             return;
         }
         if (code) {
+            ++shared->accept_failures;
+            log(log_level::warning, "connection not accepted", {{"error", code.message()}});
+            // The connection stays in the backlog, so the next accept would fail at once.
+            pause(limits::http_accept_pause, yield);
             continue;
         }
         if (shared->open >= shared->current_options().connections) {
@@ -690,6 +696,7 @@
     server_stats out;
     out.accepted = this->inner->accepted;
     out.refused = this->inner->refused;
+    out.accept_failures = this->inner->accept_failures;
     out.malformed = this->inner->malformed;
     out.reading = this->inner->reading;
     out.in_flight = this->inner->in_flight;
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -98,7 +98,8 @@
 struct server_stats
 {
     std::uint64_t accepted{0};
-    std::uint64_t refused{0}; ///< connections refused because of the connection limit
+    std::uint64_t refused{0};         ///< connections refused because of the connection limit
+    std::uint64_t accept_failures{0}; ///< such as too many open files
     std::uint64_t malformed{0};
     std::uint64_t reading{0};   ///< requests of which a part has been read
     std::uint64_t in_flight{0}; ///< requests being handled
--- a/tests/http/server_edge_test.cpp
+++ b/tests/http/server_edge_test.cpp
@@ -1,3 +1,4 @@
+#include "base/limits.hpp"
 #include "http/server.hpp"
 
 #include <atomic>
@@ -7,6 +8,7 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <mutex>
+#include <sys/resource.h>
 #include <thread>
 #include <vector>
 
@@ -414,3 +416,29 @@
     CHECK(server.handler.requests == 0);
     CHECK(server.server->stats().refused == 1);
 }
+
+TEST_CASE("a lack of file descriptors does not keep the server busy", "[http][server]")
+{
+    // Guards against accepting again at once as long as the process has too many open files.
+    edge_server server;
+    boost::asio::io_context client_context;
+    boost::asio::ip::tcp::socket socket(client_context, boost::asio::ip::tcp::v4());
+    const auto address = server.server->local();
+    const boost::asio::ip::tcp::endpoint peer(boost::asio::ip::make_address("127.0.0.1"), address.port);
+    rlimit before{};
+    REQUIRE(::getrlimit(RLIMIT_NOFILE, &before) == 0);
+    auto reduced = before;
+    reduced.rlim_cur = 1;
+    REQUIRE(::setrlimit(RLIMIT_NOFILE, &reduced) == 0);
+    const auto start = steady_clock::now();
+    socket.connect(peer);
+    std::this_thread::sleep_for(milliseconds(500));
+    const auto failures = server.server->stats().accept_failures;
+    const auto pauses = (steady_clock::now() - start) / limits::http_accept_pause;
+    REQUIRE(::setrlimit(RLIMIT_NOFILE, &before) == 0);
+    CHECK(failures > 0);
+    CHECK(failures <= static_cast<std::uint64_t>(pauses) + 1);
+    boost::asio::write(
+        socket, boost::asio::buffer(std::string("GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")));
+    CHECK(count(read_all(socket), "HTTP/1.1 200") == 1);
+}
