--- a/tests/gateway/broken_answer_test.cpp
+++ b/tests/gateway/broken_answer_test.cpp
@@ -37,7 +37,7 @@
 
 void end(raw_connection& connection, ending how)
 {
-    // Else a reset can overtake bytes that this process has not read yet.
+    // A reset discards what the system has not sent yet.
     std::this_thread::sleep_for(milliseconds(how == ending::reset ? 10 : 0));
     how == ending::reset ? connection.reset() : connection.shutdown();
 }
