--- a/src/decision/crash_attribution.hpp
+++ b/src/decision/crash_attribution.hpp
@@ -9,9 +9,12 @@
 /// explanation.
 ///
 /// A part of a prompt may crash groups too, whatever request carries it. Losses count against the parts of
-/// the requests in flight in the same way. A request whose answer began and went on acquits its parts: their
-/// earlier losses count no more. A loss is also explained by a part with more losses that was in flight
-/// there.
+/// the requests in flight in the same way, since the last request with the part whose answer began and went
+/// on. A part without such an answer is suspected after one loss and refused after two; one that had such an
+/// answer at most `limits::crash_acquittal_lifetime` before may have one loss more. A loss is also explained
+/// by a part with more losses that was in flight there, and never if the request ran in a trial. A request
+/// that has only some of several parts with the same losses may run in a trial. A refused part may run in a
+/// trial again after `limits::part_block_time`, which doubles with each such trial that fails.
 #pragma once
 
 #include "base/ids.hpp"
