--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -447,7 +447,7 @@
         this->standby_obstacle = "attempt limit of the route reached";
         return std::nullopt;
     }
-    const auto target = this->choose();
+    auto target = this->choose();
     if (!target) {
         this->standby_obstacle = "no other target";
         return std::nullopt;
