--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -563,7 +563,7 @@
         this->standby_obstacle = "suspected of crashing its target";
         return std::nullopt;
     }
-    const auto target = this->choose();
+    auto target = this->choose();
     if (!target) {
         this->standby_obstacle = "no other target";
         return std::nullopt;
