Refuse a whole request only after three losses

A sound request that is repeated at once can be in flight on two engines that are lost one after the other, and two losses refused and blocked it.

A whole request now counts against itself after three losses, the number of crashes after which the users' rule on repeated requests begins; parts are judged as before.

--- a/src/decision/crash_attribution.hpp
+++ b/src/decision/crash_attribution.hpp
@@ -69,8 +69,8 @@
     /// Verdict for a request that arrives or is retried.
     crash_verdict check(request_fingerprint fingerprint, time_point now) const;
 
-    /// Verdict for a request with its parts, the worst one of all. The whole request counts only when it must
-    /// not run: after one loss it may be repeated at once, unless one of its parts is suspected.
+    /// Verdict for a request with its parts, the worst one of all. The whole request counts only after three
+    /// losses: until then it may be repeated at once, unless one of its parts is suspected.
     crash_verdict check_features(const crash_features& features, time_point now) const;
     /// Like `check_features`, with the feature that has this verdict.
     crash_finding find_worst(const crash_features& features, time_point now) const;
--- a/src/decision/crash_record.hpp
+++ b/src/decision/crash_record.hpp
@@ -15,6 +15,9 @@
 {
     /// Unexplained losses after which a request is blocked. The second one normally happens in a trial.
     static constexpr std::size_t blocking_losses = 2;
+    /// Losses after which a whole request that is judged with its parts may be refused: a sound request that
+    /// is repeated at once may be in flight on two groups that others crash.
+    static constexpr std::size_t refusing_losses = 3;
     static constexpr std::size_t max_losses = 4;
     /// Losses that are kept of a part, the latest ones.
     static constexpr std::size_t max_part_losses = 16;
--- a/src/decision/crash_records_verdicts.cpp
+++ b/src/decision/crash_records_verdicts.cpp
@@ -134,10 +134,8 @@
 {
     const auto whole = this->check(features.whole, now);
     const auto* lost = this->find(features.whole);
-    // A request that was lost once may be repeated at once. After two losses it waits for the classification.
-    const bool waits =
-        whole == crash_verdict::hold && lost->counted_losses.size() >= crash_record::blocking_losses;
-    const bool counts = whole >= crash_verdict::refuse || waits;
+    const bool counts = lost != nullptr && lost->counted_losses.size() >= crash_record::refusing_losses &&
+                        whole >= crash_verdict::hold;
     crash_finding worst{counts ? whole : crash_verdict::run, features.whole, false};
     for (const auto part : features.parts) {
         const auto known = this->records.find(part.value);
