Count crashes behind answers that look complete

An engine that ends within an answer with neither a length nor chunks may close the connection in order, so that the answer looks complete. Such an end acquitted the parts of the prompt, and no loss was counted at all: a part that lets its engines begin such an answer was never suspected.

The end of such an answer is followed by a connection to the target now, as a broken connection is, and it acquits nothing. Only bytes that arrive after the first ones do.

--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -769,7 +769,11 @@
 {
     const auto* known = this->owner.fleet.find_target(attempt.target.instance);
     const bool leaving = known == nullptr || known->entry.draining;
-    if (end == attempt_end::lost && attempt.connection_broke && !leaving && !this->stopping) {
+    // A target that stops within such an answer may close the connection in order.
+    const bool unframed = attempt.bound.connection && attempt.bound.connection->ends_with_connection();
+    const bool may_be_lost =
+        end == attempt_end::lost ? attempt.connection_broke : end == attempt_end::answered && unframed;
+    if (may_be_lost && !leaving && !this->stopping) {
         return this->owner.guard.end_broken(attempt.crash_ticket, attempt.target, this->deadline, in);
     }
     const bool answered = end == attempt_end::answered && this->final_status < 300;
@@ -794,11 +798,13 @@
     return why.kind == failure_kind::timeout ? attempt_end::timed_out : attempt_end::lost;
 }
 
-bool request_run::record_progress(target_attempt& attempt)
+bool request_run::record_progress(target_attempt& attempt, bool bytes)
 {
     const bool first = !std::exchange(attempt.answer_begun, true);
     this->owner.fleet.in_flight.progress(attempt.target.instance, first, steady_clock::now());
-    this->owner.guard.record_progress(attempt.crash_ticket, steady_clock::now());
+    if (bytes) {
+        this->owner.guard.record_progress(attempt.crash_ticket, steady_clock::now());
+    }
     if (attempt.superseded) {
         attempt.reason = "target stalled";
         return false;
@@ -886,7 +892,7 @@
             attempt.reason = "answer without length ended before its first event";
             return attempt_end::lost;
         }
-        if (!this->record_progress(attempt)) {
+        if (!this->record_progress(attempt, value(part).has_value())) {
             return attempt_end::superseded;
         }
         attempt.complete = !value(part);
@@ -922,7 +928,7 @@
             attempt.reason = "success without length and body";
             return attempt_end::lost;
         }
-        if (!this->record_progress(attempt)) {
+        if (!this->record_progress(attempt, value(part).has_value())) {
             return attempt_end::superseded;
         }
         if (!value(part)) {
--- a/tests/gateway/crash_guard_test.cpp
+++ b/tests/gateway/crash_guard_test.cpp
@@ -41,6 +41,8 @@
         this->sent += found ? 1 : 0;
         return found;
     }
+    /// The targets begin answers without length before they end, and close the connections in order.
+    std::atomic<bool> begin_answers{false};
     int sends()
     {
         const std::scoped_lock lock(this->mutex);
@@ -79,33 +81,38 @@
     std::atomic<int> ends{0};
 
 private:
+    static std::string unframed(std::string head)
+    {
+        const std::string framing = "transfer-encoding: chunked\r\n";
+        return head.erase(head.find(framing), framing.size());
+    }
     void start()
     {
         this->server.reset();
         this->ended = false;
         this->restart_at = {};
         ++this->runs;
-        this->server =
-            std::make_unique<raw_server>([this](const http::request& message, raw_connection& connection) {
-                const auto head =
-                    "HTTP/1.1 200 OK\r\nx-id: " + http::find_header(message.headers, "x-id").value_or("") +
-                    "\r\nx-signature: s\r\ntransfer-encoding: chunked\r\n\r\n";
-                if (this->deadly.ends_target(message)) {
-                    connection.send(head);
-                    ++this->ends;
-                    this->ended = true;
-                    this->server->end_process();
-                    return false;
-                }
-                std::this_thread::sleep_for(milliseconds(40));
-                connection.send(head);
-                if (!http::find_header(message.headers, "last-event")) {
-                    connection.send(chunk("id: 1\ndata: a\n\n"));
-                    std::this_thread::sleep_for(milliseconds(20));
-                }
-                connection.send(chunk("id: 2\ndata: b\n\n") + last_chunk);
-                return true;
-            });
+        this->server = std::make_unique<raw_server>([this](const http::request& message,
+                                                           raw_connection& connection) {
+            const auto head =
+                "HTTP/1.1 200 OK\r\nx-id: " + http::find_header(message.headers, "x-id").value_or("") +
+                "\r\nx-signature: s\r\ntransfer-encoding: chunked\r\n\r\n";
+            if (this->deadly.ends_target(message)) {
+                connection.send(this->deadly.begin_answers ? unframed(head) + "id: 1\ndata: a\n\n" : head);
+                ++this->ends;
+                this->ended = true;
+                this->server->end_process();
+                return false;
+            }
+            std::this_thread::sleep_for(milliseconds(40));
+            connection.send(head);
+            if (!http::find_header(message.headers, "last-event")) {
+                connection.send(chunk("id: 1\ndata: a\n\n"));
+                std::this_thread::sleep_for(milliseconds(20));
+            }
+            connection.send(chunk("id: 2\ndata: b\n\n") + last_chunk);
+            return true;
+        });
     }
 
     deadly_requests& deadly;
@@ -319,7 +326,8 @@
     CHECK(served == static_cast<std::ptrdiff_t>(sound.size()));
     for (const auto* answer : refused) {
         const auto status = answer->answer.status;
-        CHECK((status == 503 || status == 502 || answer->aborted));
+        const bool looks_complete = fleet.deadly.begin_answers && status == 200;
+        CHECK((status == 503 || status == 502 || answer->aborted || looks_complete));
         if (status == 503) {
             CHECK(http::find_header(answer->answer.headers, "retry-after"));
         }
@@ -347,6 +355,11 @@
     {
         check_days_of(fleet, {"chat:900,deadly:9,talk:50"});
     }
+    SECTION("with answers that have begun and look complete")
+    {
+        fleet.deadly.begin_answers = true;
+        check_days_of(fleet, {"chat:900,deadly:9"});
+    }
     SECTION("two such parts")
     {
         fleet.deadly.add("fatal");
