Take a standby attempt for no part of a trial

The second attempt of a request on trial replaced the target of the trial and left the first one marked as occupied for good, so that no other trial was sent there. Found by reading; no test.

--- a/src/gateway/crash_guard.cpp
+++ b/src/gateway/crash_guard.cpp
@@ -148,11 +148,13 @@
 {
     const auto ticket = this->next_ticket++;
     const auto trial = this->trials.find(request);
-    if (trial != this->trials.end()) {
+    // A standby attempt of the same request is not a trial.
+    const bool on_trial = trial != this->trials.end() && !trial->second.target;
+    if (on_trial) {
         trial->second.target = target.instance;
         this->trial_targets.insert(target.instance);
     }
-    this->attribution.begin(ticket, features, run_of(target), trial != this->trials.end());
+    this->attribution.begin(ticket, features, run_of(target), on_trial);
     return ticket;
 }
 
