--- /dev/null
+++ b/src/gateway/request_attempt.cpp
@@ -0,0 +1,428 @@
+#include "gateway/request_run.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace rml::gateway::detail {
+
+namespace {
+
+/// Connecting takes a few round trips. TCP retransmits a lost first packet only after 1 s, which is longer
+/// than most objectives.
+constexpr milliseconds connect_timeout{350};
+/// Longest idle time of a connection that carries a request that must not run twice: a target may drop an
+/// idle connection without notice, and then it is unknown whether the request has run.
+constexpr milliseconds non_idempotent_idle_limit{500};
+constexpr std::size_t max_buffered_body_bytes = 16 * 1024 * 1024;
+constexpr std::uint32_t max_urgency_value = 9;
+/// Weight of the newest request in the smoothed share of failed ones.
+constexpr double failure_smoothing = 0.15;
+/// 421 Misdirected Request: the target is not the one that the request names, or is not the head of a group.
+constexpr int wrong_target_status = 421;
+
+bool is_success(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+/// Hop-by-hop headers, and `expect` and `content-length`, which are not forwarded either.
+bool is_connection_header(std::string_view name)
+{
+    static constexpr std::string_view names[] = {"connection", "keep-alive",        "proxy-connection",
+                                                 "te",         "trailer",           "upgrade",
+                                                 "expect",     "transfer-encoding", "content-length"};
+    return std::any_of(std::begin(names), std::end(names),
+                       [&](std::string_view entry) { return http::equal_names(entry, name); });
+}
+
+/// Type and subtype of the content, without parameters; empty when the answer names none.
+std::string media_type_of(const http::response& head)
+{
+    auto type = http::find_header(head.headers, "content-type").value_or("");
+    type.resize(std::min(type.find(';'), type.size()));
+    type.resize(type.find_last_not_of(" \t") + 1);
+    return type;
+}
+
+} // namespace
+
+void request_run::record_result(const target_attempt& attempt, attempt_end end)
+{
+    auto* state = this->owner.fleet.find_target(attempt.target.instance);
+    if (state == nullptr || end == attempt_end::caller_disconnected) {
+        return;
+    }
+    if (end == attempt_end::not_run && attempt.refusal_status == wrong_target_status) {
+        this->owner.record_fault(*state, target_fault::replaced, steady_clock::now());
+    } else if (end == attempt_end::not_run && this->chosen_service->engines) {
+        this->owner.record_fault(*state, target_fault::refused, steady_clock::now());
+    }
+    const bool failed_there = end == attempt_end::lost || end == attempt_end::not_sent ||
+                              end == attempt_end::timed_out ||
+                              (end == attempt_end::answered && this->final_status >= 500);
+    state->failure_share += failure_smoothing * ((failed_there ? 1.0 : 0.0) - state->failure_share);
+}
+
+std::shared_ptr<target_attempt> request_run::create_attempt(const target_state& state) const
+{
+    auto out = std::make_shared<target_attempt>();
+    out->target = state.entry;
+    out->events = event_framer(this->resume_after);
+    if (this->primary) {
+        out->events = this->primary->events;
+        out->events.restart();
+    }
+    return out;
+}
+
+std::optional<request_run::attempt_end> request_run::connect(target_attempt& attempt, http::yield_context in)
+{
+    const auto now = steady_clock::now();
+    const auto& target = attempt.target;
+    auto* state = this->owner.fleet.find_target(target.instance);
+    if (state != nullptr && now<state->cold_until&& this->chosen_service->cold_requests_per_s> 0) {
+        const auto share = slow_start_share(this->chosen_service->cold_requests_per_s,
+                                            this->owner.fleet.share_for(target.instance, now));
+        if (!state->cold_sends.take(share, now)) {
+            attempt.reason = "request rate limit of a cold target reached";
+            return attempt_end::not_sent;
+        }
+    }
+    const bool once = !this->chosen_route->idempotent();
+    auto bound = this->owner.connections.take_idle(
+        target.address, std::nullopt, once ? non_idempotent_idle_limit : limits::target_idle_time);
+    attempt.connection_kept = bound.connection != nullptr;
+    if (!bound.connection) {
+        auto opened =
+            this->owner.connections.open(target.address, std::min(this->deadline, now + connect_timeout), in);
+        if (failed(opened)) {
+            attempt.reason = error(opened).context;
+            if (steady_clock::now() >= this->deadline) {
+                return attempt_end::timed_out;
+            }
+            if (auto* known = this->owner.fleet.find_target(target.instance)) {
+                this->owner.record_fault(*known, target_fault::unreachable, steady_clock::now());
+            }
+            return this->caller_disconnected ? attempt_end::caller_disconnected : attempt_end::not_sent;
+        }
+        bound.connection = value(std::move(opened));
+    }
+    if (this->caller_disconnected || attempt.superseded) {
+        this->owner.connections.give_back(target.address, std::move(bound));
+        return this->caller_disconnected ? attempt_end::caller_disconnected : attempt_end::superseded;
+    }
+    if (this->stopping) {
+        attempt.reason = stopping_reason;
+        return attempt_end::not_sent;
+    }
+    attempt.bound = std::move(bound);
+    return std::nullopt;
+}
+
+request_run::attempt_end request_run::begin(target_attempt& attempt, http::yield_context in)
+{
+    if (const auto end = this->connect(attempt, in); end) {
+        return *end;
+    }
+    const auto& target = attempt.target.instance;
+    attempt.open = true;
+    this->owner.fleet.in_flight.begin(target, steady_clock::now());
+    this->owner.report_scarce_slots(target, steady_clock::now());
+    this->owner.attempts[&attempt] = {target, this->chosen_route->idempotent(),
+                                      [this, &attempt] { this->on_stalled(attempt); }};
+    attempt.crash_ticket = this->owner.guard.begin(this->number, this->features, attempt.target);
+    return this->exchange(attempt, in);
+}
+
+void request_run::end_attempt(target_attempt& attempt, attempt_end end, http::yield_context in)
+{
+    if (std::exchange(attempt.open, false)) {
+        this->owner.attempts.erase(&attempt);
+        this->owner.fleet.in_flight.end(attempt.target.instance, attempt.answer_begun);
+        this->owner.report_scarce_slots(attempt.target.instance, steady_clock::now());
+        this->record_crash_evidence(attempt, end, in);
+    }
+    // A refusal may be written once more with the id of the next request, so its connection is not reused.
+    if (end == attempt_end::answered) {
+        this->owner.connections.give_back(attempt.target.address, std::move(attempt.bound));
+    }
+    attempt.bound = {};
+    this->record_result(attempt, end);
+}
+
+request_run::attempt_end request_run::exchange(target_attempt& attempt, http::yield_context in)
+{
+    ++this->sends;
+    ++this->possible_runs;
+    this->retry_reserved = false;
+    if (const auto written =
+            attempt.bound.connection->write_request(this->target_request(attempt), this->deadline, in);
+        failed(written)) {
+        return this->failed_exchange(attempt, error(written));
+    }
+    return this->receive(attempt, in);
+}
+
+void request_run::record_crash_evidence(const target_attempt& attempt, attempt_end end,
+                                        http::yield_context in)
+{
+    const auto* known = this->owner.fleet.find_target(attempt.target.instance);
+    const bool leaving = known == nullptr || known->entry.draining;
+    // A target that stops within such an answer may close the connection in order.
+    const bool unframed = attempt.bound.connection && attempt.bound.connection->ends_with_connection();
+    const bool may_be_lost =
+        end == attempt_end::lost ? attempt.connection_broke : end == attempt_end::answered && unframed;
+    if (may_be_lost && !leaving && !this->stopping) {
+        return this->owner.guard.end_broken(attempt.crash_ticket, attempt.target, this->deadline, in);
+    }
+    const bool answered = end == attempt_end::answered && this->final_status < 300;
+    this->owner.guard.end(attempt.crash_ticket, answered, steady_clock::now());
+}
+
+request_run::attempt_end request_run::failed_exchange(target_attempt& attempt, const failure& why)
+{
+    attempt.reason = why.context;
+    attempt.connection_broke = why.kind == failure_kind::connection_broken && !attempt.superseded;
+    if (this->caller_disconnected) {
+        return attempt_end::caller_disconnected;
+    }
+    if (this->stopping) {
+        attempt.reason = stopping_reason;
+        return attempt_end::lost;
+    }
+    if (attempt.superseded) {
+        attempt.reason = "target stalled";
+        return attempt_end::superseded;
+    }
+    return why.kind == failure_kind::timeout ? attempt_end::timed_out : attempt_end::lost;
+}
+
+bool request_run::record_progress(target_attempt& attempt, bool bytes)
+{
+    const bool first = !std::exchange(attempt.answer_begun, true);
+    this->owner.fleet.in_flight.progress(attempt.target.instance, first, steady_clock::now());
+    if (bytes) {
+        this->owner.guard.record_progress(attempt.crash_ticket, steady_clock::now());
+    }
+    if (attempt.superseded) {
+        attempt.reason = "target stalled";
+        return false;
+    }
+    if (&attempt == this->primary.get()) {
+        this->abandon_standby();
+        this->standby_obstacle.clear();
+    }
+    return true;
+}
+
+bool request_run::is_valid_answer(target_attempt& attempt)
+{
+    const auto& names = this->owner.ports.headers;
+    const auto& head = attempt.head;
+    const auto answered_id = http::find_header(head.headers, names.request_id);
+    if (answered_id && *answered_id != this->request_id) {
+        attempt.reason = "answer names another request id";
+        return false;
+    }
+    // A target may write an additional answer to an earlier request, order or status read.
+    if (!answered_id && attempt.connection_kept) {
+        attempt.reason = "answer on a kept connection names no request id";
+        return false;
+    }
+    if (http::find_header(head.headers, "content-encoding")) {
+        attempt.reason = "answer has an unsupported content encoding";
+        return false;
+    }
+    if (is_success(head.status) && !http::find_header(head.headers, names.answer_signature)) {
+        attempt.reason = "answer has no signature of a target";
+        return false;
+    }
+    return true;
+}
+
+request_run::attempt_end request_run::receive(target_attempt& attempt, http::yield_context in)
+{
+    auto read = attempt.bound.connection->read_head(this->deadline, in);
+    if (failed(read)) {
+        return this->failed_exchange(attempt, error(read));
+    }
+    this->owner.fleet.in_flight.progress(attempt.target.instance, false, steady_clock::now());
+    attempt.head = value(std::move(read));
+    if (!this->is_valid_answer(attempt)) {
+        return attempt_end::lost;
+    }
+    const auto status = attempt.head.status;
+    const auto& names = this->owner.ports.headers;
+    const bool not_run =
+        status == wrong_target_status || http::find_header(attempt.head.headers, names.not_executed);
+    if (not_run && status >= 400) {
+        --this->possible_runs;
+        attempt.refusal_status = status;
+        attempt.reason = "target refused with " + std::to_string(status);
+        return attempt_end::not_run;
+    }
+    if (this->chosen_route->kind == route_kind::stream && status == 200) {
+        attempt.streamed = true;
+        return this->read_events(attempt, in);
+    }
+    const bool beside_another = &attempt != this->primary.get() && this->primary->open;
+    if (this->head_sent || (status >= 500 && beside_another)) {
+        attempt.reason = "status " + std::to_string(status) +
+                         (this->head_sent ? " instead of the rest of a stream" : " of another target");
+        return attempt_end::lost;
+    }
+    return this->read_whole(attempt, in);
+}
+
+request_run::attempt_end request_run::read_events(target_attempt& attempt, http::yield_context in)
+{
+    const auto type = media_type_of(attempt.head);
+    if (this->head_sent && !http::equal_names(type, this->media_type)) {
+        attempt.reason = "content type '" + type + "' instead of the rest of a stream";
+        return attempt_end::lost;
+    }
+    attempt.complete_events.clear();
+    while (attempt.complete_events.empty() && !attempt.complete) {
+        auto part = attempt.bound.connection->read_body_part(this->deadline, in);
+        if (failed(part)) {
+            return this->failed_exchange(attempt, error(part));
+        }
+        if (!value(part) && !this->head_sent && attempt.bound.connection->ends_with_connection()) {
+            attempt.reason = "answer without length ended before its first event";
+            return attempt_end::lost;
+        }
+        if (!this->record_progress(attempt, value(part).has_value())) {
+            return attempt_end::superseded;
+        }
+        attempt.complete = !value(part);
+        if (attempt.complete && attempt.events.partial()) {
+            attempt.reason = "answer ended within an event";
+            attempt.connection_broke = true;
+            return attempt_end::lost;
+        }
+        if (attempt.complete && this->head_sent && attempt.events.expects_next()) {
+            attempt.reason = "answer without events instead of the rest of a stream";
+            return attempt_end::lost;
+        }
+        auto events = attempt.events.append(value(part).value_or(""));
+        if (failed(events)) {
+            attempt.reason = error(events).context;
+            return attempt_end::lost;
+        }
+        attempt.complete_events = value(std::move(events));
+    }
+    return attempt_end::begun;
+}
+
+request_run::attempt_end request_run::read_whole(target_attempt& attempt, http::yield_context in)
+{
+    attempt.bound.connection->update_body_limit(max_buffered_body_bytes);
+    while (true) {
+        auto part = attempt.bound.connection->read_body_part(this->deadline, in);
+        if (failed(part)) {
+            return this->failed_exchange(attempt, error(part));
+        }
+        if (!value(part) && attempt.head.body.empty() && is_success(attempt.head.status) &&
+            attempt.bound.connection->ends_with_connection()) {
+            attempt.reason = "success without length and body";
+            return attempt_end::lost;
+        }
+        if (!this->record_progress(attempt, value(part).has_value())) {
+            return attempt_end::superseded;
+        }
+        if (!value(part)) {
+            attempt.complete = true;
+            return attempt_end::begun;
+        }
+        attempt.head.body += *value(part);
+    }
+}
+
+request_run::attempt_end request_run::relay()
+{
+    auto& attempt = *this->primary;
+    attempt.awaits_target = false;
+    if (!this->head_sent) {
+        this->final_status = attempt.head.status;
+        this->first_byte = this->since_arrival();
+        this->owner.first_byte.record(this->first_byte);
+    }
+    if (attempt.streamed) {
+        return this->relay_stream(attempt);
+    }
+    auto answer = this->caller_response(attempt.head);
+    answer.body = std::move(attempt.head.body);
+    this->head_sent = true;
+    return failed(this->writer.send(answer)) ? attempt_end::caller_disconnected : attempt_end::answered;
+}
+
+request_run::attempt_end request_run::relay_stream(target_attempt& attempt)
+{
+    // The head is sent with the first event: until then the request can be rerouted or refused.
+    if (!this->head_sent) {
+        this->media_type = media_type_of(attempt.head);
+    }
+    if (!std::exchange(this->head_sent, true) &&
+        failed(this->writer.start(this->caller_response(attempt.head)))) {
+        return attempt_end::caller_disconnected;
+    }
+    while (true) {
+        if (!attempt.complete_events.empty() && failed(this->writer.write(attempt.complete_events))) {
+            return attempt_end::caller_disconnected;
+        }
+        if (attempt.complete) {
+            return failed(this->writer.finish()) ? attempt_end::caller_disconnected : attempt_end::answered;
+        }
+        attempt.awaits_target = true;
+        const auto end = this->read_events(attempt, this->yield);
+        attempt.awaits_target = false;
+        if (end != attempt_end::begun) {
+            return end;
+        }
+    }
+}
+
+http::request request_run::target_request(const target_attempt& attempt) const
+{
+    const auto& names = this->owner.ports.headers;
+    http::request out{this->message.method, this->message.target, {}, this->message.body};
+    const auto listed = http::find_header(this->message.headers, "connection").value_or("");
+    for (const auto& entry : this->message.headers) {
+        const bool own = http::equal_names(entry.name, names.deadline_ms) ||
+                         http::equal_names(entry.name, names.account) ||
+                         http::equal_names(entry.name, names.expected_target) ||
+                         http::equal_names(entry.name, names.urgency) ||
+                         http::equal_names(entry.name, "authorization") ||
+                         (http::equal_names(entry.name, names.last_event_id) && attempt.events.last_id());
+        if (!own && !is_connection_header(entry.name) && !http::list_contains(listed, entry.name)) {
+            out.headers.push_back(entry);
+        }
+    }
+    const auto time = std::max<std::int64_t>(1, this->remaining_time(steady_clock::now()).count());
+    out.headers.push_back({names.deadline_ms, std::to_string(time)});
+    out.headers.push_back({names.expected_target, attempt.target.instance.str()});
+    if (!this->account.empty()) {
+        out.headers.push_back({names.account, this->account});
+    }
+    if (this->chosen_service->engines) {
+        out.headers.push_back({names.urgency, std::to_string(std::min(max_urgency_value, this->priority))});
+    }
+    if (const auto& last = attempt.events.last_id()) {
+        out.headers.push_back({names.last_event_id, std::to_string(*last)});
+    }
+    return out;
+}
+
+http::response request_run::caller_response(const http::response& from) const
+{
+    http::response out{from.status, {}, {}};
+    const auto listed = http::find_header(from.headers, "connection").value_or("");
+    for (const auto& entry : from.headers) {
+        if (!is_connection_header(entry.name) && !http::list_contains(listed, entry.name)) {
+            out.headers.push_back(entry);
+        }
+    }
+    return out;
+}
+
+} // namespace rml::gateway::detail
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -12,6 +12,9 @@
 
 namespace rml::gateway::detail {
 
+/// Reason of requests that are ended because the process stops.
+constexpr const char* stopping_reason = "daemon is stopping";
+
 /// An attempt of a request at one target.
 struct target_attempt
 {
