Acquit a prompt part only after whole events of an answer

An engine that wrote one event in a chunk before it ended acquitted the part that ended it: the head of the chunk and its data were read one after the other and counted as an answer that had gone on, so the loss did not count and every request with the part reached an engine.

An answer goes on when whole events arrive after the first ones; a plain answer acquits its parts at its successful end only.

--- a/src/gateway/crash_guard.hpp
+++ b/src/gateway/crash_guard.hpp
@@ -57,7 +57,7 @@
     /// The request is about to be sent to the target, as a trial if it holds one. Returns a ticket for the
     /// attempt.
     std::uint64_t begin(std::uint64_t request, const crash_features& features, const target_entry& target);
-    /// A part of the answer's body arrived.
+    /// Whole events of the answer arrived.
     void record_progress(std::uint64_t ticket, time_point now);
     /// The attempt ended without a broken connection. `answered`: with a complete answer of the target.
     void end(std::uint64_t ticket, bool answered, time_point now);
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -197,13 +197,10 @@
     return why.kind == failure_kind::timeout ? attempt_end::timed_out : attempt_end::lost;
 }
 
-bool request_run::record_progress(target_attempt& attempt, bool bytes)
+bool request_run::record_progress(target_attempt& attempt)
 {
     const bool first = !std::exchange(attempt.answer_begun, true);
     this->owner.fleet.in_flight.progress(attempt.target.instance, first, steady_clock::now());
-    if (bytes) {
-        this->owner.guard.record_progress(attempt.crash_ticket, steady_clock::now());
-    }
     if (attempt.superseded) {
         attempt.reason = "target stalled";
         return false;
@@ -291,7 +288,7 @@
             attempt.reason = "answer without length ended before its first event";
             return attempt_end::lost;
         }
-        if (!this->record_progress(attempt, value(part).has_value())) {
+        if (!this->record_progress(attempt)) {
             return attempt_end::superseded;
         }
         attempt.complete = !value(part);
@@ -311,6 +308,10 @@
         }
         attempt.complete_events = value(std::move(events));
     }
+    // The head of a chunk and its data, or the parts of one event, are no sign that the answer has gone on.
+    if (!attempt.complete_events.empty()) {
+        this->owner.guard.record_progress(attempt.crash_ticket, steady_clock::now());
+    }
     return attempt_end::begun;
 }
 
@@ -327,7 +328,7 @@
             attempt.reason = "success without length and body";
             return attempt_end::lost;
         }
-        if (!this->record_progress(attempt, value(part).has_value())) {
+        if (!this->record_progress(attempt)) {
             return attempt_end::superseded;
         }
         if (!value(part)) {
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -117,9 +117,9 @@
     void wait_for_change();
     void close_connections();
 
-    /// Records received bytes, or with `bytes` false the end of the answer. Returns false when the attempt
-    /// was superseded; what was received must not be used then.
-    bool record_progress(target_attempt& attempt, bool bytes);
+    /// Records received bytes or the end of the answer. Returns false when the attempt was superseded; what
+    /// was received must not be used then.
+    bool record_progress(target_attempt& attempt);
     attempt_end failed_exchange(target_attempt& attempt, const failure& why);
     bool is_valid_answer(target_attempt& attempt);
     bool reserve_retry(time_point now);
--- a/tests/gateway/crash_guard_test.cpp
+++ b/tests/gateway/crash_guard_test.cpp
@@ -43,6 +43,7 @@
     }
     /// The targets begin answers without length before they end, and close the connections in order.
     std::atomic<bool> begin_answers{false};
+    std::atomic<bool> end_after_first_event{false}; ///< instead of after the head
     int sends()
     {
         const std::scoped_lock lock(this->mutex);
@@ -92,27 +93,32 @@
         this->ended = false;
         this->restart_at = {};
         ++this->runs;
-        this->server = std::make_unique<raw_server>([this](const http::request& message,
-                                                           raw_connection& connection) {
-            const auto head =
-                "HTTP/1.1 200 OK\r\nx-id: " + http::find_header(message.headers, "x-id").value_or("") +
-                "\r\nx-signature: s\r\ntransfer-encoding: chunked\r\n\r\n";
-            if (this->deadly.ends_target(message)) {
-                connection.send(this->deadly.begin_answers ? unframed(head) + "id: 1\ndata: a\n\n" : head);
-                ++this->ends;
-                this->ended = true;
-                this->server->end_process();
-                return false;
-            }
-            std::this_thread::sleep_for(milliseconds(40));
-            connection.send(head);
-            if (!http::find_header(message.headers, "last-event")) {
-                connection.send(chunk("id: 1\ndata: a\n\n"));
-                std::this_thread::sleep_for(milliseconds(20));
-            }
-            connection.send(chunk("id: 2\ndata: b\n\n") + last_chunk);
-            return true;
-        });
+        this->server =
+            std::make_unique<raw_server>([this](const http::request& message, raw_connection& connection) {
+                const auto head =
+                    "HTTP/1.1 200 OK\r\nx-id: " + http::find_header(message.headers, "x-id").value_or("") +
+                    "\r\nx-signature: s\r\ntransfer-encoding: chunked\r\n\r\n";
+                if (this->deadly.ends_target(message)) {
+                    const std::string event = http::find_header(message.headers, "last-event")
+                                                  ? "id: 2\ndata: b\n\n"
+                                                  : "id: 1\ndata: a\n\n";
+                    connection.send(this->deadly.begin_answers           ? unframed(head) + event
+                                    : this->deadly.end_after_first_event ? head + chunk(event)
+                                                                         : head);
+                    ++this->ends;
+                    this->ended = true;
+                    this->server->end_process();
+                    return false;
+                }
+                std::this_thread::sleep_for(milliseconds(40));
+                connection.send(head);
+                if (!http::find_header(message.headers, "last-event")) {
+                    connection.send(chunk("id: 1\ndata: a\n\n"));
+                    std::this_thread::sleep_for(milliseconds(20));
+                }
+                connection.send(chunk("id: 2\ndata: b\n\n") + last_chunk);
+                return true;
+            });
     }
 
     deadly_requests& deadly;
@@ -355,6 +361,11 @@
     {
         check_days_of(fleet, {"chat:900,deadly:9,talk:50"});
     }
+    SECTION("with answers that break off after their first event")
+    {
+        fleet.deadly.end_after_first_event = true;
+        check_days_of(fleet, {"chat:900,deadly:9"});
+    }
     SECTION("with answers that have begun and look complete")
     {
         fleet.deadly.begin_answers = true;
