Clear the losses of a whole request that was answered

A request that thousands of callers send alike, such as a short GET, was refused for an hour after three unrelated losses of targets, however often it was answered in between: only the answer to a trial cleared a record, and a whole request holds no trial. Any successful answer clears it now.

--- a/src/decision/crash_attribution.cpp
+++ b/src/decision/crash_attribution.cpp
@@ -92,7 +92,7 @@
             this->acquit(part, now, now, changes);
         }
     }
-    if (ended.trial && succeeded) {
+    if (succeeded) {
         if (const auto* cleared = this->records.clear(ended.features.whole); cleared != nullptr) {
             ++this->counts.cleared;
             changes.notices.push_back(cleared->make_notice(ended.features.whole, now));
--- a/src/decision/crash_records.cpp
+++ b/src/decision/crash_records.cpp
@@ -110,7 +110,7 @@
 const crash_record* crash_records::clear(request_fingerprint whole)
 {
     const auto known = this->records.find(whole.value);
-    if (known == this->records.end() || known->second.blocked) {
+    if (known == this->records.end() || known->second.blocked || known->second.counted_losses.empty()) {
         return nullptr;
     }
     ++known->second.version;
--- /dev/null
+++ b/tests/decision/crash_clearing_test.cpp
@@ -0,0 +1,44 @@
+#include "decision/crash_attribution.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace rml;
+
+namespace {
+
+group_run run_on(const std::string& id, const std::string& domain)
+{
+    return {group_id(id), 1, fabric_domain_id("f" + domain), failure_domain_id(domain)};
+}
+
+} // namespace
+
+// Guards against sound requests that stay refused after several targets with them in flight were lost.
+TEST_CASE("a sound whole request may run again after its losses", "[crash]")
+{
+    SECTION("and is cleared by answers between two losses")
+    {
+        crash_attribution daemon;
+        const request_fingerprint whole{7};
+        time_point now{seconds(1000)};
+        const auto lose = [&](std::uint64_t ticket, const char* id) {
+            daemon.begin(ticket, {whole, {}}, run_on(id, id), false);
+            daemon.group_lost(run_on(id, id), now, now);
+            now += seconds(5);
+            daemon.poll(now);
+        };
+        lose(1, "g1");
+        for (std::uint64_t ticket = 10; ticket < 1010; ++ticket) {
+            daemon.begin(ticket, {whole, {}}, run_on("g0", "g0"), false);
+            daemon.end(ticket, true, now);
+        }
+        now += seconds(1200);
+        daemon.poll(now);
+        lose(2, "g2");
+        lose(3, "g3");
+        CHECK(daemon.check_features({whole, {}}, now) == crash_verdict::run);
+        now += seconds(600);
+        daemon.poll(now);
+        CHECK(daemon.check_features({whole, {}}, now) == crash_verdict::run);
+    }
+}
