Let only daemons with own evidence block a whole request

A daemon that learned of the losses of a request from another one counted them as classified, could not explain them and blocked the request 0.3 s before the other one's explanation could arrive; the block then spread to the daemon that could explain them. Now only a daemon that had the request in flight decides on a block.

--- a/src/decision/crash_records.cpp
+++ b/src/decision/crash_records.cpp
@@ -163,8 +163,9 @@
             still_undecided.push_back(fingerprint);
             continue;
         }
-        const bool blocks =
-            !known.part && !known.blocked && this->verdict_of(known, now) == crash_verdict::blocked;
+        // A daemon that had no such request in flight may not know what explains the losses.
+        const bool blocks = !known.part && known.local && !known.blocked &&
+                            this->verdict_of(known, now) == crash_verdict::blocked;
         if (blocks) {
             known.blocked = true;
             known.expires = now + limits::block_lifetime;
--- a/tests/decision/crash_clearing_test.cpp
+++ b/tests/decision/crash_clearing_test.cpp
@@ -41,4 +41,36 @@
         daemon.poll(now);
         CHECK(daemon.check_features({whole, {}}, now) == crash_verdict::run);
     }
+    SECTION("and is not blocked by a daemon that cannot explain its losses while another can")
+    {
+        crash_attribution sender;
+        crash_attribution receiver;
+        const request_fingerprint whole{7};
+        time_point now{seconds(1000)};
+        const auto exchange = [&](const std::vector<crash_notice>& notices, crash_attribution& to) {
+            for (const auto& notice : notices) {
+                to.apply(notice, now);
+            }
+        };
+        sender.begin(1, {whole, {}}, run_on("g1", "rack"), false);
+        sender.begin(3, {{8}, {}}, run_on("g3", "rack"), false);
+        exchange(sender.group_lost(run_on("g1", "rack"), now, now).notices, receiver);
+        for (const auto* id : {"g2", "g4"}) {
+            sender.begin(2, {whole, {}}, run_on(id, "rack"), false);
+            now += milliseconds(100);
+            exchange(sender.group_lost(run_on(id, "rack"), now, now).notices, receiver);
+        }
+        exchange(sender.group_lost(run_on("g3", "rack"), now, now).notices, receiver);
+        for (int i = 0; i < 400; ++i) {
+            now += milliseconds(50);
+            exchange(sender.poll(now).notices, receiver);
+            exchange(receiver.poll(now).notices, sender);
+            if (i % 20 == 0) {
+                exchange(sender.notices(now), receiver);
+                exchange(receiver.notices(now), sender);
+            }
+        }
+        CHECK(sender.check_features({whole, {}}, now) == crash_verdict::run);
+        CHECK(receiver.check_features({whole, {}}, now) == crash_verdict::run);
+    }
 }
