Explain the losses of a whole request by a part with as many

A sound request that was in flight at all losses of a deadly part was blocked for an hour when the part, refused by then, caused no further loss: the part explained only losses of records with fewer losses. For whole requests it explains those of records with as many now; a request that has the part is still judged by the part.

Test, on the code before: 4 == 0 with the next loss of the part 6 s later.

--- a/src/decision/crash_records_verdicts.cpp
+++ b/src/decision/crash_records_verdicts.cpp
@@ -50,9 +50,11 @@
 
 bool crash_records::explained_by_part(const crash_record& known, const counted_loss& counted) const
 {
-    const auto weight = known.weight();
+    // A request that has the part itself is still judged by the part.
+    const auto least =
+        known.part ? known.weight() + 1 : std::max(known.weight(), crash_record::blocking_losses);
     return std::any_of(this->records.begin(), this->records.end(), [&](const auto& entry) {
-        return entry.second.part && entry.second.counts_loss(counted.loss) && entry.second.weight() > weight;
+        return entry.second.part && entry.second.counts_loss(counted.loss) && entry.second.weight() >= least;
     });
 }
 
--- a/tests/decision/crash_clearing_test.cpp
+++ b/tests/decision/crash_clearing_test.cpp
@@ -73,4 +73,37 @@
         CHECK(sender.check_features({whole, {}}, now) == crash_verdict::run);
         CHECK(receiver.check_features({whole, {}}, now) == crash_verdict::run);
     }
+    SECTION("and is not blocked by the losses of a prompt part of other requests")
+    {
+        for (const auto third : {milliseconds(500), milliseconds(6000)}) {
+            crash_attribution daemon;
+            const request_fingerprint whole{7};
+            const request_fingerprint deadly{8};
+            time_point now{seconds(1000)};
+            std::uint64_t ticket = 0;
+            const auto lose = [&](const char* id, bool with_sound) {
+                if (with_sound) {
+                    daemon.begin(++ticket, {whole, {}}, run_on(id, id), false);
+                }
+                daemon.begin(++ticket, {{100 + ticket}, {deadly}}, run_on(id, id), !with_sound);
+                daemon.group_lost(run_on(id, id), now, now);
+                now += milliseconds(400);
+                daemon.poll(now);
+            };
+            lose("g1", true);
+            lose("g2", true);
+            lose("g3", true);
+            const auto until = now + third;
+            while (now < until) {
+                now += milliseconds(50);
+                daemon.poll(now);
+            }
+            lose("g4", false);
+            now += seconds(10);
+            daemon.poll(now);
+            CAPTURE(third.count());
+            CHECK(daemon.check_features({{99}, {deadly}}, now) >= crash_verdict::refuse);
+            CHECK(daemon.check_features({whole, {}}, now) == crash_verdict::run);
+        }
+    }
 }
