Answer requests that are connecting when a stopping daemon ends them

A request that was still connecting to a target when the daemon ended its requests could return after the end of the event loop: connecting takes up to 350 ms, the last answers 300 ms. The connect ends 150 ms after the requests now. No test of its own.

--- a/src/decision/crash_records.hpp
+++ b/src/decision/crash_records.hpp
@@ -73,7 +73,8 @@
     };
 
     bool explained(const crash_record& known, const counted_loss& counted) const;
-    /// Whether a part that was in flight on the lost group has more losses than this record.
+    /// Whether a part that was in flight on the lost group has more losses than this record; for the record
+    /// of a whole request, at least as many.
     bool explained_by_part(const crash_record& known, const counted_loss& counted) const;
     /// Whether a feature that the request does not have has the same losses.
     bool ambiguous(const crash_record& known, const crash_features& features) const;
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -10,6 +10,8 @@
 /// Connecting takes a few round trips. TCP retransmits a lost first packet only after 1 s, which is longer
 /// than most objectives.
 constexpr milliseconds connect_timeout{350};
+/// Connecting that goes on when a stopping daemon ends its requests must leave time for the last answers.
+constexpr milliseconds last_connect_time{150};
 /// Longest idle time of a connection that carries a request that must not run twice: a target may drop an
 /// idle connection without notice, and then it is unknown whether the request has run.
 constexpr milliseconds non_idempotent_idle_limit{500};
@@ -93,8 +95,11 @@
         target.address, std::nullopt, once ? non_idempotent_idle_limit : limits::target_idle_time);
     attempt.connection_kept = bound.connection != nullptr;
     if (!bound.connection) {
-        auto opened =
-            this->owner.connections.open(target.address, std::min(this->deadline, now + connect_timeout), in);
+        auto limit = std::min(this->deadline, now + connect_timeout);
+        if (this->owner.stop_at) {
+            limit = std::min(limit, *this->owner.stop_at + last_connect_time);
+        }
+        auto opened = this->owner.connections.open(target.address, limit, in);
         if (failed(opened)) {
             attempt.reason = error(opened).context;
             if (steady_clock::now() >= this->deadline) {
