Let daemons start trials of a part in turn

The test of a deadly part as the first one failed once in about ten runs, beside load: 6 losses instead of at most 5. After a loss is classified, each daemon with a waiting request started a trial of the part in the same moment, before the report of the first one could arrive. Each daemon has its turn by its rank for the part now, 40 ms after the one before and at most 0.3 s after the first, and repeats wait for it. That this caused the failing run is likely; its trials were not logged.

--- a/src/decision/crash_attribution.cpp
+++ b/src/decision/crash_attribution.cpp
@@ -33,6 +33,11 @@
     return this->records.find_worst(features, now);
 }
 
+time_point crash_attribution::latest_loss(const crash_features& features) const
+{
+    return this->records.latest_loss(features);
+}
+
 void crash_attribution::begin(std::uint64_t ticket, request_fingerprint fingerprint, const group_run& target,
                               bool trial)
 {
--- a/src/decision/crash_attribution.hpp
+++ b/src/decision/crash_attribution.hpp
@@ -74,6 +74,9 @@
     crash_verdict check_features(const crash_features& features, time_point now) const;
     /// Like `check_features`, with the feature that has this verdict.
     crash_finding find_worst(const crash_features& features, time_point now) const;
+    /// Time of the latest loss that counts against a part of the request; the start of the clock if there is
+    /// none.
+    time_point latest_loss(const crash_features& features) const;
 
     /// Counts a request as sent to the group, directly before it is sent.
     void begin(std::uint64_t ticket, request_fingerprint fingerprint, const group_run& target, bool trial);
--- a/src/decision/crash_records.hpp
+++ b/src/decision/crash_records.hpp
@@ -32,6 +32,9 @@
 
     crash_verdict check(request_fingerprint fingerprint, time_point now) const;
     crash_finding find_worst(const crash_features& features, time_point now) const;
+    /// Time of the latest loss that counts against a part of the request; the start of the clock if there is
+    /// none.
+    time_point latest_loss(const crash_features& features) const;
 
     /// Adds a loss to those that explain others. Returns false if it is known.
     bool add_event(std::uint64_t loss, const group_run& lost, time_point at);
--- a/src/decision/crash_records_verdicts.cpp
+++ b/src/decision/crash_records_verdicts.cpp
@@ -151,6 +151,19 @@
     return worst;
 }
 
+time_point crash_records::latest_loss(const crash_features& features) const
+{
+    time_point latest{};
+    for (const auto part : features.parts) {
+        if (const auto* known = this->find(part); known != nullptr) {
+            for (const auto& counted : known->counted_losses) {
+                latest = known->counts(counted) ? std::max(latest, counted.at) : latest;
+            }
+        }
+    }
+    return latest;
+}
+
 crash_verdict crash_records::check(request_fingerprint fingerprint, time_point now) const
 {
     const auto known = this->records.find(fingerprint.value);
--- a/src/gateway/crash_guard.cpp
+++ b/src/gateway/crash_guard.cpp
@@ -18,6 +18,10 @@
 /// Lost runs are remembered for requests in flight there whose connections break later.
 constexpr seconds lost_run_lifetime{10};
 constexpr seconds resend_interval{1};
+/// Time after which the next daemon may start a trial of the same part: a report that a trial has started
+/// arrives within it. The last of many daemons waits for the spread.
+constexpr milliseconds trial_step{40};
+constexpr milliseconds trial_spread{300};
 /// Keeps a report with evidence within one datagram: a row has about 200 bytes.
 constexpr std::size_t max_report_rows = 64;
 constexpr std::size_t max_reported_trials = 256;
@@ -83,13 +87,23 @@
            });
 }
 
+bool crash_guard::trial_turn(const crash_features& features, time_point now) const
+{
+    const auto loss = this->attribution.latest_loss(features);
+    const auto share = this->fleet.share_for(instance_id(hex(features.parts.front())), now);
+    const auto step = std::min<duration>(trial_step, trial_spread / static_cast<int>(share.daemons));
+    return now >= loss + limits::classification_delay + step * static_cast<int>(share.rank);
+}
+
 send_permission crash_guard::check(const crash_features& features, time_point now) const
 {
     switch (this->attribution.check_features(features, now)) {
     case crash_verdict::run:
         return send_permission::allowed;
     case crash_verdict::trial:
-        return this->trial_running(features, now) ? send_permission::later : send_permission::trial;
+        return this->trial_turn(features, now) && !this->trial_running(features, now)
+                   ? send_permission::trial
+                   : send_permission::later;
     case crash_verdict::hold:
         return send_permission::later;
     case crash_verdict::refuse:
--- a/src/gateway/crash_guard.hpp
+++ b/src/gateway/crash_guard.hpp
@@ -103,6 +103,9 @@
 
     static group_run run_of(const target_entry& target);
     bool trial_running(const crash_features& features, time_point now) const;
+    /// Whether it is this daemon's turn to start a trial. After a loss the daemons with waiting requests
+    /// would otherwise all start one at once.
+    bool trial_turn(const crash_features& features, time_point now) const;
     void apply(const crash_changes& changes);
     void record_loss(const target_entry& target, time_point at);
     /// Logs the fingerprints whose verdict has changed since the last call.
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -18,8 +18,8 @@
 constexpr milliseconds slot_retry_interval{25};
 constexpr milliseconds min_retry_after{150};
 /// Time for which a repeat waits until the loss of its last target is classified: the delay of the
-/// classification, and a trial of another request with the same part.
-constexpr milliseconds repeat_permission_wait = 2 * limits::classification_delay;
+/// classification, this daemon's turn, and a trial of another request with the same part.
+constexpr milliseconds repeat_permission_wait = 3 * limits::classification_delay;
 /// Retry-After when the load is unknown, for example before the first configuration.
 constexpr milliseconds default_retry_after{500};
 /// Another daemon can take a request that a stopping one refuses.
