Honour targets that leave or ask for a pause

Change: decision/send_right joins registry, drained domains, ejections, pauses and announcements, and is asked at the choice of a target and again directly before a request is written. decision/target_pause reads Retry-After, spreads the daemons' first requests after a pause and lets them grow from one. decision/departed_targets remembers incarnations that leave; only another incarnation takes requests again. Daemons tell each other what targets said to them, and the group manager what the registry shows, so that a daemon without the store learns of it. When all targets pause, waiting and new requests are refused at once with the time that is left. Requests in flight of other daemons are summed at each report instead of being searched for at each choice.

--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -38,7 +38,7 @@
 // Orders.
 constexpr milliseconds order_backoff_initial{500};
 constexpr milliseconds order_backoff_max{8000};
-constexpr std::size_t orders_in_flight = 64; // per duty; a whole domain of 60 engines fits
+constexpr std::size_t orders_in_flight = 64; // of one manager; a whole domain of 60 engines fits
 
 // Share of a pool's groups in one domain, as a divisor, that may load another version at the same time.
 constexpr std::uint32_t update_share = 4;
@@ -95,6 +95,15 @@
 // The longest backoff is 12.8 s, so 12 attempts outlast a short outage.
 constexpr std::uint32_t claim_settle_doublings = 6;
 
+// Targets that leave or ask for a pause.
+constexpr seconds max_target_pause{600};
+constexpr std::size_t departure_records = 2048;
+// A target answers for seconds after its announcement, and then its registry entry is gone.
+constexpr seconds departure_lifetime{120};
+// Covers a daemon that is cut off from the store for longer than entries live.
+constexpr seconds departure_report_time{15};
+constexpr std::size_t departure_reports = 64; // in one report; about 2 KB
+
 // Targets.
 constexpr milliseconds connect_timeout{1000};
 constexpr milliseconds status_timeout{1000};
--- a/src/decision/admission.cpp
+++ b/src/decision/admission.cpp
@@ -297,6 +297,24 @@
     return changes;
 }
 
+admission_changes admission::refuse_queued()
+{
+    admission_changes changes;
+    for (auto* queue : {&this->regular, &this->best_effort}) {
+        for (const auto& account_flow : queue->active) {
+            for (const auto& [priority, content] : account_flow.by_priority) {
+                for (const auto& entry : content.entries) {
+                    changes.refused.push_back({entry.request.ticket, refusal_reason::no_capacity});
+                }
+            }
+        }
+        *queue = {};
+    }
+    this->counts.evicted += changes.refused.size();
+    this->counts.queued = 0;
+    return changes;
+}
+
 admission_changes admission::expire(time_point now)
 {
     admission_changes changes;
--- a/src/decision/admission.hpp
+++ b/src/decision/admission.hpp
@@ -109,6 +109,9 @@
     /// every 100 ms.
     admission_changes expire(time_point now);
 
+    /// Refuses all queued requests, for example when no target will take one in time.
+    admission_changes refuse_queued();
+
     /// Expected wait of a request that arrives now.
     milliseconds expected_wait(const admission_request& request) const;
 
--- a/src/gateway/admission_queue.cpp
+++ b/src/gateway/admission_queue.cpp
@@ -60,6 +60,11 @@
     this->wake(this->queue.update_capacity(slots, steady_clock::now()));
 }
 
+void admission_queue::refuse_queued()
+{
+    this->wake(this->queue.refuse_queued());
+}
+
 void admission_queue::expire()
 {
     this->wake(this->queue.expire(steady_clock::now()));
--- a/src/gateway/admission_queue.hpp
+++ b/src/gateway/admission_queue.hpp
@@ -42,6 +42,8 @@
     void finish(duration took);
     void update_capacity(std::size_t slots);
     void expire();
+    /// Refuses all waiting requests for lack of capacity.
+    void refuse_queued();
 
     const admission_stats& stats() const { return this->queue.stats(); }
 
--- a/src/gateway/daemon.cpp
+++ b/src/gateway/daemon.cpp
@@ -107,6 +107,9 @@
 private:
     void connect_callbacks()
     {
+        this->ports.engines->on_signals = [this](const target_entry& engine, const target_signals& signals) {
+            this->fleet.record_signals(engine, signals, steady_clock::now());
+        };
         this->mirror.on_change = [this] {
             this->holder.notify();
             this->apply_server_limits();
@@ -185,6 +188,10 @@
         }
         out.offered_load = this->requests.offered_load();
         out.requests_per_s = this->requests.requests_per_s();
+        out.departures = this->fleet.departures(out.manages, steady_clock::now());
+        if (out.manages) {
+            out.removals = this->fleet.recent_removals(steady_clock::now());
+        }
         this->requests.crashes().add_trials(out);
         if (to_all) {
             this->requests.crashes().add_evidence(out, steady_clock::now());
@@ -219,6 +226,12 @@
                 this->fleet.suspect(head, now + peer_suspicion);
             }
         }
+        for (const auto& target : report.departures) {
+            this->fleet.record_departure(target, departure_source::peer, now);
+        }
+        for (const auto& target : report.removals) {
+            this->fleet.confirm_removal(target, now);
+        }
         for (const auto& head : report.answering) {
             this->manager.on_progress(head);
         }
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -1,9 +1,11 @@
 #include "gateway/fleet_state.hpp"
 
 #include "base/hash.hpp"
+#include "base/limits.hpp"
 #include "base/log.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace rml::gateway {
 
@@ -12,6 +14,8 @@
 /// A daemon that has sent no report for this long does not count as live. Reports are sent every 100 ms, and
 /// some datagrams are lost.
 constexpr milliseconds peer_timeout{1500};
+/// Reports that may be missing before a daemon that reports less often does not count as live.
+constexpr int reports_per_timeout = 3;
 /// Entries of removed targets that are kept, so that a head that lost only its entry can be ordered to end
 /// its group.
 constexpr std::size_t max_removed_entries = 256;
@@ -49,7 +53,12 @@
         // An engine outside a group reports no model, but keeps its last one resident in this incarnation.
         entry.model = state.entry.model;
     }
-    this->absent.erase(entry.instance);
+    const target_incarnation incarnation{entry.instance, entry.started_ms};
+    if (entry.draining) {
+        this->departed.record(incarnation, departure_source::registry, now);
+    }
+    entry.draining = entry.draining || this->departed.contains(incarnation);
+    const bool was_absent = this->absent.erase(entry.instance) != 0;
     const auto epoch_of = [](const target_entry& of) { return of.membership ? of.membership->epoch : 0; };
     if (epoch_of(entry) > epoch_of(state.entry)) {
         // Suspicions of the previous group do not apply to the new one.
@@ -58,8 +67,14 @@
     }
     state.kept_until.reset();
     state.cold_until = entry.cold_remaining > milliseconds(0) ? now + entry.cold_remaining : time_point{};
+    this->groups_stale = this->groups_stale || was_absent || changes_groups(state.entry, entry);
     state.entry = std::move(entry);
-    this->changed();
+}
+
+bool fleet_state::changes_groups(const target_entry& before, const target_entry& after)
+{
+    return before.membership != after.membership || before.draining != after.draining ||
+           before.service != after.service || before.model != after.model || before.fabric != after.fabric;
 }
 
 void fleet_state::destroy_target(const instance_id& instance, time_point now,
@@ -73,11 +88,100 @@
         found->second.kept_until = *keep_until;
         return;
     }
+    this->removed_at_once.emplace_back(target_incarnation{instance, found->second.entry.started_ms}, now);
+    if (this->removed_at_once.size() > limits::departure_reports) {
+        this->removed_at_once.pop_front();
+    }
     this->record_removal(found->second);
     this->all_targets.erase(found);
     this->changed();
 }
 
+send_right fleet_state::right_to_send(const instance_id& instance, time_point now) const
+{
+    const auto found = this->all_targets.find(instance);
+    return found == this->all_targets.end() ? send_right::withdrawn : this->right_to_send(found->second, now);
+}
+
+send_right fleet_state::right_to_send(const target_state& target, time_point now) const
+{
+    target_standing standing;
+    standing.leaving = target.entry.draining;
+    standing.domain_drained = this->drained_domain(target.entry.failure_domain);
+    standing.paused_until = target.pause.until();
+    standing.ejected_until = std::max(target.suspected_until, target.ejected_until);
+    return send_right_of(standing, now);
+}
+
+void fleet_state::record_signals(const target_entry& target, const target_signals& signals, time_point now)
+{
+    if (signals.leaving) {
+        this->record_departure({target.instance, target.started_ms}, departure_source::answer, now);
+    }
+    auto* state = signals.pause ? this->find_target(target.instance) : nullptr;
+    if (state == nullptr || state->entry.started_ms != target.started_ms) {
+        return;
+    }
+    const auto time = parse_pause(*signals.pause);
+    if (!time) {
+        if (!std::exchange(state->unreadable_pause_logged, true)) {
+            log(log_level::warning, "target asks for a pause of unreadable length; ignored",
+                {{"target", target.instance.str()}, {"text", *signals.pause}});
+        }
+        return;
+    }
+    if (now >= state->pause.until() && *time > milliseconds(0)) {
+        log(log_level::info, "target asks for a pause",
+            {{"target", target.instance.str()}, {"for_ms", time->count()}});
+    }
+    const auto weight = rendezvous_weight(target.instance.str(), this->self.str());
+    const auto spread =
+        static_cast<double>(weight) / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+    state->pause.extend(*time, spread, now);
+}
+
+void fleet_state::record_departure(const target_incarnation& target, departure_source source, time_point now)
+{
+    if (!this->departed.record(target, source, now)) {
+        return;
+    }
+    auto* state = this->find_target(target.instance);
+    if (state == nullptr || state->entry.started_ms != target.started_ms || state->entry.draining) {
+        return;
+    }
+    log(log_level::info, "target leaves",
+        {{"target", target.instance.str()},
+         {"source", source == departure_source::answer ? "its answer" : "another daemon"}});
+    state->entry.draining = true;
+    this->changed();
+}
+
+std::vector<target_incarnation> fleet_state::departures(bool with_registry, time_point now) const
+{
+    return this->departed.reportable(with_registry, now);
+}
+
+std::vector<target_incarnation> fleet_state::recent_removals(time_point now) const
+{
+    std::vector<target_incarnation> out;
+    for (const auto& [target, at] : this->removed_at_once) {
+        if (now - at < limits::departure_report_time) {
+            out.push_back(target);
+        }
+    }
+    return out;
+}
+
+void fleet_state::confirm_removal(const target_incarnation& target, time_point now)
+{
+    const auto* state = this->find_target(target.instance);
+    if (state != nullptr && state->kept_until && state->entry.started_ms == target.started_ms) {
+        log(log_level::info, "kept target removed, another daemon saw its removal",
+            {{"target", target.instance.str()}});
+        this->destroy_target(target.instance, now, std::nullopt);
+    }
+}
+
 void fleet_state::record_removal(const target_state& state)
 {
     const auto& instance = state.entry.instance;
@@ -119,6 +223,7 @@
 
 void fleet_state::expire_targets(time_point now)
 {
+    this->departed.expire(now);
     bool any = false;
     for (auto entry = this->all_targets.begin(); entry != this->all_targets.end();) {
         const bool expired = entry->second.kept_until && now >= *entry->second.kept_until;
@@ -290,6 +395,7 @@
 {
     if (const auto found = this->all_peers.find(daemon); found != this->all_peers.end()) {
         found->second.registered = false;
+        this->next_report_expiry = {};
     }
 }
 
@@ -304,29 +410,78 @@
         (report.started_ms == peer.last_report.started_ms && report.sequence <= peer.last_report.sequence)) {
         return false;
     }
+    this->count_report(peer, false);
     peer.last_report = report;
     peer.reported_at = now;
+    this->count_report(peer, true);
+    this->next_report_expiry = std::min(this->next_report_expiry, now + report_lifetime(peer));
     return true;
 }
 
 bool fleet_state::live(const peer_state& peer, time_point now) const
 {
-    return peer.reported_at != time_point{} && now - peer.reported_at < peer_timeout;
+    return peer.reported_at != time_point{} && now - peer.reported_at < report_lifetime(peer);
 }
 
-std::uint32_t fleet_state::others_in_flight(const instance_id& target, time_point now) const
+duration fleet_state::report_lifetime(const peer_state& peer)
 {
-    std::uint32_t sum = 0;
-    for (const auto& [daemon, peer] : this->all_peers) {
-        if (daemon == this->self || !this->live(peer, now)) {
+    const auto by_interval = peer.last_report.interval * reports_per_timeout;
+    // The store shows that a daemon ended, within the lifetime of its entry.
+    return peer.registered ? std::max<duration>(peer_timeout, by_interval) : peer_timeout;
+}
+
+void fleet_state::count_report(peer_state& peer, bool add)
+{
+    if (peer.counted == add) {
+        return;
+    }
+    peer.counted = add;
+    for (const auto& [target, count] : peer.last_report.in_flight) {
+        auto& sum = this->others[target];
+        sum = add ? sum + count : sum - count;
+        if (sum == 0) {
+            this->others.erase(target);
+        }
+    }
+}
+
+void fleet_state::expire_reports(time_point now)
+{
+    if (now < this->next_report_expiry) {
+        return;
+    }
+    this->next_report_expiry = time_point::max();
+    for (auto& [daemon, peer] : this->all_peers) {
+        if (!peer.counted) {
             continue;
         }
-        if (const auto found = peer.last_report.in_flight.find(target);
-            found != peer.last_report.in_flight.end()) {
-            sum += found->second;
+        if (!this->live(peer, now)) {
+            this->count_report(peer, false);
+        } else {
+            this->next_report_expiry =
+                std::min(this->next_report_expiry, peer.reported_at + report_lifetime(peer));
         }
     }
-    return sum;
+}
+
+std::uint32_t fleet_state::others_in_flight(const instance_id& target, time_point now)
+{
+    this->expire_reports(now);
+    const auto found = this->others.find(target);
+    return found == this->others.end() ? 0 : found->second;
+}
+
+bool fleet_state::counts(const daemon_id& daemon, const peer_state& peer, time_point now) const
+{
+    return daemon != this->self && (peer.registered || this->live(peer, now));
+}
+
+std::size_t fleet_state::daemons(time_point now) const
+{
+    return 1 + static_cast<std::size_t>(
+                   std::count_if(this->all_peers.begin(), this->all_peers.end(), [&](const auto& entry) {
+                       return this->counts(entry.first, entry.second, now);
+                   }));
 }
 
 fleet_share fleet_state::share_for(const instance_id& target, time_point now) const
@@ -335,9 +490,7 @@
     out.settled = this->peers_settled;
     const auto own = rendezvous_weight(target.str(), this->self.str());
     for (const auto& [daemon, peer] : this->all_peers) {
-        // A daemon without reports may be partitioned from this one only, so it counts while
-        // it is registered.
-        if (daemon == this->self || !(peer.registered || this->live(peer, now))) {
+        if (!this->counts(daemon, peer, now)) {
             continue;
         }
         ++out.daemons;
@@ -346,12 +499,4 @@
     return out;
 }
 
-void fleet_state::changed()
-{
-    this->groups_stale = true;
-    if (this->on_change) {
-        this->on_change();
-    }
-}
-
 } // namespace rml::gateway
--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -2,11 +2,15 @@
 /// the gateway runs one io_context on one thread.
 #pragma once
 
+#include "decision/departed_targets.hpp"
 #include "decision/progress_monitor.hpp"
+#include "decision/send_right.hpp"
 #include "decision/slow_start.hpp"
 #include "decision/stall_suspicion.hpp"
+#include "decision/target_pause.hpp"
 #include "gateway/peer_report.hpp"
 #include "gateway/site.hpp"
+#include "gateway/target_signals.hpp"
 
 #include <deque>
 #include <functional>
@@ -16,6 +20,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace rml::gateway {
@@ -34,6 +39,8 @@
     double failure_share{0}; ///< smoothed share of failed requests, 0 to 1
     double slowness{1};      ///< factor on its service time, as last reported
     time_point slow_until{}; ///< `slowness` is valid until then
+    target_pause pause;      ///< that the target asked for
+    bool unreadable_pause_logged{false};
 
     /// Whether the target gets no new requests, unless no other target is left.
     bool ejected(time_point now) const { return now < this->suspected_until || now < this->ejected_until; }
@@ -69,6 +76,7 @@
 {
     daemon_entry entry;
     bool registered{false};   ///< its entry is in the store
+    bool counted{false};      ///< its last report is part of the sums over the live daemons
     time_point reported_at{}; ///< time of the last report
     peer_report last_report;
 };
@@ -105,6 +113,21 @@
     /// Removes targets whose grace time has ended.
     void expire_targets(time_point now);
     target_state* find_target(const instance_id& instance);
+    /// Whether a new request may be sent to the target; an unknown one is withdrawn.
+    send_right right_to_send(const instance_id& instance, time_point now) const;
+    send_right right_to_send(const target_state& target, time_point now) const;
+    /// Records what the target said of itself in an answer.
+    void record_signals(const target_entry& target, const target_signals& signals, time_point now);
+    /// Records that the target leaves. Only another incarnation takes requests again.
+    void record_departure(const target_incarnation& target, departure_source source, time_point now);
+    /// Targets that leave, for the reports to the other daemons. The registry is known to all daemons but
+    /// those that are cut off from the store, so only the group manager reports what it shows.
+    std::vector<target_incarnation> departures(bool with_registry, time_point now) const;
+    /// Targets whose entries were removed while the store answered this daemon.
+    std::vector<target_incarnation> recent_removals(time_point now) const;
+    /// Another daemon saw the removal of the entry while the store answered it: the grace time of a target
+    /// that this daemon keeps ends at once.
+    void confirm_removal(const target_incarnation& target, time_point now);
     /// Entry of a target or an absent member, or null.
     const target_entry* find_entry(const instance_id& instance);
     /// Time at which a new target or a new incarnation was last registered.
@@ -137,9 +160,11 @@
     bool accept_report(const peer_report& report, time_point now);
     const std::map<daemon_id, peer_state>& peers() const { return this->all_peers; }
     /// Requests that the other live daemons have in flight at the target, by their last reports.
-    std::uint32_t others_in_flight(const instance_id& target, time_point now) const;
+    std::uint32_t others_in_flight(const instance_id& target, time_point now);
     /// Number of daemons, including this one, and the rank of this one among them for the target.
     fleet_share share_for(const instance_id& target, time_point now) const;
+    /// Number of daemons, including this one.
+    std::size_t daemons(time_point now) const;
     bool live(const peer_state& peer, time_point now) const;
 
     progress_monitor in_flight;
@@ -150,11 +175,18 @@
     fleet_stats stats;
     const daemon_id self;
 
-    /// Called after any change of targets or groups.
-    std::function<void()> on_change;
-
 private:
-    void changed();
+    void changed() { this->groups_stale = true; }
+    /// Whether the change of an entry may change the list of groups.
+    static bool changes_groups(const target_entry& before, const target_entry& after);
+    /// A daemon without reports may be partitioned from this one only, so it counts while it is registered.
+    bool counts(const daemon_id& daemon, const peer_state& peer, time_point now) const;
+    /// Adds the requests in flight of the peer's last report to the sums, or subtracts them.
+    void count_report(peer_state& peer, bool add);
+    /// Time for which the last report shows that its daemon runs.
+    static duration report_lifetime(const peer_state& peer);
+    /// Subtracts the reports of daemons that are no longer live.
+    void expire_reports(time_point now);
     void record_removal(const target_state& state);
     void rebuild_groups();
     /// Removes absent members whose group no longer serves.
@@ -163,12 +195,19 @@
     std::shared_ptr<const site_config> current_config;
     std::map<instance_id, target_state> all_targets;
     std::deque<target_entry> removed; ///< newest last, bounded
+    /// Removals that took effect at once, newest last, bounded.
+    std::deque<std::pair<target_incarnation, time_point>> removed_at_once;
+    departed_targets departed;
     std::map<instance_id, target_entry> absent;
     time_point newest{};
     std::set<failure_domain_id> drained;
     std::vector<served_group> served;
     bool groups_stale{true};
     std::map<daemon_id, peer_state> all_peers;
+    /// Requests in flight by target, summed over the reports of the live daemons: a choice among many targets
+    /// would otherwise read the reports of all daemons for each of them.
+    std::unordered_map<instance_id, std::uint32_t> others;
+    time_point next_report_expiry{time_point::max()};
 };
 
 } // namespace rml::gateway
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -35,6 +35,10 @@
 /// A target whose requests all fail counts as five times as slow (1 + this), so that the better of two random
 /// candidates is nearly always another one.
 constexpr double failure_slowdown = 4;
+/// Callers that were refused during a pause return over at least this time after its end, or over this part
+/// of the pause: the targets take only a few requests at first.
+constexpr milliseconds min_return_spread{250};
+constexpr int return_spread_divisor = 4;
 
 } // namespace
 
@@ -84,6 +88,7 @@
     if (!state.queue) {
         admission_settings settings;
         settings.max_wait = std::chrono::duration_cast<milliseconds>(max_wait_share * objective);
+        state.longest_wait = settings.max_wait;
         state.queue = std::make_unique<admission_queue>(this->context, settings);
         this->update_slots(steady_clock::now());
     }
@@ -122,12 +127,40 @@
     return std::min<std::size_t>(slots, busy + state.cold_sends.available(share, now));
 }
 
+template <class Visitor>
+void forwarder::visit_targets(const pool_key& key, const Visitor& visit)
+{
+    const auto& config = this->fleet.config();
+    const auto* service = config ? config->find_service(key.service) : nullptr;
+    if (service == nullptr) {
+        return;
+    }
+    if (!service->engines) {
+        for (auto* state : this->fleet.instances_of(key.service)) {
+            visit(*state, state->entry.slots);
+        }
+        return;
+    }
+    for (const auto& group : this->fleet.groups()) {
+        auto* head = this->fleet.find_target(group.head);
+        if (group.service == key.service && group.model == key.model && head != nullptr &&
+            !this->fleet.drained_domain(head->entry.failure_domain)) {
+            visit(*head, service->engines->batch_slots);
+        }
+    }
+}
+
 std::vector<target_candidate> forwarder::candidates(const pool_key& key,
                                                     const std::vector<instance_id>& tried, time_point now)
 {
     std::vector<target_candidate> out;
     std::size_t index = 0;
     const auto add = [&](target_state& state, std::uint32_t slots) {
+        const auto right = this->fleet.right_to_send(state, now);
+        if (!may_send(right)) {
+            ++index; // the order of the daemons does not depend on pauses, which only this daemon knows
+            return;
+        }
         target_candidate candidate;
         // The slots of a cold target are divided by its request allowance instead.
         candidate.reserved = now < state.cold_until ? 0 : reserved_slots(this->order, index, slots);
@@ -139,30 +172,40 @@
         candidate.slots = static_cast<std::uint32_t>(this->usable_slots(state, slots, now));
         candidate.slowness = state.slowness_at(now) * (1 + failure_slowdown * state.failure_share);
         candidate.tried = std::find(tried.begin(), tried.end(), candidate.instance) != tried.end();
-        candidate.ejected = state.ejected(now);
+        candidate.ejected = right == send_right::last_resort;
+        if (const auto limit = state.pause.in_flight_limit()) {
+            candidate.slots = std::min(candidate.slots, candidate.others + *limit);
+            candidate.reserved = 0;
+        }
         candidate.suspected = this->fleet.in_flight.silence(candidate.instance, now) >=
                               this->silence_limit(state, now) / stall_suspicion_divisor;
         out.push_back(std::move(candidate));
     };
-    const auto& config = this->fleet.config();
-    const auto* service = config ? config->find_service(key.service) : nullptr;
-    if (service == nullptr) {
-        return out;
-    }
-    if (!service->engines) {
-        for (auto* state : this->fleet.instances_of(key.service)) {
-            add(*state, state->entry.slots);
-        }
-        return out;
-    }
-    for (const auto& group : this->fleet.groups()) {
-        auto* head = this->fleet.find_target(group.head);
-        if (group.service == key.service && group.model == key.model && head != nullptr &&
-            !this->fleet.drained_domain(head->entry.failure_domain)) {
-            add(*head, service->engines->batch_slots);
+    this->visit_targets(key, add);
+    return out;
+}
+
+std::optional<milliseconds> forwarder::pause_left(const pool_key& key, time_point now)
+{
+    std::optional<time_point> first_end;
+    bool other = false;
+    this->visit_targets(key, [&](const target_state& state, std::uint32_t) {
+        const auto right = this->fleet.right_to_send(state, now);
+        other = other || may_send(right);
+        if (right == send_right::paused) {
+            first_end = std::min(first_end.value_or(time_point::max()), state.pause.until());
         }
+    });
+    if (other || !first_end) {
+        return std::nullopt;
     }
-    return out;
+    return std::chrono::ceil<milliseconds>(*first_end - now);
+}
+
+milliseconds forwarder::retry_after_pause(milliseconds left)
+{
+    const auto range = std::max(min_return_spread, left / return_spread_divisor);
+    return left + milliseconds(std::uniform_int_distribution<std::int64_t>(0, range.count())(this->random));
 }
 
 void forwarder::update_entries(const std::set<daemon_id>& daemons)
@@ -175,7 +218,7 @@
 retry_budget& forwarder::budget(const service_id& service, time_point now)
 {
     const auto& bounds = this->configured.bounds;
-    const auto daemons = this->fleet.share_for(instance_id(service.str()), now).daemons;
+    const auto daemons = this->fleet.daemons(now);
     auto& found = this->budgets[service];
     found.update_settings({bounds.retry_share * retry_budget_share, 0,
                            retry_budget_share * bounds.retry_slack / static_cast<double>(daemons)});
@@ -297,6 +340,10 @@
         }
         const auto free = free_slots(this->candidates(key, {}, now));
         state.queue->update_capacity(state.queue->stats().running + free);
+        if (free == 0 && state.queue->stats().queued > 0 &&
+            this->pause_left(key, now).value_or(milliseconds(0)) > state.longest_wait) {
+            state.queue->refuse_queued();
+        }
     }
 }
 
--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -103,7 +103,8 @@
     struct pool_state
     {
         std::unique_ptr<admission_queue> queue;
-        double load_per_s{0}; ///< smoothed
+        milliseconds longest_wait{0}; ///< of a request for a slot
+        double load_per_s{0};         ///< smoothed
         double arrived_load{0};
         recent_maximum longest{longest_time_period}; ///< arrival to the end of the answer
     };
@@ -111,6 +112,13 @@
     pool_state& pool(const pool_key& key, milliseconds objective);
     std::vector<target_candidate> candidates(const pool_key& key, const std::vector<instance_id>& tried,
                                              time_point now);
+    /// Calls `visit` with each target of the pool that serves, and its slots.
+    template <class Visitor>
+    void visit_targets(const pool_key& key, const Visitor& visit);
+    /// Time until the first pause ends if all targets of the pool that serve have asked for one.
+    std::optional<milliseconds> pause_left(const pool_key& key, time_point now);
+    /// Retry-After for a caller that is refused because of that pause: spreads the return of the callers.
+    milliseconds retry_after_pause(milliseconds left);
     /// Calls `on_scarce_slots` if the target is nearly full, after a request began or ended there.
     void report_scarce_slots(const instance_id& target, time_point now);
     std::size_t usable_slots(target_state& state, std::uint32_t slots, time_point now);
--- a/src/gateway/peer_report.cpp
+++ b/src/gateway/peer_report.cpp
@@ -19,6 +19,7 @@
 constexpr std::uint64_t max_uint32 = std::numeric_limits<std::uint32_t>::max();
 constexpr std::uint64_t max_int64 = std::numeric_limits<std::int64_t>::max();
 constexpr std::uint64_t max_uint64 = std::numeric_limits<std::uint64_t>::max();
+constexpr milliseconds max_interval{60000};
 constexpr std::chrono::hours max_crash_age = 2 * limits::block_lifetime;
 
 template <class Id>
@@ -40,6 +41,25 @@
     return out;
 }
 
+json encode_incarnations(const std::vector<target_incarnation>& targets)
+{
+    json out = json::array();
+    for (const auto& target : targets) {
+        out.push_back({target.instance.str(), target.started_ms});
+    }
+    return out;
+}
+
+std::vector<target_incarnation> decode_incarnations(const json& rows)
+{
+    std::vector<target_incarnation> out;
+    for (const auto& row : rows) {
+        out.push_back({instance_id(row.at(0).get<std::string>()),
+                       static_cast<std::int64_t>(checked_integer(row.at(1), max_int64))});
+    }
+    return out;
+}
+
 /// Bounds the crash evidence in one report.
 constexpr std::size_t max_crash_rows = 256;
 constexpr std::size_t max_crash_trials = 256;
@@ -127,7 +147,10 @@
                         {"w", std::move(offered_load)},
                         {"q", report.requests_per_s},
                         {"c", encode_crashes(report.crashes)},
-                        {"y", report.crash_trials}};
+                        {"y", report.crash_trials},
+                        {"i", report.interval.count()},
+                        {"g", encode_incarnations(report.departures)},
+                        {"h", encode_incarnations(report.removals)}};
     return to_cbor_bytes(document);
 }
 
@@ -180,6 +203,16 @@
                 out.crash_trials.push_back(checked_integer(print, max_uint64));
             }
         }
+        if (message.contains("g")) { // daemons of the previous version do not send these three fields
+            out.interval = milliseconds(
+                std::min<std::uint64_t>(checked_integer(message.at("i"), max_int64), max_interval.count()));
+            if (message.at("g").size() > limits::departure_reports ||
+                message.at("h").size() > limits::departure_reports) {
+                return failure{failure_kind::too_large, "peer report"};
+            }
+            out.departures = decode_incarnations(message.at("g"));
+            out.removals = decode_incarnations(message.at("h"));
+        }
         return out;
     } catch (const json::exception& problem) {
         return failure{failure_kind::malformed, std::string("peer report: ") + problem.what()};
--- a/src/gateway/peer_report.hpp
+++ b/src/gateway/peer_report.hpp
@@ -6,6 +6,7 @@
 #include "base/ids.hpp"
 #include "base/time.hpp"
 #include "decision/crash_attribution.hpp"
+#include "decision/departed_targets.hpp"
 
 #include <cstdint>
 #include <map>
@@ -34,6 +35,19 @@
     double requests_per_s{0};                ///< arriving at the sender
     std::vector<crash_notice> crashes;       ///< evidence on requests and prompt parts that crash targets
     std::vector<std::uint64_t> crash_trials; ///< fingerprints of the prompt parts on trial at the sender
+    milliseconds interval{0}; ///< until the next report to the same receivers, if nothing happens
+    std::vector<target_incarnation> departures; ///< targets that leave
+    std::vector<target_incarnation> removals;   ///< from the group manager: entries that were removed
+
+    /// Whether the sender has no work, so that others need not know more of it than that it runs.
+    bool idle() const
+    {
+        return this->in_flight.empty() && this->requests_per_s < min_busy_rate && !this->manages &&
+               !this->leaving;
+    }
+
+private:
+    static constexpr double min_busy_rate = 0.5; // requests per second
 };
 
 /// Encodes as CBOR. A report with 600 targets has about 20 KB; usual reports fit into one packet.
--- a/src/gateway/ports.hpp
+++ b/src/gateway/ports.hpp
@@ -7,6 +7,7 @@
 
 #include <boost/asio/spawn.hpp>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -31,6 +32,7 @@
     std::string answer_signature; ///< set by targets; a 2xx answer without it is not from a target
     std::string not_executed;     ///< set by targets on answers to requests that they did not run
     std::string prompt_parts;     ///< parts of the prompt in order, `id:tokens,id:tokens,...`
+    std::string leaving;          ///< `1`: the target leaves and gets no new requests
 };
 
 struct store_item
@@ -189,6 +191,8 @@
     std::optional<group_membership> membership;
 };
 
+struct target_signals;
+
 class engine_control
 {
 public:
@@ -203,6 +207,9 @@
                                         time_point deadline, yield_context yield) = 0;
     virtual result<engine_report> report(const target_entry& engine, time_point deadline,
                                          yield_context yield) = 0;
+
+    /// Called for each answer with what the engine says of itself.
+    std::function<void(const target_entry&, const target_signals&)> on_signals;
 };
 
 /// Everything that depends on the platform.
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -51,7 +51,7 @@
 void request_run::record_result(const target_attempt& attempt, attempt_end end)
 {
     auto* state = this->owner.fleet.find_target(attempt.target.instance);
-    if (state == nullptr || end == attempt_end::caller_disconnected) {
+    if (state == nullptr || end == attempt_end::caller_disconnected || attempt.withheld) {
         return;
     }
     if (end == attempt_end::not_run && attempt.refusal_status == wrong_target_status) {
@@ -116,8 +116,10 @@
         this->owner.connections.give_back(target.address, std::move(bound));
         return this->caller_disconnected ? attempt_end::caller_disconnected : attempt_end::superseded;
     }
-    if (this->stopping) {
-        attempt.reason = stopping_reason;
+    attempt.withheld = !may_send(this->owner.fleet.right_to_send(target.instance, steady_clock::now()));
+    if (this->stopping || attempt.withheld) {
+        this->owner.connections.give_back(target.address, std::move(bound));
+        attempt.reason = this->stopping ? stopping_reason : "target takes no new requests";
         return attempt_end::not_sent;
     }
     attempt.bound = std::move(bound);
@@ -159,6 +161,7 @@
 {
     ++this->sends;
     ++this->possible_runs;
+    attempt.sent_at = steady_clock::now();
     this->retry_reserved = false;
     if (const auto written =
             attempt.bound.connection->write_request(this->target_request(attempt), this->deadline, in);
@@ -206,6 +209,9 @@
 {
     const bool first = !std::exchange(attempt.answer_begun, true);
     this->owner.fleet.in_flight.progress(attempt.target.instance, first, steady_clock::now());
+    if (auto* state = first ? this->owner.fleet.find_target(attempt.target.instance) : nullptr) {
+        state->pause.record_answer(attempt.sent_at);
+    }
     if (attempt.superseded) {
         attempt.reason = "target stalled";
         return false;
@@ -250,6 +256,8 @@
     }
     this->owner.fleet.in_flight.progress(attempt.target.instance, false, steady_clock::now());
     attempt.head = value(std::move(read));
+    this->owner.fleet.record_signals(attempt.target, read_signals(attempt.head, this->owner.ports.headers),
+                                     steady_clock::now());
     if (!this->is_valid_answer(attempt)) {
         return attempt_end::lost;
     }
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -202,7 +202,7 @@
     if (engines && engines->find(this->model) == nullptr) {
         return this->refuse(default_retry_after, "service has no such model");
     }
-    const pool_key key{picked, engines ? this->model : model_id()};
+    const auto key = this->pool_of();
     auto& pool = this->owner.pool(key, this->chosen_route->objective);
     if (!this->ends_before_stop(pool, this->arrived)) {
         return this->refuse(stopping_retry_after, stopping_reason);
@@ -221,7 +221,7 @@
         }
     });
     // Waits without a slot, which other requests can use meanwhile.
-    if (!this->wait_for_classification() || !this->wait_for_slot(*pool.queue)) {
+    if (!this->wait_for_classification() || !this->wait_for_slot(key, pool)) {
         return;
     }
     const auto started = steady_clock::now();
@@ -238,8 +238,22 @@
     pool.queue->finish(usual ? steady_clock::now() - started : duration::zero());
 }
 
-bool request_run::wait_for_slot(admission_queue& queue)
+bool request_run::refuse_during_pause(const pool_key& key, milliseconds longest_wait)
 {
+    const auto left = this->owner.pause_left(key, steady_clock::now());
+    if (!left || *left <= longest_wait) {
+        return false;
+    }
+    this->refuse(this->owner.retry_after_pause(*left), "all targets asked for a pause");
+    return true;
+}
+
+bool request_run::wait_for_slot(const pool_key& key, const forwarder::pool_state& pool)
+{
+    if (this->refuse_during_pause(key, pool.longest_wait)) {
+        return false;
+    }
+    auto& queue = *pool.queue;
     admission_request wanted;
     wanted.ticket = this->number;
     wanted.account = account_id(this->account);
@@ -265,6 +279,9 @@
         return false;
     }
     if (answer.verdict == slot_verdict::refused) {
+        if (this->refuse_during_pause(key, milliseconds(0))) {
+            return false;
+        }
         this->refuse(answer.retry_after, answer.reason == refusal_reason::no_capacity
                                              ? "no target is available"
                                              : "no slot within the longest wait");
@@ -338,11 +355,15 @@
     return true;
 }
 
+pool_key request_run::pool_of() const
+{
+    return {this->chosen_service->name, this->chosen_service->engines ? this->model : model_id()};
+}
+
 std::optional<instance_id> request_run::choose()
 {
     const auto now = steady_clock::now();
-    const pool_key key{this->chosen_service->name, this->chosen_service->engines ? this->model : model_id()};
-    auto candidates = this->owner.candidates(key, this->tried, now);
+    auto candidates = this->owner.candidates(this->pool_of(), this->tried, now);
     if (this->trial) {
         const auto occupied = [this](const target_candidate& candidate) {
             return this->owner.guard.has_trial(candidate.instance);
@@ -495,7 +516,10 @@
         return;
     }
     if (this->possible_runs == 0) {
-        return this->refuse(this->stopping ? stopping_retry_after : min_retry_after, this->reason);
+        const auto left =
+            this->stopping ? std::nullopt : this->owner.pause_left(this->pool_of(), steady_clock::now());
+        const auto usual = this->stopping ? stopping_retry_after : min_retry_after;
+        return this->refuse(left ? this->owner.retry_after_pause(*left) : usual, this->reason);
     }
     this->respond(steady_clock::now() >= this->deadline ? 504 : 502, this->reason);
 }
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -26,6 +26,8 @@
     bool superseded{false};        ///< its connection was closed in favour of another attempt
     bool answer_begun{false};      ///< a part of the body was received
     bool connection_broke{false};  ///< ended with a broken connection to the target
+    bool withheld{false};          ///< not sent because the target takes no requests any more
+    time_point sent_at{};          ///< when the request was written
     std::uint64_t crash_ticket{0}; ///< of the crash guard
     int refusal_status{0};         ///< status of a target that did not run the request
     std::string reason;            ///< why it ended
@@ -72,7 +74,11 @@
     bool ends_before_stop(const forwarder::pool_state& pool, time_point now) const;
     void forward();
     /// Waits for a slot. Returns false when the request was refused or its caller has disconnected.
-    bool wait_for_slot(admission_queue& queue);
+    bool wait_for_slot(const pool_key& key, const forwarder::pool_state& pool);
+    /// Refuses the request and returns true if all targets have asked for a pause that lasts longer than the
+    /// request may wait.
+    bool refuse_during_pause(const pool_key& key, milliseconds longest_wait);
+    pool_key pool_of() const;
     void run_attempts();
     /// Refuses the request because it would crash its target.
     void refuse_as_crashing(time_point now);
--- a/src/gateway/site.hpp
+++ b/src/gateway/site.hpp
@@ -159,6 +159,7 @@
     {
         return a.group == b.group && a.epoch == b.epoch && a.rank == b.rank && a.phase == b.phase;
     }
+    friend bool operator!=(const group_membership& a, const group_membership& b) { return !(a == b); }
 };
 
 /// Registry entry of a target.
--- a/tests/gateway/fleet_state_test.cpp
+++ b/tests/gateway/fleet_state_test.cpp
@@ -263,3 +263,41 @@
         CHECK_FALSE(fleet.suspected(instance_id("e0"), start + milliseconds(300)));
     }
 }
+
+TEST_CASE("a daemon that announces a long report interval stays live for three of them",
+          "[gateway][fleet_state]")
+{
+    // Guards against a large fleet in which daemons report every 2.5 s and were taken for dead after 1.5 s.
+    fleet_state fleet(daemon_id("d0"));
+    daemon_entry entry;
+    entry.peer = {"10.0.0.2", 2};
+    entry.started_ms = 1;
+    fleet.update_peer(daemon_id("d1"), entry);
+    auto busy = report("d1", 1, true);
+    busy.interval = seconds(2);
+    busy.in_flight[instance_id("e0")] = 7;
+    REQUIRE(fleet.accept_report(busy, start));
+    const auto& peer = fleet.peers().at(daemon_id("d1"));
+    CHECK(fleet.live(peer, start + seconds(5)));
+    CHECK(fleet.others_in_flight(instance_id("e0"), start + seconds(5)) == 7);
+    CHECK_FALSE(fleet.live(peer, start + seconds(6)));
+    CHECK(fleet.others_in_flight(instance_id("e0"), start + seconds(6)) == 0);
+
+    SECTION("but only while its entry is in the store")
+    {
+        busy.sequence = 2;
+        REQUIRE(fleet.accept_report(busy, start + seconds(6)));
+        fleet.destroy_peer(daemon_id("d1"));
+        CHECK_FALSE(fleet.live(peer, start + seconds(8)));
+        CHECK(fleet.others_in_flight(instance_id("e0"), start + seconds(8)) == 0);
+    }
+    SECTION("the sums follow each report")
+    {
+        busy.sequence = 2;
+        busy.in_flight = {{instance_id("e0"), 2}, {instance_id("e1"), 3}};
+        REQUIRE(fleet.accept_report(busy, start + seconds(6)));
+        CHECK(fleet.others_in_flight(instance_id("e0"), start + seconds(6)) == 2);
+        CHECK(fleet.others_in_flight(instance_id("e1"), start + seconds(6)) == 3);
+        CHECK(fleet.daemons(start + seconds(6)) == 2);
+    }
+}
--- a/tests/gateway/forwarding_site.hpp
+++ b/tests/gateway/forwarding_site.hpp
@@ -65,7 +65,7 @@
     {
         this->ports.headers = {"x-id",        "x-deadline",     "x-account", "x-expect",
                                "x-urgency",   "last-event",     "x-model",   "x-counts",
-                               "x-signature", "x-not-executed", "x-parts"};
+                               "x-signature", "x-not-executed", "x-parts",   "x-leaving"};
         this->settings.daemon = daemon_id("d0");
         this->settings.bounds.retry_slack = 100;
         std::vector<gateway::route> routes;
--- a/tests/gateway/peer_report_test.cpp
+++ b/tests/gateway/peer_report_test.cpp
@@ -56,6 +56,8 @@
         out.offered_load[model_id("m" + std::to_string(i))] = static_cast<double>(random.below(1000)) / 8;
         out.crashes.push_back(sample_crash(random));
         out.crash_trials.push_back(random.bits());
+        out.departures.push_back({instance_id("g" + std::to_string(i)), static_cast<std::int64_t>(i)});
+        out.removals.push_back({instance_id("h" + std::to_string(i)), static_cast<std::int64_t>(i)});
     }
     return out;
 }
@@ -68,7 +70,7 @@
     const bool held = rc::check("fields added since are missing", [] {
         random_source random;
         auto document = nlohmann::json::from_cbor(encode_report(sample(random)));
-        for (const char* added : {"a", "p", "m", "o", "q", "c", "y"}) {
+        for (const char* added : {"a", "p", "m", "o", "q", "c", "y", "g", "h", "i"}) {
             document.erase(added);
         }
         const auto bytes = nlohmann::json::to_cbor(document);
@@ -77,6 +79,7 @@
         RC_ASSERT(value(back).answering.empty());
         RC_ASSERT(value(back).slow.empty());
         RC_ASSERT(value(back).crashes.empty());
+        RC_ASSERT(value(back).departures.empty() && value(back).removals.empty());
         RC_ASSERT(value(back).suspected == value(back).stalled);
         RC_ASSERT(value(back).manages == !value(back).ejected.empty());
     });
