Let spare engines hold two models and shorten repairs

All daemons called the store at each change of the manager.

Change: with several models, engines outside groups load one by joining a fence group and get another one staged. Half of the loads are kept for them, and a group that lacks few weights comes before one that lacks many. The end of a head's stall time is checked at once; a removed head counts as unreachable after one unanswered order; members that twice do not report while they join are lost. Only the first candidates for the manager lease watch the store soon after the notices end; the others wait as long as the bounds allow.

--- a/src/decision/replica_planner.cpp
+++ b/src/decision/replica_planner.cpp
@@ -114,7 +114,7 @@
         this->retire_for_another_model();
         this->form_all(max_loads, false);
         this->prepare_next_groups();
-        this->stage_spares();
+        this->prepare_spares();
         this->stage_other_models();
         return std::move(this->plan);
     }
@@ -262,7 +262,8 @@
         return (count == 0 ? std::numeric_limits<std::uint32_t>::max() : model.group_size) + by_time;
     }
 
-    std::optional<formation> best_formation(std::uint32_t max_loads, bool to_target)
+    /// The formation with the highest score. With `per_load` the score is divided by the loads that it needs.
+    std::optional<formation> best_formation(std::uint32_t max_loads, bool to_target, bool per_load = false)
     {
         std::optional<formation> best;
         for (std::size_t model = 0; model < this->input.models.size(); ++model) {
@@ -277,7 +278,8 @@
                 if (!group || group->loads > max_loads) {
                     continue;
                 }
-                const auto score = this->score_of(fabric, *group, to_target);
+                const auto score = this->score_of(fabric, *group, to_target) /
+                                   (per_load ? std::max<std::uint32_t>(1, group->loads) : 1U);
                 if (!best || score > best->score) {
                     best = formation{&fabric, std::move(*group), score};
                 }
@@ -440,7 +442,7 @@
     void prepare_next_groups()
     {
         while (this->loads_left > 0) {
-            const auto next = this->best_formation(std::numeric_limits<std::uint32_t>::max(), false);
+            const auto next = this->best_formation(std::numeric_limits<std::uint32_t>::max(), false, true);
             if (!next) {
                 return;
             }
@@ -474,35 +476,61 @@
         return out;
     }
 
-    /// Stages on engines outside groups the weights of the groups in their domain: with them, the survivors
-    /// of a group form a new one within the warm time instead of the load time.
-    void stage_spares()
+    /// Gives engines outside groups the weights of the groups in their domain: with them, the survivors of a
+    /// group form a new one within the warm time instead of the load time.
+    void prepare_spares()
     {
         for (const auto& [name, fabric] : this->fabrics) {
             std::vector<std::size_t> spares(this->input.models.size());
             engine_list without;
             for (const auto engine : fabric.free) {
-                bool covered = false;
-                for (std::size_t model = 0; model < spares.size(); ++model) {
-                    const bool has = this->has_weights(engine, model) ||
-                                     this->input.engines[engine].staging == this->model_at(model).model;
-                    spares[model] += has && fabric.replicas[model] > 0 ? 1 : 0;
-                    covered = covered || (has && fabric.replicas[model] > 0);
-                }
-                if (!covered && !this->assigned[engine]) {
+                const bool covered = this->count_cover(engine, fabric, spares);
+                const bool resident = !this->input.engines[engine].loaded.empty();
+                if (!this->assigned[engine] && (!covered || (this->several_models() && !resident))) {
                     without.push_back(engine);
                 }
             }
             for (const auto engine : without) {
                 if (const auto model = this->least_covered_model(fabric, spares)) {
-                    this->stage(engine, *model);
-                    this->assigned[engine] = true;
+                    this->prepare_spare(engine, *model);
                     ++spares[*model];
                 }
             }
         }
     }
 
+    bool several_models() const { return this->input.models.size() > 1; }
+
+    /// Counts the engine for the models of the domain whose weights it has or will have. Returns whether
+    /// there is one.
+    bool count_cover(std::size_t engine, const fabric_state& fabric, std::vector<std::size_t>& spares) const
+    {
+        bool covered = false;
+        for (std::size_t model = 0; model < spares.size(); ++model) {
+            const bool has = this->has_weights(engine, model) ||
+                             this->input.engines[engine].staging == this->model_at(model).model;
+            if (has && fabric.replicas[model] > 0) {
+                ++spares[model];
+                covered = true;
+            }
+        }
+        return covered;
+    }
+
+    void prepare_spare(std::size_t engine, std::size_t model)
+    {
+        this->assigned[engine] = true;
+        const auto& known = this->input.engines[engine];
+        if (!this->several_models() || !known.loaded.empty()) {
+            return this->stage(engine, model);
+        }
+        const std::uint32_t loads = this->has_weights(engine, model) ? 0 : 1;
+        if (known.staging.empty() && loads <= this->loads_left) {
+            this->plan.warm_up.push_back({known.instance, this->model_at(model).model, loads != 0});
+            this->loads_left -= loads;
+        }
+    }
+
     /// Stages a second model on the hosts of groups: after the loss of a member, the survivors may have the
     /// most value as a group of another model.
     void stage_other_models()
@@ -510,7 +538,8 @@
         for (std::size_t engine = 0; engine < this->input.engines.size() && this->loads_left > 0; ++engine) {
             // A member that is still loading its model would replace what is staged meanwhile.
             const auto& known = this->input.engines[engine];
-            if (this->assigned[engine] || (!known.free && known.loaded.empty())) {
+            const bool kept = !known.free && this->loads_left <= this->input.loads_kept_for_spares;
+            if (this->assigned[engine] || kept || (!known.free && known.loaded.empty())) {
                 continue;
             }
             std::optional<std::size_t> wanted;
--- a/src/decision/replica_planner.hpp
+++ b/src/decision/replica_planner.hpp
@@ -8,7 +8,9 @@
 /// has less value.
 ///
 /// An engine without a model's weights gets them staged on its host before it joins a group of that model.
-/// Meanwhile it keeps its resident model and can still serve it.
+/// Meanwhile it keeps its resident model and can still serve it. If the site has several models, engines
+/// outside groups also load one: with one model resident and another one staged they can replace members of
+/// either.
 #pragma once
 
 #include "base/ids.hpp"
@@ -62,6 +64,9 @@
     std::vector<planner_group> groups;
     std::vector<planner_model> models;
     std::uint32_t loads_allowed{0}; ///< loads from the weight store that may start now
+    /// Number of these loads that are kept for engines outside groups. Engines without weights serve nobody,
+    /// and a second model on the host of a member is of use only after the next loss.
+    std::uint32_t loads_kept_for_spares{0};
     /// Members may load weights while they join. Set at the first start of a site: loads are short then, and
     /// no engine serves another model meanwhile.
     bool join_with_loads{false};
@@ -95,10 +100,19 @@
     std::uint32_t groups_formed{0}; ///< number of groups of the model that the engines suffice for
 };
 
+/// A model to load into the memory of an engine outside groups. Its host can then hold another one.
+struct planned_warmup
+{
+    instance_id instance;
+    model_id model;
+    bool from_store{false}; ///< the weights are not staged on its host
+};
+
 struct replica_plan
 {
     std::vector<planned_group> create;
     std::optional<planned_retirement> retire; ///< at most one per plan
+    std::vector<planned_warmup> warm_up;
     std::vector<planned_stage> stage;
 };
 
--- a/src/decision/watch_delay.hpp
+++ b/src/decision/watch_delay.hpp
@@ -12,4 +12,9 @@
 /// delay.
 milliseconds coalescing_delay(milliseconds max_staleness, milliseconds hang_detection);
 
+/// Time without change notices after which a daemon watches the store itself. Only the daemons that may
+/// become the next manager need to see at once that there is none; the others would all call the store at
+/// each change of the manager. `read_time`: time in which the daemon then reads what it missed.
+milliseconds feed_patience(bool candidate, milliseconds max_staleness, milliseconds read_time);
+
 } // namespace rml
--- a/src/gateway/daemon.cpp
+++ b/src/gateway/daemon.cpp
@@ -116,6 +116,7 @@
             this->manager.tick();
         };
         this->mirror.needs_changes_at_once = [this] { return this->holder.manages(steady_clock::now()); };
+        this->mirror.may_become_manager = [this] { return this->holder.is_first_candidate(); };
         this->mirror.on_store_changes = [this](const std::vector<change_notice>& notices) {
             if (this->holder.manages(steady_clock::now())) {
                 for (const auto& notice : notices) {
--- a/src/gateway/group_ending.cpp
+++ b/src/gateway/group_ending.cpp
@@ -14,7 +14,7 @@
 /// about two attempts per second.
 constexpr milliseconds ending_retry_delay{300};
 /// A head may leave this many orders unanswered before a member is ordered to leave instead. One order may
-/// be lost.
+/// be lost; a head whose registry entry was removed as well is probably gone.
 constexpr std::uint32_t max_unanswered_orders = 2;
 /// Bound on the linear backoff: the delay grows by at most this many times `ending_retry_delay`.
 constexpr std::uint32_t max_retry_factor = 6;
@@ -134,22 +134,27 @@
 
 void group_manager::advance_ending(const group_key& key, ending& state, time_point now)
 {
-    if (state.released || state.order_pending || now < state.next_order) {
+    if (state.released || state.order_pending) {
+        return;
+    }
+    if (state.head_broken_at && now >= *state.head_broken_at) {
+        return this->confirm_head_unreachable(key, state);
+    }
+    if (now < state.next_order) {
         return;
     }
     // When a member leaves, the group stalls, and its head stops serving after the stall time even if it
     // cannot be reached. The head itself keeps receiving orders if it has left and only lacks its fence, or
     // if no other member is reachable.
-    const bool head_unreachable = state.head.instance.empty() || this->is_lost(state.head) ||
-                                  state.unanswered_orders >= max_unanswered_orders;
+    const bool registered = this->fleet.find_target(state.head.instance) != nullptr;
+    const auto max_unanswered = registered ? max_unanswered_orders : 1;
+    const bool head_unreachable =
+        state.head.instance.empty() || this->is_lost(state.head) || state.unanswered_orders >= max_unanswered;
     if (!state.head_left && !state.member_left && head_unreachable) {
         if (const auto* member = this->find_reachable_member(key, state); member != nullptr) {
             return this->order_member_to_leave(key, state, member->entry);
         }
     }
-    if (state.head_broken_at && now >= *state.head_broken_at) {
-        return this->confirm_head_unreachable(key, state);
-    }
     if (state.head.instance.empty()) {
         return;
     }
@@ -176,6 +181,11 @@
     return group.str().compare(0, fence_group_prefix.size(), fence_group_prefix) == 0;
 }
 
+group_id group_manager::fence_group(std::uint64_t epoch)
+{
+    return group_id(std::string(fence_group_prefix) + std::to_string(epoch));
+}
+
 group_order group_manager::leave_order(const group_key& key)
 {
     group_order what;
@@ -194,7 +204,7 @@
         group_order what;
         what.action = group_action::join;
         what.epoch = fence_epoch(key);
-        what.group = group_id(std::string(fence_group_prefix) + std::to_string(what.epoch));
+        what.group = fence_group(what.epoch);
         what.model = head != nullptr && !head->entry.model.empty() ? head->entry.model : state.head.model;
         what.members = {state.head.instance};
         return what;
--- a/src/gateway/group_formation.cpp
+++ b/src/gateway/group_formation.cpp
@@ -5,6 +5,7 @@
 #include "http/pause.hpp"
 
 #include <algorithm>
+#include <map>
 #include <set>
 
 namespace rml::gateway {
@@ -309,6 +310,7 @@
     const auto limit = plan.started + expected + detail::formation_slack;
     auto next_probe_at = steady_clock::now() + plan.expected + ready_slack;
     std::set<instance_id> ready;
+    std::map<instance_id, int> unanswered; ///< reports in a row
     while (steady_clock::now() < limit) {
         const auto now = steady_clock::now();
         const bool probe = now >= next_probe_at;
@@ -326,10 +328,12 @@
                 ready.insert(member);
             } else if (probe && ready.count(member) == 0) {
                 tasks.emplace_back(
-                    [this, &ready, is_ready_member, entry = state->entry](yield_context inner) {
+                    [this, &ready, &unanswered, is_ready_member, entry = state->entry](yield_context inner) {
                         this->probes_sent.add();
                         const auto answer = this->ports.engines->report(
                             entry, steady_clock::now() + detail::probe_timeout, inner);
+                        auto& missing = unanswered[entry.instance];
+                        missing = succeeded(answer) ? 0 : missing + 1;
                         if (succeeded(answer) && is_ready_member(value(answer).membership)) {
                             ready.insert(entry.instance);
                         }
@@ -339,6 +343,12 @@
         if (!tasks.empty()) {
             this->run_all(std::move(tasks), yield);
             next_probe_at = steady_clock::now() + ready_slack;
+            const bool paused = this->pauses.paused_since(now, steady_clock::now());
+            for (const auto& [member, missing] : unanswered) {
+                if (missing >= max_report_attempts && this->in_force(plan) && !paused) {
+                    this->mark_lost(member, "did not report while joining", steady_clock::now());
+                }
+            }
         }
         if (ready.size() == plan.members.size()) {
             return true;
@@ -510,7 +520,7 @@
         group_order what;
         what.action = group_action::stage;
         what.model = wanted.model;
-        const auto answer = this->order(entry, what, yield);
+        const auto answer = this->order(entry, what, yield, false);
         --this->stage_orders;
         if (failed(answer) ||
             (value(answer) != order_verdict::started && value(answer) != order_verdict::already)) {
@@ -526,4 +536,35 @@
     });
 }
 
+void group_manager::start_warmup(const planned_warmup& wanted, const served_model& model, time_point now)
+{
+    const auto* state = this->fleet.find_target(wanted.instance);
+    if (state == nullptr) {
+        return;
+    }
+    this->stagings[wanted.instance] = {wanted.model, now + model.load * 2 + detail::formation_slack};
+    if (wanted.from_store) {
+        this->load_starts.push_back(now);
+        this->loads.add();
+    }
+    log(log_level::info, "loading a model into an engine outside groups",
+        {{"engine", wanted.instance.str()}, {"model", wanted.model.str()}});
+    ++this->stage_orders;
+    start_coroutine(this->context, [this, wanted, entry = state->entry](yield_context yield) {
+        group_order what;
+        what.action = group_action::join;
+        what.epoch = this->next_epoch();
+        what.group = fence_group(what.epoch);
+        what.model = wanted.model;
+        what.members = {wanted.instance};
+        const auto answer = this->order(entry, what, yield, false);
+        --this->stage_orders;
+        if (failed(answer) || value(answer) != order_verdict::started) {
+            log(log_level::info, "model not loaded",
+                {{"engine", wanted.instance.str()},
+                 {"reason", failed(answer) ? error(answer).context : std::string(to_string(value(answer)))}});
+        }
+    });
+}
+
 } // namespace rml::gateway
--- a/src/gateway/group_manager.cpp
+++ b/src/gateway/group_manager.cpp
@@ -156,6 +156,7 @@
     for (auto entry = this->stagings.begin(); entry != this->stagings.end();) {
         const auto* state = this->fleet.find_target(entry->first);
         const bool done = state == nullptr || now >= entry->second.until ||
+                          state->entry.model == entry->second.model ||
                           std::find(state->entry.staged.begin(), state->entry.staged.end(),
                                     entry->second.model) != state->entry.staged.end();
         entry = done ? this->stagings.erase(entry) : std::next(entry);
@@ -379,6 +380,7 @@
     planner_input input;
     input.models = this->planner_models(*of.engines);
     input.loads_allowed = this->loads_allowed(*of.engines);
+    input.loads_kept_for_spares = this->first_start ? 0 : of.engines->concurrent_loads / 2;
     input.join_with_loads = this->first_start;
     const auto occupied = this->find_occupied();
     for (const auto& [instance, state] : this->fleet.targets()) {
@@ -423,6 +425,12 @@
     if (plan.retire) {
         this->retire(*plan.retire, now);
     }
+    for (const auto& wanted : plan.warm_up) {
+        if (this->stage_orders >= max_stage_orders) {
+            break;
+        }
+        this->start_warmup(wanted, *of.engines->find(wanted.model), now);
+    }
     for (const auto& wanted : plan.stage) {
         if (this->stage_orders >= max_stage_orders) {
             break; // a later pass orders the rest
@@ -443,9 +451,9 @@
 }
 
 result<order_verdict> group_manager::order(const target_entry& engine, const group_order& what,
-                                           yield_context yield)
+                                           yield_context yield, bool urgent)
 {
-    const order_slots::permit slot(this->slots, what.action != group_action::stage, yield);
+    const order_slots::permit slot(this->slots, urgent, yield);
     const auto now = steady_clock::now();
     if (!this->lease.manages(now) || this->lease_revision != this->lease.manager_revision()) {
         return failure{failure_kind::lapsed, "order not sent: this daemon does not hold the manager lease"};
--- a/src/gateway/group_manager.hpp
+++ b/src/gateway/group_manager.hpp
@@ -224,6 +224,10 @@
     /// Asks all members whether they are ready in the group.
     bool confirm_ready(const formation& plan, yield_context yield);
     void start_staging(const planned_stage& wanted, const served_model& model, time_point now);
+    /// Lets the engine load the model by joining a fence group.
+    void start_warmup(const planned_warmup& wanted, const served_model& model, time_point now);
+    /// Name of the fence group with that epoch.
+    static group_id fence_group(std::uint64_t epoch);
     void probe_all_groups(time_point now);
     void probe_slow_groups(time_point now);
     /// Probes members without a registry entry: they stay in their groups as long as they answer.
@@ -246,7 +250,8 @@
                                       time_point now);
     static group_order leave_order(const group_key& key);
     /// Sends an order if this daemon still holds the manager lease.
-    result<order_verdict> order(const target_entry& engine, const group_order& what, yield_context yield);
+    result<order_verdict> order(const target_entry& engine, const group_order& what, yield_context yield,
+                                bool urgent = true);
     void mark_lost(const instance_id& engine, const std::string& reason, time_point now);
     bool is_lost(const target_entry& engine) const;
     /// Runs the tasks concurrently and waits for all of them.
--- a/src/gateway/registration.cpp
+++ b/src/gateway/registration.cpp
@@ -86,6 +86,11 @@
 }
 
 milliseconds registration::candidate_delay() const
+{
+    return candidate_step * static_cast<int>(std::min(this->candidate_rank(), max_candidate_rank));
+}
+
+std::size_t registration::candidate_rank() const
 {
     // Larger instances rank first: the manager sends all orders and notifies all daemons of store changes.
     const auto now = steady_clock::now();
@@ -97,7 +102,7 @@
         const bool present = peer.registered || this->fleet.live(peer, now);
         rank += daemon != this->fleet.self && present && other > own ? 1U : 0U;
     }
-    return candidate_step * static_cast<int>(std::min(rank, max_candidate_rank));
+    return rank;
 }
 
 result<registration::held_lease> registration::create_lease(milliseconds lifetime, yield_context yield)
--- a/src/gateway/registration.hpp
+++ b/src/gateway/registration.hpp
@@ -26,6 +26,9 @@
     /// Call after the mirror has applied changes of the store.
     void notify();
 
+    /// Whether this daemon is among the first that try to become the manager.
+    bool is_first_candidate() const { return this->candidate_rank() < first_candidates; }
+
     bool manages(time_point now) const override;
     std::uint64_t manager_revision() const override { return this->acquired_revision; }
 
@@ -51,6 +54,8 @@
     void end(held_lease& lease, yield_context yield);
     /// Value of the manager key while this daemon holds it under that lease.
     std::string manager_key_value(std::uint64_t lease) const;
+    static constexpr std::size_t first_candidates = 4;
+    std::size_t candidate_rank() const;
     milliseconds candidate_delay() const;
 
     boost::asio::io_context& context;
--- a/src/gateway/store_mirror.cpp
+++ b/src/gateway/store_mirror.cpp
@@ -37,8 +37,6 @@
 constexpr milliseconds max_retry_pause{800};
 /// The store counts as unreachable after this time without an answer: one watch and one retry have failed.
 constexpr milliseconds unreachable_timeout{2200};
-/// A daemon watches the store itself after this time without a notice: two were lost and a third is late.
-constexpr milliseconds feed_timeout{700};
 /// Highest age of the store contact behind a notice: the wait of one watch and a lost packet.
 constexpr milliseconds max_notice_age{1200};
 constexpr milliseconds hang_detection =
@@ -171,7 +169,10 @@
             changed = true;
         }
     }
-    this->feed_expires = now + feed_timeout;
+    const bool candidate = !this->may_become_manager || this->may_become_manager();
+    const auto& bounds = this->configured.bounds;
+    this->feed_expires =
+        now + feed_patience(candidate, std::min(bounds.drain, bounds.config_apply), hang_detection);
     if (changed && this->on_change) {
         this->on_change();
     }
@@ -359,8 +360,10 @@
     const auto& entry = value(decoded);
     const bool changed = before == nullptr || before->entry.draining != entry.draining ||
                          before->entry.started_ms != entry.started_ms;
-    if (changed && this->has_read) {
-        log(log_level::info, "target entry registered",
+    if (changed) {
+        // In a large fleet each of the daemons learns of each target, so a usual registration is no event.
+        const bool notable = before != nullptr || entry.draining;
+        log(notable ? log_level::info : log_level::debug, "target entry registered",
             {{"target", instance},
              {"service", entry.service.str()},
              {"failure_domain", entry.failure_domain.str()},
--- a/src/gateway/store_mirror.hpp
+++ b/src/gateway/store_mirror.hpp
@@ -67,6 +67,8 @@
     /// True for the manager, which needs each change at once and watches the store itself; other daemons
     /// batch changes.
     std::function<bool()> needs_changes_at_once;
+    /// Whether this daemon is among the first candidates for the manager lease; true if not set.
+    std::function<bool()> may_become_manager;
     /// Called with each batch of changes that a watch returned, to forward them to the other daemons.
     std::function<void(const std::vector<change_notice>&)> on_store_changes;
     /// Called after each batch of changes.
--- a/tests/decision/watch_delay_test.cpp
+++ b/tests/decision/watch_delay_test.cpp
@@ -46,3 +46,19 @@
         CHECK(coalescing_delay(seconds(60), hang_detection) <= seconds(1));
     }
 }
+
+TEST_CASE("only candidates for the manager watch the store soon after the notices end", "[watch_delay]")
+{
+    // Guards against a fleet of hundreds of daemons that all call the store at each change of the manager.
+    const milliseconds read_time(1650);
+    const milliseconds takeover(1800);
+    CHECK(feed_patience(true, seconds(4), read_time) < seconds(1));
+    CHECK(feed_patience(false, seconds(4), read_time) > takeover);
+
+    SECTION("but always early enough to know each change in time")
+    {
+        for (milliseconds bound(2400); bound <= seconds(10); bound += milliseconds(50)) {
+            CHECK(feed_patience(false, bound, read_time) + read_time <= bound);
+        }
+    }
+}
