End leases over a suspension, and streams that only trickle

The steady clock stands still while a machine is suspended, so a manager that woke acted on a lease that had ended at the store. Any byte of a stream counted as progress of its target, so a stalled one that sent a byte now and then kept its request until the deadline.

Change: a lease's term also counts the time that the machine was suspended (decision/lease_term, base/suspension). Only whole events and the end of a stream count as progress.

--- a/src/gateway/registration.cpp
+++ b/src/gateway/registration.cpp
@@ -36,9 +36,10 @@
 
 registration::registration(boost::asio::io_context& owner, const platform_ports& platform,
                            store_mirror& store, fleet_state& state, const gateway_settings& settings,
-                           std::int64_t incarnation_start_ms)
+                           std::int64_t incarnation_start_ms, std::function<duration()> suspended_source)
     : context(owner), ports(platform), mirror(store), fleet(state), configured(settings),
-      started_ms(incarnation_start_ms), entry_timer(owner), manager_timer(owner)
+      started_ms(incarnation_start_ms), suspended(std::move(suspended_source)), entry_timer(owner),
+      manager_timer(owner)
 {
 }
 
@@ -50,7 +51,8 @@
 
 bool registration::manages(time_point now) const
 {
-    return this->acquired_revision != 0 && now + order_margin < this->manager_key_lease.until;
+    return this->acquired_revision != 0 &&
+           this->manager_key_lease.term.holds(now + order_margin, this->suspended());
 }
 
 std::string registration::manager_key_value(std::uint64_t lease) const
@@ -109,24 +111,27 @@
 {
     const auto wanted = std::max(lifetime, this->configured.store.shortest_lease);
     const auto sent = steady_clock::now();
+    const auto suspended_before = this->suspended();
     const auto created = this->ports.store->create_lease(wanted, sent + store_timeout, yield);
     if (failed(created)) {
         log(log_level::debug, "store granted no lease", {context_field(error(created))});
         return error(created);
     }
-    return held_lease{value(created).id, value(created).lifetime, sent + value(created).lifetime};
+    return held_lease{
+        value(created).id, value(created).lifetime, {sent + value(created).lifetime, suspended_before}};
 }
 
 bool registration::renew(held_lease& lease, yield_context yield)
 {
     const auto sent = steady_clock::now();
+    const auto suspended_before = this->suspended();
     const auto id = lease.id;
     const auto renewed = this->ports.store->renew_lease(id, sent + store_timeout, yield);
     if (lease.id != id) {
         return false; // the lease was released or replaced during the call
     }
     if (succeeded(renewed)) {
-        lease.until = sent + lease.lifetime;
+        lease.term = {sent + lease.lifetime, suspended_before};
         return true;
     }
     if (error(renewed).kind == failure_kind::lapsed) {
@@ -193,7 +198,7 @@
         const auto now = steady_clock::now();
         auto wake = time_point::max();
         if (this->acquired_revision != 0) {
-            if (now >= this->manager_key_lease.until) {
+            if (!this->manager_key_lease.term.holds(now, this->suspended())) {
                 log(log_level::warning, "manager lease lost", {{"holder", "none: own lease expired"}});
                 this->clear_manager_lease();
                 continue;
@@ -223,7 +228,8 @@
 {
     // The lease of an earlier attempt is reused: its commit may have taken effect although its answer was
     // lost.
-    if (steady_clock::now() + this->manager_key_lease.lifetime / 2 >= this->manager_key_lease.until) {
+    if (!this->manager_key_lease.term.holds(steady_clock::now() + this->manager_key_lease.lifetime / 2,
+                                            this->suspended())) {
         const auto created = this->create_lease(manager_lease_lifetime, yield);
         if (failed(created) || this->mirror.manager() || this->leaving) {
             return false; // the unused lease expires soon
--- a/src/gateway/registration.hpp
+++ b/src/gateway/registration.hpp
@@ -2,6 +2,8 @@
 /// manager lease, which at most one daemon holds at a time. Both expire when the daemon fails.
 #pragma once
 
+#include "base/suspension.hpp"
+#include "decision/lease_term.hpp"
 #include "gateway/manager_lease.hpp"
 #include "gateway/ports.hpp"
 #include "gateway/settings.hpp"
@@ -10,6 +12,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
+#include <functional>
 #include <string>
 
 namespace rml::gateway {
@@ -18,7 +21,8 @@
 {
 public:
     registration(boost::asio::io_context& context, const platform_ports& ports, store_mirror& mirror,
-                 fleet_state& fleet, const gateway_settings& configured, std::int64_t started_ms);
+                 fleet_state& fleet, const gateway_settings& configured, std::int64_t started_ms,
+                 std::function<duration()> suspended = suspended_time);
 
     void start();
     /// Ends both leases, so that other daemons need not wait for their expiry.
@@ -33,13 +37,11 @@
     std::uint64_t manager_revision() const override { return this->acquired_revision; }
 
 private:
-    /// A lease of the store. `until` counts from before the call, so that the lease never ends here after it
-    /// has ended in the store.
     struct held_lease
     {
         std::uint64_t id{0}; ///< 0: none
         milliseconds lifetime{0};
-        time_point until{};
+        lease_term term;
     };
 
     void maintain_entry(yield_context yield);
@@ -64,6 +66,7 @@
     fleet_state& fleet;
     const gateway_settings& configured;
     std::int64_t started_ms;
+    const std::function<duration()> suspended;
     boost::asio::steady_timer entry_timer;
     boost::asio::steady_timer manager_timer;
     held_lease entry_lease;
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -301,7 +301,8 @@
             attempt.reason = "answer without length ended before its first event";
             return attempt_end::lost;
         }
-        if (!this->record_progress(attempt)) {
+        if (attempt.superseded) {
+            attempt.reason = "target stalled";
             return attempt_end::superseded;
         }
         attempt.complete = !value(part);
@@ -321,6 +322,10 @@
         }
         attempt.complete_events = value(std::move(events));
     }
+    // Single bytes of an event are no progress: a stalled target could keep its request for ever with them.
+    if (!this->record_progress(attempt)) {
+        return attempt_end::superseded;
+    }
     // The head of a chunk and its data, or the parts of one event, are no sign that the answer has gone on.
     if (!attempt.complete_events.empty()) {
         this->owner.guard.record_progress(attempt.crash_ticket, steady_clock::now());
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -123,8 +123,8 @@
     void wait_for_change();
     void close_connections();
 
-    /// Records received bytes or the end of the answer. Returns false when the attempt was superseded; what
-    /// was received must not be used then.
+    /// Records received events, received bytes of a plain answer, or the end of the answer. Returns false
+    /// when the attempt was superseded; what was received must not be used then.
     bool record_progress(target_attempt& attempt);
     attempt_end failed_exchange(target_attempt& attempt, const failure& why);
     bool is_valid_answer(target_attempt& attempt);
--- a/tests/gateway/broken_answer_test.cpp
+++ b/tests/gateway/broken_answer_test.cpp
@@ -425,3 +425,54 @@
         CHECK(other.send("/orders/1", "A", "").answer.status == 200);
     }
 }
+
+TEST_CASE("a target that sends single bytes and no events is replaced as a silent one is",
+          "[gateway][broken_answer]")
+{
+    // Guards against a stalled stream that never ends because a byte arrives now and then.
+    std::atomic<int> received{0};
+    raw_server trickling([&](const http::request&, raw_connection& connection) {
+        ++received;
+        connection.send(stream_head + chunked + "\r\n" + chunk(event(1)));
+        connection.send_repeatedly(chunk("i"), 10000, milliseconds(40));
+        return false;
+    });
+    raw_server sound([&](const http::request&, raw_connection& connection) {
+        connection.send(stream_head + chunked + "\r\n" + chunk(events(2, 4)) + last_chunk);
+        return true;
+    });
+    forwarding_site site;
+    site.ticks = true;
+    site.add_engine("trickling", trickling.address());
+    site.add_engine("sound", sound.address());
+    site.make_last_choice("sound");
+    auto& got = site.send("/plans/1", "A");
+    CHECK(received == 1);
+    CHECK(got.finished);
+    CHECK(got.answer.body == whole_stream);
+}
+
+TEST_CASE("a slow stream whose events keep coming is not cut", "[gateway][broken_answer]")
+{
+    // Guards against sound streams that are given up because they are slow.
+    std::atomic<int> received{0};
+    raw_server slow([&](const http::request&, raw_connection& connection) {
+        ++received;
+        connection.send(stream_head + chunked + "\r\n");
+        for (int id = 1; id <= 8; ++id) {
+            connection.send(chunk(event(id)));
+            std::this_thread::sleep_for(milliseconds(150));
+        }
+        connection.send(last_chunk);
+        return true;
+    });
+    forwarding_site site;
+    site.ticks = true;
+    site.add_engine("slow", slow.address());
+    site.add_engine("other", slow.address());
+    site.make_last_choice("other");
+    auto& got = site.send("/plans/1", "A");
+    CHECK(received == 1);
+    CHECK(got.finished);
+    CHECK(got.answer.body == events(1, 8));
+}
