--- a/src/gateway/group_formation.cpp
+++ b/src/gateway/group_formation.cpp
@@ -515,23 +515,30 @@
     this->loads.add();
     log(log_level::info, "staging weights",
         {{"engine", wanted.instance.str()}, {"model", wanted.model.str()}});
+    group_order what;
+    what.action = group_action::stage;
+    what.model = wanted.model;
+    this->send_preparation(state->entry, what);
+}
+
+void group_manager::send_preparation(const target_entry& engine, const group_order& what)
+{
     ++this->stage_orders;
-    start_coroutine(this->context, [this, wanted, entry = state->entry](yield_context yield) {
-        group_order what;
-        what.action = group_action::stage;
-        what.model = wanted.model;
-        const auto answer = this->order(entry, what, yield, false);
+    start_coroutine(this->context, [this, what, engine](yield_context yield) {
+        const auto answer = this->order(engine, what, yield, false);
         --this->stage_orders;
-        if (failed(answer) ||
-            (value(answer) != order_verdict::started && value(answer) != order_verdict::already)) {
-            log(log_level::info, "weights not staged",
-                {{"engine", wanted.instance.str()},
-                 {"reason", failed(answer) ? error(answer).context : std::string(to_string(value(answer)))}});
-            const bool may_run = failed(answer) && error(answer).kind == failure_kind::outcome_unknown;
-            if (const auto found = this->stagings.find(wanted.instance);
-                found != this->stagings.end() && !may_run) {
-                found->second.until = steady_clock::now() + staging_retry_delay;
-            }
+        if (succeeded(answer) &&
+            (value(answer) == order_verdict::started || value(answer) == order_verdict::already)) {
+            return;
+        }
+        log(log_level::info, "weights not prepared",
+            {{"engine", engine.instance.str()},
+             {"order", std::string(to_string(what.action))},
+             {"reason", failed(answer) ? error(answer).context : std::string(to_string(value(answer)))}});
+        const bool may_run = failed(answer) && error(answer).kind == failure_kind::outcome_unknown;
+        if (const auto found = this->stagings.find(engine.instance);
+            found != this->stagings.end() && !may_run) {
+            found->second.until = steady_clock::now() + staging_retry_delay;
         }
     });
 }
@@ -549,22 +556,13 @@
     }
     log(log_level::info, "loading a model into an engine outside groups",
         {{"engine", wanted.instance.str()}, {"model", wanted.model.str()}});
-    ++this->stage_orders;
-    start_coroutine(this->context, [this, wanted, entry = state->entry](yield_context yield) {
-        group_order what;
-        what.action = group_action::join;
-        what.epoch = this->next_epoch();
-        what.group = fence_group(what.epoch);
-        what.model = wanted.model;
-        what.members = {wanted.instance};
-        const auto answer = this->order(entry, what, yield, false);
-        --this->stage_orders;
-        if (failed(answer) || value(answer) != order_verdict::started) {
-            log(log_level::info, "model not loaded",
-                {{"engine", wanted.instance.str()},
-                 {"reason", failed(answer) ? error(answer).context : std::string(to_string(value(answer)))}});
-        }
-    });
+    group_order what;
+    what.action = group_action::join;
+    what.epoch = this->next_epoch();
+    what.group = fence_group(what.epoch);
+    what.model = wanted.model;
+    what.members = {wanted.instance};
+    this->send_preparation(state->entry, what);
 }
 
 } // namespace rml::gateway
--- a/src/gateway/group_manager.hpp
+++ b/src/gateway/group_manager.hpp
@@ -226,6 +226,8 @@
     void start_staging(const planned_stage& wanted, const served_model& model, time_point now);
     /// Lets the engine load the model by joining a fence group.
     void start_warmup(const planned_warmup& wanted, const served_model& model, time_point now);
+    /// Sends an order to stage or load weights; when it is refused, another one may follow soon.
+    void send_preparation(const target_entry& engine, const group_order& what);
     /// Name of the fence group with that epoch.
     static group_id fence_group(std::uint64_t epoch);
     void probe_all_groups(time_point now);
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -119,16 +119,17 @@
 void peer_exchange::send(bool to_all)
 {
     const auto now = steady_clock::now();
+    auto report = this->compose(to_all);
+    this->idle = report.idle();
+    report.sequence = ++this->sequence;
     this->sent_to_entries = now;
     this->next_to_entries = now + interval_for(this->entries.size());
+    report.interval = interval_for(this->entries.size());
     if (to_all) {
+        report.interval = this->interval_to_all(now);
         this->sent_to_all = now;
-        this->next_to_all = now + this->interval_to_all(now);
+        this->next_to_all = now + report.interval;
     }
-    auto report = this->compose(to_all);
-    this->idle = report.idle();
-    report.sequence = ++this->sequence;
-    report.interval = to_all ? this->interval_to_all(now) : interval_for(this->entries.size());
     this->send_bytes(encode_report(report), to_all);
 }
 
