Test sends, resumed streams and trials at targets that leave or pause

The check directly before the write had no test, and neither had a resumed stream nor the trial of a suspected prompt part. Each now has sections that must not reach such a target and one that must reach a sound one.

--- a/tests/gateway/forwarding_site.hpp
+++ b/tests/gateway/forwarding_site.hpp
@@ -6,6 +6,7 @@
 #include "http/pause.hpp"
 #include "target/raw_server.hpp"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/coroutine/attributes.hpp>
@@ -129,11 +130,14 @@
         }
         this->answers.push_back(std::make_unique<recorded_answer>());
         auto& writer = *this->answers.back();
-        const http::request message{
+        http::request message{
             this->method,
             path,
             {{"host", "site.example"}, {"x-id", id}, {"x-deadline", "3000"}, {"x-model", "planner"}},
             std::move(body)};
+        if (!this->parts.empty()) {
+            message.headers.push_back({"x-parts", this->parts});
+        }
         boost::asio::spawn(
             this->context,
             [&](gateway::yield_context yield) {
@@ -144,6 +148,10 @@
                 ended = true;
             },
             boost::coroutines::attributes(stack_bytes));
+        if (this->while_connecting) {
+            // The request suspends for the first time when it opens a connection.
+            boost::asio::post(this->context, this->while_connecting);
+        }
         this->context.run();
         this->context.restart();
         return writer;
@@ -179,6 +187,9 @@
     }
 
     std::string method{"POST"}; ///< of the requests sent
+    std::string parts;          ///< of their prompts; empty: none
+    /// Called while the next request opens its first connection, if it does not wait before.
+    std::function<void()> while_connecting;
     boost::asio::io_context context;
     gateway::platform_ports ports;
     gateway::fleet_state fleet{daemon_id("d0")};
--- a/tests/gateway/leaving_target_test.cpp
+++ b/tests/gateway/leaving_target_test.cpp
@@ -68,7 +68,7 @@
 
 } // namespace
 
-// Guards against requests to a target after it has said that it leaves (rule DRAIN of the users' platform).
+// Guards against requests to a target after it has said that it leaves.
 TEST_CASE("a target that says in an answer that it leaves gets no new request", "[gateway][leaving]")
 {
     forwarding_site site;
@@ -155,8 +155,8 @@
     }
 }
 
-// Guards against requests to a target within the pause that it asked for (rule BUDGET of the users'
-// platform).
+// Guards against requests to a target within the pause that it asked for.
+
 TEST_CASE("a target that asks for a pause gets no request within it", "[gateway][pause]")
 {
     forwarding_site site;
@@ -244,6 +244,130 @@
     }
 }
 
+// Guards against a choice that is outdated when the request is written: connecting takes time.
+TEST_CASE("a target is asked for again directly before a request is written", "[gateway][leaving][pause]")
+{
+    forwarding_site site;
+    auto target = sound_target();
+    site.add_target("t", target.address());
+    const auto say = [&](const gateway::target_signals& signals) {
+        site.while_connecting = [&site, &target, signals] {
+            site.fleet.record_signals(entry_of("t", target.address(), 1), signals, steady_clock::now());
+        };
+    };
+
+    SECTION("it has said that it leaves while the connection was opened")
+    {
+        say({true, std::nullopt});
+        CHECK(site.send("/orders/1", "A").answer.status == 503);
+        CHECK(target.requests() == 0);
+    }
+    SECTION("it has asked for a pause while the connection was opened")
+    {
+        say({false, "30"});
+        const auto& refused = site.send("/stock/1", "A").answer;
+        CHECK(refused.status == 503);
+        CHECK(retry_after_of(refused) > 1);
+        CHECK(target.requests() == 0);
+    }
+    SECTION("its failure domain was drained while the connection was opened")
+    {
+        site.while_connecting = [&] { site.fleet.update_drained_domain(failure_domain_id(), true); };
+        CHECK(site.send("/stock/1", "A").answer.status == 503);
+        CHECK(target.requests() == 0);
+    }
+    SECTION("its entry was removed while the connection was opened")
+    {
+        site.while_connecting = [&] {
+            site.fleet.destroy_target(instance_id("t"), steady_clock::now(), std::nullopt);
+        };
+        CHECK(site.send("/stock/1", "A").answer.status == 503);
+        CHECK(target.requests() == 0);
+    }
+    SECTION("otherwise the request is sent")
+    {
+        site.while_connecting = [] {};
+        CHECK(site.send("/stock/1", "A").answer.status == 200);
+    }
+}
+
+// Guards against streams that are resumed at a target which takes no new requests.
+TEST_CASE("a broken stream continues only where new requests may be sent", "[gateway][leaving][pause]")
+{
+    forwarding_site site;
+    raw_server breaking([&](const http::request& message, raw_connection& connection) {
+        connection.send("HTTP/1.1 200 OK\r\n" + id_line(run_record::id_of(message)) +
+                        "x-signature: s\r\ncontent-type: text/event-stream\r\n"
+                        "transfer-encoding: chunked\r\n\r\n" +
+                        chunk(first_event));
+        return false;
+    });
+    answering_target rest("200 OK", "x-signature: s\r\ncontent-type: text/event-stream\r\n", last_event);
+    site.add_engine("breaking", breaking.address());
+    site.add_engine("other", rest.address());
+    site.make_last_choice("other");
+    const auto other = entry_of("other", rest.address(), 1);
+
+    SECTION("not at a target that leaves")
+    {
+        site.fleet.record_signals(other, {true, std::nullopt}, steady_clock::now());
+        CHECK(site.send("/plans/1", "A").aborted);
+        CHECK(rest.requests() == 0);
+    }
+    SECTION("not at a target that asked for a pause")
+    {
+        site.fleet.record_signals(other, {false, "30"}, steady_clock::now());
+        CHECK(site.send("/plans/1", "A").aborted);
+        CHECK(rest.requests() == 0);
+    }
+    SECTION("at any other target")
+    {
+        CHECK(site.send("/plans/1", "A").answer.body == first_event + last_event);
+        CHECK(rest.requests() == 1);
+    }
+}
+
+// Guards against trials of suspected prompt parts that lean on a target in its pause.
+TEST_CASE("a suspected prompt part is tried only where new requests may be sent", "[gateway][leaving][pause]")
+{
+    forwarding_site site;
+    site.ticks = true;
+    site.parts = "a1:10,b2:5";
+    std::unique_ptr<raw_server> crashing;
+    crashing = std::make_unique<raw_server>([&](const http::request&, raw_connection&) {
+        crashing->end_process();
+        return false;
+    });
+    site.add_engine("crashing", crashing->address());
+    CHECK(site.send("/plans-at-one-target/1", "A").answer.status == 502);
+    crash_features features;
+    features.parts = gateway::shared_prompt_parts(site.parts);
+    REQUIRE(site.requests.crashes().check(features, steady_clock::now()) !=
+            gateway::send_permission::allowed);
+    site.fleet.destroy_target(instance_id("crashing"), steady_clock::now(), std::nullopt);
+    auto other = sound_engine();
+    site.add_engine("other", other.address());
+
+    SECTION("not at a target that asked for a pause")
+    {
+        site.fleet.record_signals(entry_of("other", other.address(), 1), {false, "30"}, steady_clock::now());
+        CHECK(site.send("/plans-at-one-target/1", "B").answer.status == 503);
+        CHECK(other.requests() == 0);
+    }
+    SECTION("not at a target that leaves")
+    {
+        site.fleet.record_signals(entry_of("other", other.address(), 1), {true, std::nullopt},
+                                  steady_clock::now());
+        CHECK(site.send("/plans-at-one-target/1", "B").answer.status == 503);
+        CHECK(other.requests() == 0);
+    }
+    SECTION("at any other target")
+    {
+        CHECK(site.send("/plans-at-one-target/1", "B").answer.status == 200);
+        CHECK(other.requests() == 1);
+    }
+}
+
 TEST_CASE("daemons tell each other which targets leave", "[gateway][leaving]")
 {
     const auto now = steady_clock::now();
