--- a/review/3/play.py
+++ b/review/3/play.py
@@ -6,7 +6,7 @@
 import sys
 
 HERE = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(HERE, "..", "lib"))
+sys.path.insert(0, os.path.join(HERE, ".."))
 from standin import TROUBLE, ModelEngine, Site, run
 
 ZONES = ["zone-a", "zone-b"]
--- a/review/build.sh
+++ b/review/build.sh
@@ -5,6 +5,6 @@
 cd "$(dirname "$0")"
 PYTHONDONTWRITEBYTECODE=1 python3 -c "
 import ast, glob
-for name in glob.glob('lib/*.py') + glob.glob('*/*.py'):
+for name in glob.glob('*.py') + glob.glob('*/*.py'):
     ast.parse(open(name, encoding='utf-8').read(), name)
 "
--- a/review/lib/standin.py
+++ b/review/standin.py
@@ -16,7 +16,7 @@
 import time
 import urllib.parse
 
-ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
+ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), ".."))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 # Bounds and rates of the users' pages (SYSTEM.md, DEPLOY.md).
