Judge a crashing request by later losses, not by an accident beside its first

Cause: a loss was explained by any other within 2 s when both targets had the same fabric domain. Targets of plain services have none, and empty names compared equal. The record of a whole request kept its first four losses, so four explained ones were final, and the verdict for them, a trial, existed for prompt parts only. Ruled out by the logs of the case: losses that were not noticed, and evidence that did not reach the other daemon.

Change: an empty name is no common domain. Records keep the latest 16 losses of requests as of parts, with their ages, in one codec for both daemons. After four losses of any kind a whole request runs only in trials, one at a time over all daemons, and nothing explains the loss of a trial.

--- a/src/control/node_peers.cpp
+++ b/src/control/node_peers.cpp
@@ -53,12 +53,7 @@
 
 void node::publish_notice(const crash_notice& notice)
 {
-    nlohmann::json losses = nlohmann::json::array();
-    for (const auto& loss : notice.losses) {
-        losses.push_back({loss.loss, loss.explained});
-    }
-    const auto bytes = nlohmann::json::to_cbor(nlohmann::json::array(
-        {notice.fingerprint.value, notice.version, notice.blocked, std::move(losses), notice.ttl.count()}));
+    const auto bytes = nlohmann::json::to_cbor(encode_crash_notice(notice));
     const auto now = std::chrono::duration_cast<milliseconds>(steady_clock::now().time_since_epoch());
     const item written{"suspect/" + std::to_string(notice.fingerprint.value) + "/" +
                            this->options.daemon.str(),
@@ -72,21 +67,13 @@
 {
     // The item only transports the notice; the crash attribution stores it in a bounded table.
     this->peers.destroy(accepted.key);
-    const auto document = decode_bounded_cbor(accepted.payload);
-    try {
-        crash_notice notice;
-        notice.fingerprint.value = document.at(0).get<std::uint64_t>();
-        notice.version = document.at(1).get<std::uint64_t>();
-        notice.blocked = document.at(2).get<bool>();
-        for (const auto& loss : document.at(3)) {
-            notice.losses.push_back({loss.at(0).get<std::uint64_t>(), loss.at(1).get<bool>()});
-        }
-        notice.ttl = milliseconds(document.at(4).get<std::int64_t>());
-        this->request_state.apply_notice(notice, steady_clock::now());
-    } catch (const nlohmann::json::exception& e) {
+    const auto notice = decode_crash_notice(decode_bounded_cbor(accepted.payload));
+    if (failed(notice)) {
         log(log_level::warning, "cannot decode the crash notice of a peer; ignoring it",
-            {{"context", std::string(e.what())}});
+            {context_field(error(notice))});
+        return;
     }
+    this->request_state.apply_notice(value(notice), steady_clock::now());
 }
 
 void node::peer_generation(const daemon_id& from, std::uint64_t generation)
--- a/src/decision/crash_attribution.cpp
+++ b/src/decision/crash_attribution.cpp
@@ -33,15 +33,30 @@
     return this->records.find_worst(features, now);
 }
 
+std::vector<request_fingerprint> crash_attribution::find_suspects(const crash_features& features,
+                                                                  time_point now) const
+{
+    std::vector<request_fingerprint> out;
+    const auto add_if_suspected = [&](const crash_features& feature, request_fingerprint print) {
+        if (this->check_features(feature, now) == crash_verdict::trial) {
+            out.push_back(print);
+        }
+    };
+    add_if_suspected({features.whole, {}}, features.whole);
+    for (const auto part : features.parts) {
+        add_if_suspected({{}, {part}}, part);
+    }
+    return out;
+}
+
 time_point crash_attribution::latest_loss(const crash_features& features) const
 {
     return this->records.latest_loss(features);
 }
 
-void crash_attribution::begin(std::uint64_t ticket, request_fingerprint fingerprint, const group_run& target,
-                              bool trial)
+void crash_attribution::begin(std::uint64_t ticket, request_fingerprint fingerprint, const group_run& target)
 {
-    this->begin(ticket, crash_features{fingerprint, {}}, target, trial);
+    this->begin(ticket, crash_features{fingerprint, {}}, target, false);
 }
 
 void crash_attribution::begin(std::uint64_t ticket, const crash_features& features, const group_run& target,
@@ -139,7 +154,7 @@
 void crash_attribution::count_request(const in_flight_request& request, std::uint64_t loss, time_point at,
                                       time_point now, crash_changes& changes)
 {
-    const auto& whole = this->records.count_request(request.features.whole, loss, now);
+    const auto& whole = this->records.count_request(request.features.whole, loss, at, now, request.trial);
     if (whole.counted_losses.size() >= 2) {
         // Sent before the classification, so that no other daemon runs the request in the meantime.
         changes.notices.push_back(whole.make_notice(request.features.whole, now));
--- a/src/decision/crash_attribution.hpp
+++ b/src/decision/crash_attribution.hpp
@@ -6,7 +6,8 @@
 /// `limits::correlated_loss_window`, and the request was not in flight on that group. A request is suspected
 /// after one unexplained loss or two losses of any kind, and then runs only with a trial slot. After two
 /// unexplained losses it is refused, and it is blocked once `limits::loss_report_delay` has passed without an
-/// explanation.
+/// explanation. A request that is judged with its parts is refused after three losses of which two are
+/// unexplained, and runs only in trials after four losses of any kind.
 ///
 /// A part of a prompt may crash groups too, whatever request carries it. Losses count against the parts of
 /// the requests in flight in the same way, since the last request with the part whose answer began and went
@@ -62,9 +63,8 @@
 class crash_attribution
 {
 public:
-    /// Bounds on the losses in a notice, of a whole request and of a part.
+    /// Bound on the losses in a notice.
     static constexpr std::size_t max_losses = crash_record::max_losses;
-    static constexpr std::size_t max_part_losses = crash_record::max_part_losses;
 
     /// Verdict for a request that arrives or is retried.
     crash_verdict check(request_fingerprint fingerprint, time_point now) const;
@@ -74,13 +74,18 @@
     crash_verdict check_features(const crash_features& features, time_point now) const;
     /// Like `check_features`, with the feature that has this verdict.
     crash_finding find_worst(const crash_features& features, time_point now) const;
-    /// Time of the latest loss that counts against a part of the request; the start of the clock if there is
-    /// none.
+    /// The whole request and its parts, those that may run only in a trial.
+    std::vector<request_fingerprint> find_suspects(const crash_features& features, time_point now) const;
+    /// Time of the latest loss that counts against the request or a part of it; the start of the clock if
+    /// there is none.
     time_point latest_loss(const crash_features& features) const;
 
-    /// Counts a request as sent to the group, directly before it is sent.
-    void begin(std::uint64_t ticket, request_fingerprint fingerprint, const group_run& target, bool trial);
+    /// Counts a request as sent to the group, directly before it is sent. `trial`: it was suspected, so that
+    /// no other loss explains the loss of this group.
     void begin(std::uint64_t ticket, const crash_features& features, const group_run& target, bool trial);
+    /// For requests that are judged by `check`. A single loss makes them run in a trial, so that other losses
+    /// explain the loss of a trial too.
+    void begin(std::uint64_t ticket, request_fingerprint fingerprint, const group_run& target);
     /// Acquits the parts of a request whose answer began at `began` and went on afterwards.
     crash_changes answer_continued(std::uint64_t ticket, time_point began, time_point now);
     /// Counts a request as ended without a loss of its group. A successful trial clears the request.
--- a/src/decision/crash_notice.hpp
+++ b/src/decision/crash_notice.hpp
@@ -1,10 +1,12 @@
 /// What requests that crash groups are recognised by, and the evidence that daemons exchange about them.
 #pragma once
 
+#include "base/failure.hpp"
 #include "base/ids.hpp"
 #include "base/time.hpp"
 
 #include <cstdint>
+#include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <string_view>
 #include <vector>
@@ -67,8 +69,8 @@
 {
     std::uint64_t loss{0}; ///< identifies the group and its incarnation
     bool explained{false}; ///< final decision that the loss was correlated with another
-    milliseconds age{0};   ///< time since the loss; parts only
-    bool trial{false};     ///< of a trial, which no other loss explains; parts only
+    milliseconds age{0};   ///< time since the loss
+    bool trial{false};     ///< of a trial, which no other loss explains
 };
 
 /// State of a fingerprint, as exchanged between daemons. For a whole request, a notice of a higher version
@@ -79,10 +81,15 @@
     request_fingerprint fingerprint;
     std::uint64_t version{0}; ///< raised when a trial clears the request
     bool blocked{false};
-    std::vector<crash_loss> losses; ///< at most `crash_record::max_losses`, for parts `max_part_losses`
-    milliseconds ttl{0};            ///< remaining lifetime at the time of sending
-    bool part{false};               ///< the fingerprint is that of a part of a prompt
+    std::vector<crash_loss> losses;              ///< at most `crash_record::max_losses`
+    milliseconds ttl{0};                         ///< remaining lifetime at the time of sending
+    bool part{false};                            ///< the fingerprint is that of a part of a prompt
     std::optional<milliseconds> acquitted_age{}; ///< time since the last acquittal; parts only
 };
 
+/// A document that is sent as CBOR.
+nlohmann::json encode_crash_notice(const crash_notice& notice);
+/// Fails with `malformed`, and with `too_large` for more losses than a record keeps.
+result<crash_notice> decode_crash_notice(const nlohmann::json& row);
+
 } // namespace rml
--- a/src/decision/crash_record.cpp
+++ b/src/decision/crash_record.cpp
@@ -63,19 +63,19 @@
     return at.empty() ? time_point{} : at.back() + block;
 }
 
-bool crash_record::add_loss(std::uint64_t loss, time_point at, bool trial)
+bool crash_record::add_loss(const counted_loss& added)
 {
     bool undecided = false;
     for (auto& entry : this->counted_losses) {
-        if (entry.loss == loss) {
-            entry.trial = entry.trial || trial;
-            entry.at = this->part ? std::min(entry.at, at) : entry.at;
+        if (entry.loss == added.loss) {
+            entry.trial = entry.trial || added.trial;
+            entry.at = std::min(entry.at, added.at);
             return false;
         }
         undecided = undecided || !entry.decided;
     }
     if (!this->full()) {
-        this->counted_losses.push_back({loss, at, false, false, trial});
+        this->counted_losses.push_back(added);
         return !undecided;
     }
     const auto oldest =
@@ -83,10 +83,10 @@
                          [](const counted_loss& a, const counted_loss& b) {
                              return std::make_pair(a.at, a.loss) < std::make_pair(b.at, b.loss);
                          });
-    if (!this->part || std::make_pair(at, loss) <= std::make_pair(oldest->at, oldest->loss)) {
+    if (std::make_pair(added.at, added.loss) <= std::make_pair(oldest->at, oldest->loss)) {
         return false;
     }
-    *oldest = {loss, at, false, false, trial};
+    *oldest = added;
     return !undecided;
 }
 
@@ -120,12 +120,8 @@
         if (!this->counts(counted)) {
             continue;
         }
-        crash_loss loss{counted.loss, counted.decided && counted.explained};
-        if (this->part) {
-            loss.trial = counted.trial;
-            loss.age = std::chrono::duration_cast<milliseconds>(now - counted.at);
-        }
-        notice.losses.push_back(loss);
+        notice.losses.push_back({counted.loss, counted.decided && counted.explained,
+                                 std::chrono::duration_cast<milliseconds>(now - counted.at), counted.trial});
     }
     notice.part = this->part;
     if (this->own_acquittal) {
--- a/src/decision/crash_record.hpp
+++ b/src/decision/crash_record.hpp
@@ -18,9 +18,12 @@
     /// Losses after which a whole request that is judged with its parts may be refused: a sound request that
     /// is repeated at once may be in flight on two groups that others crash.
     static constexpr std::size_t refusing_losses = 3;
-    static constexpr std::size_t max_losses = 4;
-    /// Losses that are kept of a part, the latest ones.
-    static constexpr std::size_t max_part_losses = 16;
+    /// Losses of any kind after which a whole request that is judged with its parts runs only in trials:
+    /// other losses may have explained those of a request that crashes its targets.
+    static constexpr std::size_t suspecting_losses = 4;
+    /// Losses that are kept, the latest ones. If the first ones were kept, an early accident beside them
+    /// would hide all later evidence.
+    static constexpr std::size_t max_losses = 16;
 
     struct counted_loss
     {
@@ -29,6 +32,7 @@
         bool decided{false};
         bool explained{false}; ///< valid once decided
         bool trial{false};     ///< of a trial, which no other loss explains
+        bool reported{false};  ///< first reported by another daemon, which classifies it
     };
 
     std::uint64_t version{0};
@@ -50,7 +54,7 @@
     /// Whether the loss is listed, and whether it counts as well.
     bool lists(std::uint64_t loss) const;
     bool counts_loss(std::uint64_t loss) const;
-    bool full() const { return this->counted_losses.size() >= (this->part ? max_part_losses : max_losses); }
+    bool full() const { return this->counted_losses.size() >= max_losses; }
     /// Time of the first loss that counts; `time_point::max()` without one.
     time_point first_loss() const;
     /// End of the block of a part that its losses justify. The time doubles with each loss that came after
@@ -58,9 +62,8 @@
     time_point blocked_until() const;
 
     /// Adds a loss, or corrects the time of one that is listed: the network delay makes a loss appear later,
-    /// so the earliest time applies. If there are too many, whole requests keep the first ones and parts the
-    /// latest ones. Returns whether a loss has to be decided although all others were.
-    bool add_loss(std::uint64_t loss, time_point at, bool trial);
+    /// so the earliest time applies. Returns whether a loss has to be decided although all others were.
+    bool add_loss(const counted_loss& added);
     /// Notes the final decision of another daemon that the loss was explained.
     void mark_explained(std::uint64_t loss);
     /// Sets the lifetime of the record of a part after a change of its evidence.
--- a/src/decision/crash_records.cpp
+++ b/src/decision/crash_records.cpp
@@ -50,10 +50,10 @@
     return known;
 }
 
-void crash_records::count_loss(request_fingerprint fingerprint, crash_record& known, std::uint64_t loss,
-                               time_point at, bool trial)
+void crash_records::count_loss(request_fingerprint fingerprint, crash_record& known,
+                               const counted_loss& added)
 {
-    if (known.add_loss(loss, at, trial)) {
+    if (known.add_loss(added)) {
         this->undecided.push_back(fingerprint);
     }
 }
@@ -71,13 +71,13 @@
     return true;
 }
 
-const crash_record& crash_records::count_request(request_fingerprint whole, std::uint64_t loss,
-                                                 time_point now)
+const crash_record& crash_records::count_request(request_fingerprint whole, std::uint64_t loss, time_point at,
+                                                 time_point now, bool trial)
 {
     auto& known = this->find_or_create(whole, now);
     known.local = true;
     known.expires = now + limits::block_lifetime;
-    this->count_loss(whole, known, loss, now, false);
+    this->count_loss(whole, known, {loss, at, false, false, trial, false});
     return known;
 }
 
@@ -86,7 +86,7 @@
 {
     auto& known = this->find_or_create_part(part, now);
     known.local = true;
-    this->count_loss(part, known, loss, at, trial);
+    this->count_loss(part, known, {loss, at, false, false, trial, false});
     known.update_part_expiry(now);
     return known;
 }
@@ -219,8 +219,8 @@
     known.expires = std::max(known.expires, now + std::min<milliseconds>(lifetime, limits::block_lifetime));
     known.blocked = known.blocked || notice.blocked;
     for (const auto& loss : notice.losses) {
-        // The sender has classified the loss, so the classification delay is over.
-        this->count_loss(notice.fingerprint, known, loss.loss, now - limits::classification_delay, false);
+        this->count_loss(notice.fingerprint, known,
+                         {loss.loss, now - loss.age, false, false, loss.trial, true});
         if (loss.explained) {
             known.mark_explained(loss.loss);
         }
@@ -239,7 +239,8 @@
         known.acquit(now - *notice.acquitted_age);
     }
     for (const auto& loss : notice.losses) {
-        this->count_loss(notice.fingerprint, known, loss.loss, now - loss.age, loss.trial);
+        this->count_loss(notice.fingerprint, known,
+                         {loss.loss, now - loss.age, false, false, loss.trial, true});
         if (loss.explained) {
             known.mark_explained(loss.loss);
         }
--- a/src/decision/crash_records.hpp
+++ b/src/decision/crash_records.hpp
@@ -32,14 +32,15 @@
 
     crash_verdict check(request_fingerprint fingerprint, time_point now) const;
     crash_finding find_worst(const crash_features& features, time_point now) const;
-    /// Time of the latest loss that counts against a part of the request; the start of the clock if there is
-    /// none.
+    /// Time of the latest loss that counts against the request or a part of it; the start of the clock if
+    /// there is none.
     time_point latest_loss(const crash_features& features) const;
 
     /// Adds a loss to those that explain others. Returns false if it is known.
     bool add_event(std::uint64_t loss, const group_run& lost, time_point at);
     /// Counts a loss against a whole request of this daemon.
-    const crash_record& count_request(request_fingerprint whole, std::uint64_t loss, time_point now);
+    const crash_record& count_request(request_fingerprint whole, std::uint64_t loss, time_point at,
+                                      time_point now, bool trial);
     /// Counts a loss against a part of a request of this daemon.
     const crash_record& count_part(request_fingerprint part, std::uint64_t loss, time_point at,
                                    time_point now, bool trial);
@@ -85,10 +86,11 @@
     /// it is no sign of a correlated loss.
     bool attributed(std::uint64_t loss) const;
     crash_verdict verdict_of(const crash_record& known, time_point now) const;
+    /// Verdict on a whole request that is judged with its parts.
+    crash_verdict whole_verdict(const crash_record& known, time_point now) const;
     crash_verdict part_verdict(const crash_record& known, const crash_features& features,
                                time_point now) const;
-    void count_loss(request_fingerprint fingerprint, crash_record& known, std::uint64_t loss, time_point at,
-                    bool trial);
+    void count_loss(request_fingerprint fingerprint, crash_record& known, const counted_loss& added);
     crash_record& find_or_create(request_fingerprint fingerprint, time_point now);
     crash_record& find_or_create_part(request_fingerprint part, time_point now);
     void apply_part(const crash_notice& notice, time_point now);
--- a/src/decision/crash_records_verdicts.cpp
+++ b/src/decision/crash_records_verdicts.cpp
@@ -11,6 +11,14 @@
     return a > b ? a - b : b - a;
 }
 
+/// Whether two targets stand in the same domain. Those of plain services have no fabric domain, and an empty
+/// name is not a domain that they share.
+template <class Id>
+bool same_domain(const Id& a, const Id& b)
+{
+    return !a.empty() && a == b;
+}
+
 } // namespace
 
 bool crash_records::explained(const crash_record& known, const counted_loss& counted) const
@@ -29,7 +37,7 @@
         // several losses that look correlated.
         return !known.lists(event.loss) &&
                time_between(event.at, own->at) <= limits::correlated_loss_window &&
-               (event.fabric == own->fabric || event.domain == own->domain) &&
+               (same_domain(event.fabric, own->fabric) || same_domain(event.domain, own->domain)) &&
                !(known.part && this->attributed(event.loss));
     });
 }
@@ -84,7 +92,7 @@
     std::size_t unexplained = 0;
     bool decided = true;
     for (const auto& counted : known.counted_losses) {
-        if (now < counted.at + limits::classification_delay) {
+        if (!counted.reported && now < counted.at + limits::classification_delay) {
             return crash_verdict::hold;
         }
         unexplained += this->explained(known, counted) || this->explained_by_part(known, counted) ? 0 : 1;
@@ -132,13 +140,25 @@
     return suspected ? crash_verdict::trial : crash_verdict::run;
 }
 
+crash_verdict crash_records::whole_verdict(const crash_record& known, time_point now) const
+{
+    const auto losses = known.counted_losses.size();
+    if (losses < crash_record::refusing_losses) {
+        return crash_verdict::run;
+    }
+    const auto verdict = this->verdict_of(known, now);
+    if (verdict >= crash_verdict::hold) {
+        return verdict;
+    }
+    return losses >= crash_record::suspecting_losses ? crash_verdict::trial : crash_verdict::run;
+}
+
 crash_finding crash_records::find_worst(const crash_features& features, time_point now) const
 {
-    const auto whole = this->check(features.whole, now);
-    const auto* lost = this->find(features.whole);
-    const bool counts = lost != nullptr && lost->counted_losses.size() >= crash_record::refusing_losses &&
-                        whole >= crash_verdict::hold;
-    crash_finding worst{counts ? whole : crash_verdict::run, features.whole, false};
+    const auto* whole = this->find(features.whole);
+    const bool counts = whole != nullptr && now < whole->expires;
+    crash_finding worst{counts ? this->whole_verdict(*whole, now) : crash_verdict::run, features.whole,
+                        false};
     for (const auto part : features.parts) {
         const auto known = this->records.find(part.value);
         if (known == this->records.end() || now >= known->second.expires) {
@@ -154,13 +174,15 @@
 time_point crash_records::latest_loss(const crash_features& features) const
 {
     time_point latest{};
-    for (const auto part : features.parts) {
-        if (const auto* known = this->find(part); known != nullptr) {
+    const auto include = [&](request_fingerprint print) {
+        if (const auto* known = this->find(print); known != nullptr) {
             for (const auto& counted : known->counted_losses) {
                 latest = known->counts(counted) ? std::max(latest, counted.at) : latest;
             }
         }
-    }
+    };
+    include(features.whole);
+    std::for_each(features.parts.begin(), features.parts.end(), include);
     return latest;
 }
 
--- a/src/gateway/crash_guard.cpp
+++ b/src/gateway/crash_guard.cpp
@@ -73,11 +73,12 @@
 bool crash_guard::trial_running(const crash_features& features, time_point now) const
 {
     const auto carried = [&](std::uint64_t print) {
-        return std::any_of(features.parts.begin(), features.parts.end(),
+        return print == features.whole.value ||
+               std::any_of(features.parts.begin(), features.parts.end(),
                            [&](request_fingerprint part) { return part.value == print; });
     };
     const bool own = std::any_of(this->trials.begin(), this->trials.end(), [&](const auto& entry) {
-        return std::any_of(entry.second.parts.begin(), entry.second.parts.end(), carried);
+        return std::any_of(entry.second.prints.begin(), entry.second.prints.end(), carried);
     });
     return own || std::any_of(this->fleet.peers().begin(), this->fleet.peers().end(), [&](const auto& entry) {
                const auto& [daemon, peer] = entry;
@@ -87,21 +88,23 @@
            });
 }
 
-bool crash_guard::trial_turn(const crash_features& features, time_point now) const
+bool crash_guard::trial_turn(const crash_features& features, request_fingerprint suspect,
+                             time_point now) const
 {
     const auto loss = this->attribution.latest_loss(features);
-    const auto share = this->fleet.share_for(instance_id(hex(features.parts.front())), now);
+    const auto share = this->fleet.share_for(instance_id(hex(suspect)), now);
     const auto step = std::min<duration>(trial_step, trial_spread / static_cast<int>(share.daemons));
     return now >= loss + limits::classification_delay + step * static_cast<int>(share.rank);
 }
 
 send_permission crash_guard::check(const crash_features& features, time_point now) const
 {
-    switch (this->attribution.check_features(features, now)) {
+    const auto found = this->attribution.find_worst(features, now);
+    switch (found.verdict) {
     case crash_verdict::run:
         return send_permission::allowed;
     case crash_verdict::trial:
-        return this->trial_turn(features, now) && !this->trial_running(features, now)
+        return this->trial_turn(features, found.fingerprint, now) && !this->trial_running(features, now)
                    ? send_permission::trial
                    : send_permission::later;
     case crash_verdict::hold:
@@ -118,12 +121,9 @@
 {
     const auto permission = this->check(features, now);
     if (permission == send_permission::trial) {
-        auto& parts = this->trials[request].parts;
-        for (const auto part : features.parts) {
-            const auto verdict = this->attribution.check_features({{}, {part}}, now);
-            if (verdict == crash_verdict::trial) {
-                parts.push_back(part.value);
-            }
+        auto& prints = this->trials[request].prints;
+        for (const auto suspect : this->attribution.find_suspects(features, now)) {
+            prints.push_back(suspect.value);
         }
         if (this->on_change) {
             this->on_change();
@@ -271,10 +271,11 @@
 void crash_guard::add_trials(peer_report& report) const
 {
     for (const auto& [request, trial] : this->trials) {
-        const auto& parts = trial.parts;
+        const auto& prints = trial.prints;
         const auto room = max_reported_trials - report.crash_trials.size();
-        report.crash_trials.insert(report.crash_trials.end(), parts.begin(),
-                                   parts.begin() + static_cast<std::ptrdiff_t>(std::min(room, parts.size())));
+        report.crash_trials.insert(report.crash_trials.end(), prints.begin(),
+                                   prints.begin() +
+                                       static_cast<std::ptrdiff_t>(std::min(room, prints.size())));
     }
 }
 
--- a/src/gateway/crash_guard.hpp
+++ b/src/gateway/crash_guard.hpp
@@ -29,7 +29,7 @@
 {
     allowed,
     trial,   ///< allowed alone; `begin` has to follow, or `end_trial`
-    later,   ///< not classified yet, or a trial of the same part is running
+    later,   ///< not classified yet, or a trial of the same request or part is running
     refused, ///< would crash its target
 };
 
@@ -38,8 +38,8 @@
 public:
     crash_guard(fleet_state& fleet, target::connection_pool& connections, metric_registry& registry);
 
-    /// Whether the request may be sent now. After `trial` no other request with one of its suspected parts is
-    /// allowed until `end_trial`.
+    /// Whether the request may be sent now. After `trial` neither the same request nor another one with one
+    /// of its suspected parts is allowed until `end_trial`.
     send_permission request_send(std::uint64_t request, const crash_features& features, time_point now);
     /// Like `request_send`, without starting a trial.
     send_permission check(const crash_features& features, time_point now) const;
@@ -92,7 +92,8 @@
 
     struct running_trial
     {
-        std::vector<std::uint64_t> parts;  ///< fingerprints of the suspected parts
+        std::vector<std::uint64_t>
+            prints; ///< fingerprints of the suspected parts, and of a suspected request
         std::optional<instance_id> target; ///< set once the request is sent
     };
     struct logged_verdict
@@ -105,7 +106,7 @@
     bool trial_running(const crash_features& features, time_point now) const;
     /// Whether it is this daemon's turn to start a trial. After a loss the daemons with waiting requests
     /// would otherwise all start one at once.
-    bool trial_turn(const crash_features& features, time_point now) const;
+    bool trial_turn(const crash_features& features, request_fingerprint suspect, time_point now) const;
     void apply(const crash_changes& changes);
     void record_loss(const target_entry& target, time_point at);
     /// Logs the fingerprints whose verdict has changed since the last call.
--- a/src/gateway/peer_report.cpp
+++ b/src/gateway/peer_report.cpp
@@ -5,6 +5,7 @@
 #include "base/limits.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
 #include <nlohmann/json.hpp>
 
@@ -20,7 +21,6 @@
 constexpr std::uint64_t max_int64 = std::numeric_limits<std::int64_t>::max();
 constexpr std::uint64_t max_uint64 = std::numeric_limits<std::uint64_t>::max();
 constexpr milliseconds max_interval{60000};
-constexpr std::chrono::hours max_crash_age = 2 * limits::block_lifetime;
 
 template <class Id>
 json encode_ids(const std::vector<Id>& ids)
@@ -64,56 +64,6 @@
 constexpr std::size_t max_crash_rows = 256;
 constexpr std::size_t max_crash_trials = 256;
 
-json encode_crashes(const std::vector<crash_notice>& notices)
-{
-    json out = json::array();
-    for (const auto& notice : notices) {
-        json losses = json::array();
-        for (const auto& loss : notice.losses) {
-            losses.push_back({loss.loss, loss.explained, loss.age.count(), loss.trial});
-        }
-        out.push_back({{"k", notice.fingerprint.value},
-                       {"v", notice.version},
-                       {"b", notice.blocked},
-                       {"t", notice.ttl.count()},
-                       {"p", notice.part},
-                       {"l", std::move(losses)}});
-        if (notice.acquitted_age) {
-            out.back()["a"] = notice.acquitted_age->count();
-        }
-    }
-    return out;
-}
-
-/// Ages and lifetimes are clamped, because the sums of larger ones with a time would overflow.
-milliseconds decode_age(const json& number)
-{
-    const auto count = checked_integer(number, max_int64);
-    return milliseconds(std::min<std::uint64_t>(count, milliseconds(max_crash_age).count()));
-}
-
-std::vector<crash_notice> decode_crashes(const json& rows)
-{
-    std::vector<crash_notice> out;
-    for (const auto& row : rows) {
-        crash_notice notice;
-        notice.fingerprint.value = checked_integer(row.at("k"), max_uint64);
-        notice.version = checked_integer(row.at("v"), max_uint64);
-        notice.blocked = row.at("b").get<bool>();
-        notice.ttl = decode_age(row.at("t"));
-        notice.part = row.at("p").get<bool>();
-        for (const auto& loss : row.at("l")) {
-            notice.losses.push_back({checked_integer(loss.at(0), max_uint64), loss.at(1).get<bool>(),
-                                     decode_age(loss.at(2)), loss.at(3).get<bool>()});
-        }
-        if (row.contains("a")) {
-            notice.acquitted_age = decode_age(row.at("a"));
-        }
-        out.push_back(std::move(notice));
-    }
-    return out;
-}
-
 } // namespace
 
 std::string encode_report(const peer_report& report)
@@ -126,6 +76,9 @@
     for (const auto& [model, amount] : report.offered_load) {
         offered_load[model.str()] = amount;
     }
+    json crashes = json::array();
+    std::transform(report.crashes.begin(), report.crashes.end(), std::back_inserter(crashes),
+                   encode_crash_notice);
     json slow = json::object();
     for (const auto& [head, factor] : report.slow) {
         slow[head.str()] = factor;
@@ -146,7 +99,7 @@
                         {"p", std::move(slow)},
                         {"w", std::move(offered_load)},
                         {"q", report.requests_per_s},
-                        {"c", encode_crashes(report.crashes)},
+                        {"c", std::move(crashes)},
                         {"y", report.crash_trials},
                         {"i", report.interval.count()},
                         {"g", encode_incarnations(report.departures)},
@@ -192,13 +145,16 @@
         out.requests_per_s = message.contains("q") ? checked_amount(message.at("q")) : 0.0;
         if (message.contains("c")) { // daemons of the previous version do not send these two fields
             const auto& rows = message.at("c");
-            const bool long_row = std::any_of(rows.begin(), rows.end(), [](const json& row) {
-                return row.at("l").size() > crash_attribution::max_part_losses;
-            });
-            if (rows.size() > max_crash_rows || message.at("y").size() > max_crash_trials || long_row) {
+            if (rows.size() > max_crash_rows || message.at("y").size() > max_crash_trials) {
                 return failure{failure_kind::too_large, "peer report"};
             }
-            out.crashes = decode_crashes(rows);
+            for (const auto& row : rows) {
+                auto notice = decode_crash_notice(row);
+                if (failed(notice)) {
+                    return error(notice);
+                }
+                out.crashes.push_back(value(std::move(notice)));
+            }
             for (const auto& print : message.at("y")) {
                 out.crash_trials.push_back(checked_integer(print, max_uint64));
             }
--- a/src/gateway/peer_report.hpp
+++ b/src/gateway/peer_report.hpp
@@ -34,7 +34,7 @@
     std::map<model_id, double> offered_load; ///< per model, in engine seconds per second
     double requests_per_s{0};                ///< arriving at the sender
     std::vector<crash_notice> crashes;       ///< evidence on requests and prompt parts that crash targets
-    std::vector<std::uint64_t> crash_trials; ///< fingerprints of the prompt parts on trial at the sender
+    std::vector<std::uint64_t> crash_trials; ///< fingerprints of requests and prompt parts on trial there
     milliseconds interval{0}; ///< until the next report to the same receivers, if nothing happens
     std::vector<target_incarnation> departures; ///< targets that leave
     std::vector<target_incarnation> removals;   ///< from the group manager: entries that were removed
--- a/tests/decision/crash_part_test.cpp
+++ b/tests/decision/crash_part_test.cpp
@@ -383,16 +383,16 @@
     }
     SECTION("a part keeps its latest losses, and each is decided")
     {
-        for (std::size_t i = 0; i < 2 * crash_attribution::max_part_losses; ++i) {
+        for (std::size_t i = 0; i < 2 * crash_attribution::max_losses; ++i) {
             daemon.lose({crashing});
         }
         for (const auto& notice : daemon.attribution.notices(daemon.now)) {
-            CHECK(notice.losses.size() <= crash_attribution::max_part_losses);
+            CHECK(notice.losses.size() <= crash_attribution::max_losses);
         }
     }
     SECTION("and losses that it has dropped do not explain the others")
     {
-        for (std::size_t i = 0; i < crash_attribution::max_part_losses + 4; ++i) {
+        for (std::size_t i = 0; i < crash_attribution::max_losses + 4; ++i) {
             const auto run = make_run("x" + std::to_string(i), "d");
             daemon.attribution.begin(1000 + i, {{1000 + i}, {crashing}}, run, false);
             daemon.attribution.group_lost(run, daemon.now, daemon.now);
--- a/tests/gateway/peer_report_test.cpp
+++ b/tests/gateway/peer_report_test.cpp
@@ -26,7 +26,7 @@
     out.blocked = random.one_in(2);
     out.ttl = milliseconds(random.below(3'600'000));
     out.part = random.one_in(2);
-    for (std::size_t i = random.below(crash_attribution::max_part_losses + 1); i > 0; --i) {
+    for (std::size_t i = random.below(crash_attribution::max_losses + 1); i > 0; --i) {
         out.losses.push_back({random.bits(), random.one_in(2), milliseconds(random.below(3'600'000))});
     }
     if (random.one_in(2)) {
@@ -175,7 +175,7 @@
         rows.crashes.resize(257, notice);
         CHECK(failed(decode(encode_report(rows))));
         auto losses = report;
-        losses.crashes.front().losses.resize(crash_attribution::max_part_losses + 1);
+        losses.crashes.front().losses.resize(crash_attribution::max_losses + 1);
         CHECK(failed(decode(encode_report(losses))));
         auto trials = report;
         trials.crash_trials.resize(257);
