Judge streams that a stopping daemon takes by their stated size

Cause: what a stopping daemon takes was decided by the longest recent time of the pool. Where recent requests were short, a long one fitted whatever it asked for. A request that waited when the signal came, a retry and a standby attempt were not checked at all.

Change: the expected time is the run time of the stated tokens in a full batch, from the profile of the engines, plus the longest recent delay beyond such run times. A stream that states no size may last until its deadline. The check is repeated before each send until the answer has begun. Refusals of a stopping daemon carry Retry-After 0, also those after a failed attempt. Plain services keep the longest recent time: what outlasts the stop there gets 502, an answer.

Tests, before: "a stopping daemon judges a stream by its stated size" fails in 3 of 4 sections (200 instead of 503, run once instead of never), "a request that has not been sent when a daemon stops is not sent too late" gives 200 instead of 503.

--- a/src/decision/stop_admission.hpp
+++ b/src/decision/stop_admission.hpp
@@ -30,7 +30,7 @@
 {
     duration until_stop{};           ///< time until the process ends its requests
     duration until_deadline{};       ///< time until its caller gives up
-    std::optional<duration> longest; ///< longest recent time of similar requests; nothing: unknown
+    std::optional<duration> longest; ///< time that it is expected to take at most; nothing: unknown
     bool once{false};                ///< must not run twice, so that its caller cannot repeat it after a cut
 };
 
--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -90,8 +90,8 @@
 private:
     friend class detail::request_run;
 
-    /// A stopping daemon needs the longest time of requests at the current load.
-    static constexpr seconds longest_time_period{30};
+    /// A stopping daemon needs the longest delay of requests at the current load.
+    static constexpr seconds longest_delay_period{30};
 
     /// An attempt that `detect_stalled_targets` watches.
     struct active_attempt
@@ -106,7 +106,8 @@
         milliseconds longest_wait{0}; ///< of a request for a slot
         double load_per_s{0};         ///< smoothed
         double arrived_load{0};
-        recent_maximum longest{longest_time_period}; ///< arrival to the end of the answer
+        /// Arrival to the end of the answer, without the run time that the sizes of the requests imply.
+        recent_maximum delay{longest_delay_period};
     };
 
     pool_state& pool(const pool_key& key, milliseconds objective);
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -22,6 +22,8 @@
 constexpr milliseconds repeat_permission_wait = 3 * limits::classification_delay;
 /// Retry-After when the load is unknown, for example before the first configuration.
 constexpr milliseconds default_retry_after{500};
+/// Exceeds the timeout of any route. A caller may state any number of tokens.
+constexpr std::chrono::hours max_run_time{1};
 /// Another daemon can take a request that a stopping one refuses.
 constexpr milliseconds stopping_retry_after{0};
 
@@ -45,22 +47,40 @@
     return out.str();
 }
 
-/// Engine seconds of a request: prefill of its prompt and decoding of its tokens in a half-full batch.
-double engine_seconds_of(const engine_profile& profile, const served_model& model,
-                         std::string_view token_counts)
+/// Parses `prompt,output`.
+std::optional<token_counts> parse_token_counts(std::string_view text)
 {
-    const auto comma = token_counts.find(',');
-    const auto prompt = parse_count(token_counts.substr(0, comma));
-    const auto most =
-        comma == std::string_view::npos ? std::nullopt : parse_count(token_counts.substr(comma + 1));
-    if (!prompt || !most) {
-        return 0;
+    const auto comma = text.find(',');
+    const auto prompt = parse_count(text.substr(0, comma));
+    const auto output = comma == std::string_view::npos ? std::nullopt : parse_count(text.substr(comma + 1));
+    if (!prompt || !output) {
+        return std::nullopt;
     }
+    return token_counts{static_cast<double>(*prompt), static_cast<double>(*output)};
+}
+
+std::chrono::duration<double> prefill_time(const engine_profile& profile, const token_counts& counts)
+{
+    return std::chrono::duration<double>(
+        profile.prompt_tokens_per_s > 0 ? counts.prompt / profile.prompt_tokens_per_s : 0);
+}
+
+/// Engine seconds of a request: prefill of its prompt and decoding of its tokens in a half-full batch.
+double engine_seconds_of(const engine_profile& profile, const served_model& model, const token_counts& counts)
+{
     const auto batch_requests = std::max(1.0, profile.batch_slots / 2.0);
-    const auto per_token = (profile.step / batch_requests + profile.step_per_request).count() / 1000;
-    const auto prefill =
-        profile.prompt_tokens_per_s > 0 ? static_cast<double>(*prompt) / profile.prompt_tokens_per_s : 0;
-    return model.pace * model.group_size * (prefill + static_cast<double>(*most) * per_token);
+    const std::chrono::duration<double> per_token = profile.step / batch_requests + profile.step_per_request;
+    return model.pace * model.group_size *
+           (prefill_time(profile, counts) + counts.output * per_token).count();
+}
+
+/// Time of a request in a full batch, at most `max_run_time`.
+duration full_batch_time(const engine_profile& profile, const served_model& model, const token_counts& counts)
+{
+    const std::chrono::duration<double> per_token =
+        profile.step + profile.step_per_request * static_cast<double>(profile.batch_slots);
+    const auto time = model.pace * (prefill_time(profile, counts) + counts.output * per_token);
+    return std::chrono::duration_cast<duration>(std::min<std::chrono::duration<double>>(time, max_run_time));
 }
 
 } // namespace
@@ -100,7 +120,17 @@
          {"took_ms", this->since_arrival().count()}});
 }
 
-bool request_run::ends_before_stop(const forwarder::pool_state& pool, time_point now) const
+std::optional<duration> request_run::stated_run_time() const
+{
+    const auto& engines = this->chosen_service->engines;
+    if (!engines) {
+        return duration::zero();
+    }
+    return this->size ? std::optional(full_batch_time(*engines, *engines->find(this->model), *this->size))
+                      : std::nullopt;
+}
+
+bool request_run::ends_before_stop(time_point now) const
 {
     if (!this->owner.stop_at) {
         return true;
@@ -108,7 +138,11 @@
     late_request late;
     late.until_stop = *this->owner.stop_at - now;
     late.until_deadline = this->deadline - now;
-    late.longest = pool.longest.value(now);
+    const auto run_time = this->stated_run_time();
+    const auto delay = this->owner.pools.at(this->pool_of()).delay.value(now);
+    if (run_time && delay) {
+        late.longest = *run_time + *delay;
+    }
     late.once = !this->chosen_route->idempotent();
     return rml::ends_before_stop(late);
 }
@@ -144,6 +178,8 @@
     }
     this->deadline = this->arrived + time;
     this->model = model_id(http::find_header(this->message.headers, names.model).value_or(""));
+    this->size =
+        parse_token_counts(http::find_header(this->message.headers, names.token_counts).value_or(""));
     const auto last = http::find_header(this->message.headers, names.last_event_id);
     this->resume_after = last ? parse_count(*last) : std::nullopt;
     return false;
@@ -204,13 +240,11 @@
     }
     const auto key = this->pool_of();
     auto& pool = this->owner.pool(key, this->chosen_route->objective);
-    if (!this->ends_before_stop(pool, this->arrived)) {
+    if (!this->ends_before_stop(this->arrived)) {
         return this->refuse(stopping_retry_after, stopping_reason);
     }
-    if (engines) {
-        const auto counts =
-            http::find_header(this->message.headers, this->owner.ports.headers.token_counts).value_or("");
-        pool.arrived_load += engine_seconds_of(*engines, *engines->find(this->model), counts);
+    if (engines && this->size) {
+        pool.arrived_load += engine_seconds_of(*engines, *engines->find(this->model), *this->size);
     }
     this->owner.budget(picked, this->arrived).record_first_try(this->arrived);
     this->writer.on_disconnect([this] {
@@ -232,8 +266,9 @@
     }
     this->owner.guard.end_trial(this->number);
     const bool usual = this->outcome == "answered" && this->sends == 1;
-    if (this->outcome == "answered") {
-        pool.longest.record(steady_clock::now() - this->arrived, steady_clock::now());
+    if (const auto run_time = this->stated_run_time(); this->outcome == "answered" && run_time) {
+        const auto now = steady_clock::now();
+        pool.delay.record(std::max(duration::zero(), now - this->arrived - *run_time), now);
     }
     pool.queue->finish(usual ? steady_clock::now() - started : duration::zero());
 }
@@ -398,6 +433,11 @@
         if (!this->wait_for_permission()) {
             return this->finish_unanswered();
         }
+        // A stream that has begun goes on: it is cut at the stop at the latest.
+        if (!this->head_sent && !this->ends_before_stop(steady_clock::now())) {
+            this->reason = stopping_reason;
+            return this->finish_unanswered();
+        }
         const auto target = this->choose_or_wait();
         auto* state = target ? this->owner.fleet.find_target(*target) : nullptr;
         if (this->caller_disconnected) {
@@ -516,9 +556,9 @@
         return;
     }
     if (this->possible_runs == 0) {
-        const auto left =
-            this->stopping ? std::nullopt : this->owner.pause_left(this->pool_of(), steady_clock::now());
-        const auto usual = this->stopping ? stopping_retry_after : min_retry_after;
+        const bool stops = this->owner.stop_at.has_value();
+        const auto left = stops ? std::nullopt : this->owner.pause_left(this->pool_of(), steady_clock::now());
+        const auto usual = stops ? stopping_retry_after : min_retry_after;
         return this->refuse(left ? this->owner.retry_after_pause(*left) : usual, this->reason);
     }
     this->respond(steady_clock::now() >= this->deadline ? 504 : 502, this->reason);
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -15,6 +15,13 @@
 /// Reason of requests that are ended because the process stops.
 constexpr const char* stopping_reason = "daemon is stopping";
 
+/// Size of a request to a model, in tokens.
+struct token_counts
+{
+    double prompt{0};
+    double output{0}; ///< at most
+};
+
 /// An attempt of a request at one target.
 struct target_attempt
 {
@@ -71,7 +78,11 @@
     /// Answers a request that cannot be forwarded and returns true; returns false when it can be forwarded.
     bool reject_if_invalid();
     bool find_account();
-    bool ends_before_stop(const forwarder::pool_state& pool, time_point now) const;
+    /// Time that the request takes at a full target by its stated size; zero at a plain service. Nothing when
+    /// the size is not stated.
+    std::optional<duration> stated_run_time() const;
+    /// Whether the request can be expected to end before the process stops.
+    bool ends_before_stop(time_point now) const;
     void forward();
     /// Waits for a slot. Returns false when the request was refused or its caller has disconnected.
     bool wait_for_slot(const pool_key& key, const forwarder::pool_state& pool);
@@ -179,6 +190,7 @@
     bool retry_reserved{false};     ///< the budget was charged for the next send
     bool head_sent{false};
     std::string media_type;                    ///< of the stream whose head was sent
+    std::optional<token_counts> size;          ///< as the caller states it
     std::optional<std::uint64_t> resume_after; ///< last event that the caller had before this request
     milliseconds waited{0};
     milliseconds first_byte{-1}; ///< -1: no byte was sent
--- a/src/gateway/request_standby.cpp
+++ b/src/gateway/request_standby.cpp
@@ -43,6 +43,10 @@
         this->standby_obstacle = "attempt limit of the route reached";
         return std::nullopt;
     }
+    if (!this->head_sent && !this->ends_before_stop(now)) {
+        this->standby_obstacle = stopping_reason;
+        return std::nullopt;
+    }
     this->trial = false;
     if (this->owner.guard.check(this->features, now) != send_permission::allowed) {
         this->standby_obstacle = "suspected of crashing its target";
--- a/tests/gateway/forwarder_test.cpp
+++ b/tests/gateway/forwarder_test.cpp
@@ -267,6 +267,76 @@
     }
 }
 
+// Guards against long streams that a stopping daemon takes and cuts because recent ones were short.
+TEST_CASE("a stopping daemon judges a stream by its stated size", "[gateway][forwarder]")
+{
+    run_record record;
+    raw_server target([&](const http::request& message, raw_connection& connection) {
+        record.add(message);
+        connection.send("HTTP/1.1 200 OK\r\nx-id: " + run_record::id_of(message) +
+                        "\r\nx-signature: s\r\ntransfer-encoding: chunked\r\n\r\n" +
+                        chunk("id: 1\ndata: a\n\n") + last_chunk);
+        return true;
+    });
+    forwarding_site site;
+    site.add_engine("t", target.address(), "timed");
+    site.counts = "10,20";
+    CHECK(site.send("/timed/1", "A").answer.status == 200);
+    site.requests.begin_stop(steady_clock::now() + milliseconds(2500)); // the deadline is 3 s
+
+    SECTION("a short one is taken")
+    {
+        CHECK(site.send("/timed/1", "B").answer.status == 200);
+    }
+    SECTION("a long one is refused at once, and its caller may go to another daemon at once")
+    {
+        site.counts = "10,2000";
+        const auto& got = site.send("/timed/1", "B");
+        CHECK(got.answer.status == 503);
+        CHECK(http::find_header(got.answer.headers, "retry-after") == "0.00");
+        CHECK(record.runs_of("B") == 0);
+    }
+    SECTION("one whose size is not stated may last until its deadline")
+    {
+        site.counts.clear();
+        CHECK(site.send("/timed/1", "B").answer.status == 503);
+        CHECK(record.runs_of("B") == 0);
+    }
+    SECTION("a size beyond all limits is a long one")
+    {
+        site.counts = "10,18446744073709551615";
+        CHECK(site.send("/timed/1", "B").answer.status == 503);
+    }
+}
+
+// Guards against requests that were accepted before a planned stop, and are sent when it is too late.
+TEST_CASE("a request that has not been sent when a daemon stops is not sent too late", "[gateway][forwarder]")
+{
+    run_record record;
+    raw_server target([&](const http::request& message, raw_connection& connection) {
+        record.add(message);
+        connection.send(real_answer(run_record::id_of(message)));
+        return true;
+    });
+    forwarding_site site;
+    site.add_target("unreachable", closed_address().address());
+    site.add_target("t", target.address());
+    site.make_last_choice("t");
+    bool stops = false;
+    SECTION("the daemon stops soon")
+    {
+        stops = true;
+    }
+    SECTION("the daemon goes on") {}
+    site.while_connecting = [&] {
+        if (stops) {
+            site.requests.begin_stop(steady_clock::now() + milliseconds(300));
+        }
+    };
+    CHECK(site.send("/stock/1", "A").answer.status == (stops ? 503 : 200));
+    CHECK(record.runs_of("A") == (stops ? 0 : 1));
+}
+
 // Guards against requests that a stopping daemon cuts without an answer.
 TEST_CASE("every request that is open when a daemon stops and has no answer yet gets one",
           "[gateway][forwarder]")
--- a/tests/gateway/forwarding_site.hpp
+++ b/tests/gateway/forwarding_site.hpp
@@ -90,6 +90,7 @@
         add("/resumable/", gateway::route_kind::stream, true);
         add("/plans/", gateway::route_kind::stream, true, "pool");
         add("/plans-at-one-target/", gateway::route_kind::stream, true, "pool", 1);
+        add("/timed/", gateway::route_kind::stream, true, "timed");
         gateway::service shop;
         shop.name = service_id("shop");
         gateway::service pool;
@@ -97,8 +98,11 @@
         pool.engines.emplace();
         pool.engines->batch_slots = 4;
         pool.engines->models.push_back({model_id("planner"), 1, 1, 1, seconds(16), seconds(1)});
+        auto timed = pool; // its steps have a duration, so that sizes of requests imply run times
+        timed.name = service_id("timed");
+        timed.engines->step = milliseconds(1);
         this->fleet.update_config(std::make_shared<const gateway::site_config>(
-            1, routes, std::vector<gateway::service>{shop, pool}, gateway::caller_limits{},
+            1, routes, std::vector<gateway::service>{shop, pool, timed}, gateway::caller_limits{},
             std::unordered_map<std::string, gateway::client_account>{}));
     }
     ~forwarding_site() { this->connections.clear(); }
@@ -138,6 +142,9 @@
         if (!this->parts.empty()) {
             message.headers.push_back({"x-parts", this->parts});
         }
+        if (!this->counts.empty()) {
+            message.headers.push_back({"x-counts", this->counts});
+        }
         boost::asio::spawn(
             this->context,
             [&](gateway::yield_context yield) {
@@ -167,11 +174,11 @@
         this->fleet.update_target(entry, steady_clock::now());
     }
     /// Adds an engine that is a group by itself.
-    void add_engine(const std::string& name, const endpoint& address)
+    void add_engine(const std::string& name, const endpoint& address, const std::string& service = "pool")
     {
         gateway::target_entry entry;
         entry.instance = instance_id(name);
-        entry.service = service_id("pool");
+        entry.service = service_id(service);
         entry.address = address;
         entry.model = model_id("planner");
         entry.started_ms = 1;
@@ -188,6 +195,7 @@
 
     std::string method{"POST"}; ///< of the requests sent
     std::string parts;          ///< of their prompts; empty: none
+    std::string counts;         ///< their sizes; empty: not stated
     /// Called while the next request opens its first connection, if it does not wait before.
     std::function<void()> while_connecting;
     boost::asio::io_context context;
