Tell a request that is on all lost targets from one that crashes them

Cause: losses with the same request in flight do not explain each other, so three targets that went down together counted as three unexplained losses of every request that was on all of them. A blocked request does not run, the answer to an attempt sent before did not count, and the block lasted an hour, so nothing healed the verdict.

Change: losses of targets to which the request had been sent before the first of them was lost are one incident; daemons exchange how long it had run. A request that was answered within the last minute is refused only after the loss of a trial. An answer ends a block. A block ends in one trial after 20 s, and eight times later after each failed trial, at most an hour, so that a request that crashes its targets gets three in about half an hour. acquitted_parts is answered_features now, since it remembers requests too.

--- a/bench/limits.cpp
+++ b/bench/limits.cpp
@@ -185,7 +185,7 @@
     for (auto _ : state) {
         const request_fingerprint print{1000000 + ++ticket};
         benchmark::DoNotOptimize(table.check(print, start));
-        table.begin(ticket, print, target, false);
+        table.begin(ticket, print, target, start);
         benchmark::DoNotOptimize(table.end(ticket, true, start));
     }
     state.counters["bytes_per_record"] = static_cast<double>(table.memory()) / limits::crash_records;
--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -80,6 +80,11 @@
 // Time after which a blocked part may run in one trial. It doubles with each further loss, up to
 // block_lifetime.
 constexpr seconds part_block_time{60};
+constexpr int part_block_growth = 2;
+// Time after which a blocked request may run in one trial. It grows with each further loss, up to
+// block_lifetime: three trials in about half an hour show whether it crashes its targets.
+constexpr seconds request_block_time{20};
+constexpr int request_block_growth = 8;
 constexpr std::size_t crash_acquitted_parts = 8192;
 constexpr seconds crash_acquittal_lifetime{60};
 // Cleared records of parts are kept this long, so that daemons that resend old losses learn of the acquittal.
--- a/src/control/serving.cpp
+++ b/src/control/serving.cpp
@@ -195,7 +195,7 @@
     }
     {
         const std::lock_guard guard(this->tables.crashes.mutex);
-        this->tables.crashes.attribution.begin(permit.id, entry.fingerprint, entry.run.target);
+        this->tables.crashes.attribution.begin(permit.id, entry.fingerprint, entry.run.target, now);
     }
     if (permit.id % warm_up_request_period == 0) {
         this->request_ramp_slots(*config->find_pool(request.pool), now);
--- a/src/decision/acquitted_parts.hpp
+++ b/src/decision/answered_features.hpp
@@ -1,4 +1,4 @@
-/// Remembers which parts of prompts have recently been answered, in bounded memory.
+/// Remembers which requests, or parts of prompts, have recently been answered, in bounded memory.
 #pragma once
 
 #include "base/limits.hpp"
@@ -14,13 +14,13 @@
 /// Keeps two generations: the older one is discarded when the newer one is full or has reached half of the
 /// lifetime. An entry is therefore kept for at least half of the lifetime unless too many others are
 /// recorded.
-class acquitted_parts
+class answered_features
 {
 public:
-    /// Records an acquittal at `at`, by the fingerprint of the part.
-    void record(std::uint64_t part, time_point at);
-    /// Time of the latest acquittal, if it is remembered.
-    std::optional<time_point> find(std::uint64_t part) const;
+    /// Records an answer at `at`, by the fingerprint of the request or part.
+    void record(std::uint64_t feature, time_point at);
+    /// Time of the latest answer, if it is remembered.
+    std::optional<time_point> find(std::uint64_t feature) const;
     std::size_t size() const { return this->newer.size() + this->older.size(); }
 
 private:
--- a/src/decision/crash_attribution.cpp
+++ b/src/decision/crash_attribution.cpp
@@ -54,16 +54,17 @@
     return this->records.latest_loss(features);
 }
 
-void crash_attribution::begin(std::uint64_t ticket, request_fingerprint fingerprint, const group_run& target)
+void crash_attribution::begin(std::uint64_t ticket, request_fingerprint fingerprint, const group_run& target,
+                              time_point now)
 {
-    this->begin(ticket, crash_features{fingerprint, {}}, target, false);
+    this->begin(ticket, crash_features{fingerprint, {}}, target, false, now);
 }
 
 void crash_attribution::begin(std::uint64_t ticket, const crash_features& features, const group_run& target,
-                              bool trial)
+                              bool trial, time_point now)
 {
     auto& entry = this->in_flight[ticket];
-    entry = {features, target, trial, false};
+    entry = {features, target, now, trial, false};
     if (entry.features.parts.size() > limits::crash_parts) {
         entry.features.parts.resize(limits::crash_parts);
     }
@@ -113,7 +114,7 @@
         }
     }
     if (succeeded) {
-        if (const auto* cleared = this->records.clear(ended.features.whole); cleared != nullptr) {
+        if (const auto* cleared = this->records.clear(ended.features.whole, now); cleared != nullptr) {
             ++this->counts.cleared;
             changes.notices.push_back(cleared->make_notice(ended.features.whole, now));
         }
@@ -154,7 +155,8 @@
 void crash_attribution::count_request(const in_flight_request& request, std::uint64_t loss, time_point at,
                                       time_point now, crash_changes& changes)
 {
-    const auto& whole = this->records.count_request(request.features.whole, loss, at, now, request.trial);
+    const crash_record::counted_loss counted{loss, at, request.sent, request.trial};
+    const auto& whole = this->records.count_request(request.features.whole, counted, now);
     if (whole.counted_losses.size() >= 2) {
         // Sent before the classification, so that no other daemon runs the request in the meantime.
         changes.notices.push_back(whole.make_notice(request.features.whole, now));
@@ -163,7 +165,7 @@
         return;
     }
     for (const auto part : request.features.parts) {
-        const auto& known = this->records.count_part(part, loss, at, now, request.trial);
+        const auto& known = this->records.count_part(part, counted, now);
         changes.notices.push_back(known.make_notice(part, now));
     }
 }
--- a/src/decision/crash_attribution.hpp
+++ b/src/decision/crash_attribution.hpp
@@ -82,10 +82,12 @@
 
     /// Counts a request as sent to the group, directly before it is sent. `trial`: it was suspected, so that
     /// no other loss explains the loss of this group.
-    void begin(std::uint64_t ticket, const crash_features& features, const group_run& target, bool trial);
+    void begin(std::uint64_t ticket, const crash_features& features, const group_run& target, bool trial,
+               time_point now);
     /// For requests that are judged by `check`. A single loss makes them run in a trial, so that other losses
     /// explain the loss of a trial too.
-    void begin(std::uint64_t ticket, request_fingerprint fingerprint, const group_run& target);
+    void begin(std::uint64_t ticket, request_fingerprint fingerprint, const group_run& target,
+               time_point now);
     /// Acquits the parts of a request whose answer began at `began` and went on afterwards.
     crash_changes answer_continued(std::uint64_t ticket, time_point began, time_point now);
     /// Counts a request as ended without a loss of its group. A successful trial clears the request.
@@ -114,6 +116,7 @@
     {
         crash_features features;
         group_run target;
+        time_point sent{};
         bool trial{false};
         bool continued{false}; ///< its answer has begun and gone on
     };
--- a/src/decision/crash_notice.hpp
+++ b/src/decision/crash_notice.hpp
@@ -71,6 +71,7 @@
     bool explained{false}; ///< final decision that the loss was correlated with another
     milliseconds age{0};   ///< time since the loss
     bool trial{false};     ///< of a trial, which no other loss explains
+    milliseconds ran{0};   ///< from the first send to this target to the loss
 };
 
 /// State of a fingerprint, as exchanged between daemons. For a whole request, a notice of a higher version
--- a/src/decision/crash_notice_codec.cpp
+++ b/src/decision/crash_notice_codec.cpp
@@ -30,7 +30,7 @@
 {
     json losses = json::array();
     for (const auto& loss : notice.losses) {
-        losses.push_back({loss.loss, loss.explained, loss.age.count(), loss.trial});
+        losses.push_back({loss.loss, loss.explained, loss.age.count(), loss.trial, loss.ran.count()});
     }
     json out{{"k", notice.fingerprint.value}, {"v", notice.version}, {"b", notice.blocked},
              {"t", notice.ttl.count()},       {"p", notice.part},    {"l", std::move(losses)}};
@@ -55,6 +55,9 @@
         for (const auto& loss : row.at("l")) {
             notice.losses.push_back({checked_integer(loss.at(0), max_uint64), loss.at(1).get<bool>(),
                                      decode_age(loss.at(2)), loss.at(3).get<bool>()});
+            if (loss.size() > 4) { // daemons of the previous version do not send this field
+                notice.losses.back().ran = decode_age(loss.at(4));
+            }
         }
         if (row.contains("a")) {
             notice.acquitted_age = decode_age(row.at("a"));
--- a/src/decision/crash_record.cpp
+++ b/src/decision/crash_record.cpp
@@ -54,10 +54,12 @@
 time_point crash_record::blocked_until() const
 {
     const auto at = this->times();
-    duration block = limits::part_block_time;
+    const duration first = this->part ? limits::part_block_time : limits::request_block_time;
+    const auto growth = this->part ? limits::part_block_growth : limits::request_block_growth;
+    auto block = first;
     for (std::size_t i = 1; i < at.size(); ++i) {
-        if (at[i] - at[i - 1] >= limits::part_block_time) {
-            block = std::min<duration>(2 * block, limits::block_lifetime);
+        if (at[i] - at[i - 1] >= first) {
+            block = std::min<duration>(growth * block, limits::block_lifetime);
         }
     }
     return at.empty() ? time_point{} : at.back() + block;
@@ -70,6 +72,7 @@
         if (entry.loss == added.loss) {
             entry.trial = entry.trial || added.trial;
             entry.at = std::min(entry.at, added.at);
+            entry.sent = std::min(entry.sent, added.sent);
             return false;
         }
         undecided = undecided || !entry.decided;
@@ -121,7 +124,8 @@
             continue;
         }
         notice.losses.push_back({counted.loss, counted.decided && counted.explained,
-                                 std::chrono::duration_cast<milliseconds>(now - counted.at), counted.trial});
+                                 std::chrono::duration_cast<milliseconds>(now - counted.at), counted.trial,
+                                 std::chrono::duration_cast<milliseconds>(counted.at - counted.sent)});
     }
     notice.part = this->part;
     if (this->own_acquittal) {
--- a/src/decision/crash_record.hpp
+++ b/src/decision/crash_record.hpp
@@ -29,10 +29,11 @@
     {
         std::uint64_t loss{0};
         time_point at{};
+        time_point sent{};    ///< when the request was first sent to the target
+        bool trial{false};    ///< of a trial, which no other loss explains
+        bool reported{false}; ///< first reported by another daemon, which classifies it
         bool decided{false};
         bool explained{false}; ///< valid once decided
-        bool trial{false};     ///< of a trial, which no other loss explains
-        bool reported{false};  ///< first reported by another daemon, which classifies it
     };
 
     std::uint64_t version{0};
@@ -57,8 +58,8 @@
     bool full() const { return this->counted_losses.size() >= max_losses; }
     /// Time of the first loss that counts; `time_point::max()` without one.
     time_point first_loss() const;
-    /// End of the block of a part that its losses justify. The time doubles with each loss that came after
-    /// the end of a block, as that of a trial does.
+    /// End of the block that the losses justify. The time grows with each loss that came after the end of a
+    /// block, as that of a trial does.
     time_point blocked_until() const;
 
     /// Adds a loss, or corrects the time of one that is listed: the network delay makes a loss appear later,
--- a/src/decision/crash_records.cpp
+++ b/src/decision/crash_records.cpp
@@ -10,14 +10,20 @@
 /// Interval between removals of expired records.
 constexpr seconds expiry_interval{10};
 
+crash_record::counted_loss reported_loss(const crash_loss& loss, time_point now)
+{
+    const auto at = now - loss.age;
+    return {loss.loss, at, at - loss.ran, loss.trial, true};
+}
+
 } // namespace
 
 void crash_records::evict_record()
 {
     // Evicts suspected before blocked requests and parts, and of these the one that expires first.
     const auto rank = [](const crash_record& known) {
-        return std::make_pair(
-            known.blocked || (known.part && known.weight() >= crash_record::blocking_losses), known.expires);
+        const auto refused = known.part ? crash_record::blocking_losses : crash_record::refusing_losses;
+        return std::make_pair(known.blocked || known.weight() >= refused, known.expires);
     };
     const auto before = [&](const auto& a, const auto& b) { return rank(a.second) < rank(b.second); };
     this->records.erase(std::min_element(this->records.begin(), this->records.end(), before));
@@ -71,22 +77,22 @@
     return true;
 }
 
-const crash_record& crash_records::count_request(request_fingerprint whole, std::uint64_t loss, time_point at,
-                                                 time_point now, bool trial)
+const crash_record& crash_records::count_request(request_fingerprint whole,
+                                                 const crash_record::counted_loss& loss, time_point now)
 {
     auto& known = this->find_or_create(whole, now);
     known.local = true;
     known.expires = now + limits::block_lifetime;
-    this->count_loss(whole, known, {loss, at, false, false, trial, false});
+    this->count_loss(whole, known, loss);
     return known;
 }
 
-const crash_record& crash_records::count_part(request_fingerprint part, std::uint64_t loss, time_point at,
-                                              time_point now, bool trial)
+const crash_record& crash_records::count_part(request_fingerprint part,
+                                              const crash_record::counted_loss& loss, time_point now)
 {
     auto& known = this->find_or_create_part(part, now);
     known.local = true;
-    this->count_loss(part, known, {loss, at, false, false, trial, false});
+    this->count_loss(part, known, loss);
     known.update_part_expiry(now);
     return known;
 }
@@ -107,14 +113,16 @@
     return known.weight() == 0 ? &known : nullptr;
 }
 
-const crash_record* crash_records::clear(request_fingerprint whole)
+const crash_record* crash_records::clear(request_fingerprint whole, time_point now)
 {
+    this->answered.record(whole.value, now);
     const auto known = this->records.find(whole.value);
-    if (known == this->records.end() || known->second.blocked || known->second.counted_losses.empty()) {
+    if (known == this->records.end() || (!known->second.blocked && known->second.counted_losses.empty())) {
         return nullptr;
     }
     ++known->second.version;
     known->second.counted_losses.clear();
+    known->second.blocked = false;
     return &known->second;
 }
 
@@ -215,12 +223,12 @@
     if (notice.version > known.version) {
         known.version = notice.version;
         known.counted_losses.clear();
+        known.blocked = false;
     }
     known.expires = std::max(known.expires, now + std::min<milliseconds>(lifetime, limits::block_lifetime));
     known.blocked = known.blocked || notice.blocked;
     for (const auto& loss : notice.losses) {
-        this->count_loss(notice.fingerprint, known,
-                         {loss.loss, now - loss.age, false, false, loss.trial, true});
+        this->count_loss(notice.fingerprint, known, reported_loss(loss, now));
         if (loss.explained) {
             known.mark_explained(loss.loss);
         }
@@ -239,8 +247,7 @@
         known.acquit(now - *notice.acquitted_age);
     }
     for (const auto& loss : notice.losses) {
-        this->count_loss(notice.fingerprint, known,
-                         {loss.loss, now - loss.age, false, false, loss.trial, true});
+        this->count_loss(notice.fingerprint, known, reported_loss(loss, now));
         if (loss.explained) {
             known.mark_explained(loss.loss);
         }
--- a/src/decision/crash_records.hpp
+++ b/src/decision/crash_records.hpp
@@ -5,7 +5,7 @@
 #include "base/ids.hpp"
 #include "base/limits.hpp"
 #include "base/time.hpp"
-#include "decision/acquitted_parts.hpp"
+#include "decision/answered_features.hpp"
 #include "decision/crash_notice.hpp"
 #include "decision/crash_record.hpp"
 
@@ -39,15 +39,15 @@
     /// Adds a loss to those that explain others. Returns false if it is known.
     bool add_event(std::uint64_t loss, const group_run& lost, time_point at);
     /// Counts a loss against a whole request of this daemon.
-    const crash_record& count_request(request_fingerprint whole, std::uint64_t loss, time_point at,
-                                      time_point now, bool trial);
+    const crash_record& count_request(request_fingerprint whole, const crash_record::counted_loss& loss,
+                                      time_point now);
     /// Counts a loss against a part of a request of this daemon.
-    const crash_record& count_part(request_fingerprint part, std::uint64_t loss, time_point at,
-                                   time_point now, bool trial);
+    const crash_record& count_part(request_fingerprint part, const crash_record::counted_loss& loss,
+                                   time_point now);
     /// The part did not crash a group at `at`. Returns the record if its losses count no more since then.
     const crash_record* acquit(request_fingerprint part, time_point at, time_point now);
-    /// Removes the losses of a request that is not blocked. Returns its record, if there is one.
-    const crash_record* clear(request_fingerprint whole);
+    /// The request was answered. Removes its losses and its block, if any, and returns its record then.
+    const crash_record* clear(request_fingerprint whole, time_point now);
 
     /// Decides on losses whose delay is over, and removes what has expired.
     decisions poll(time_point now);
@@ -87,7 +87,22 @@
     bool attributed(std::uint64_t loss) const;
     crash_verdict verdict_of(const crash_record& known, time_point now) const;
     /// Verdict on a whole request that is judged with its parts.
-    crash_verdict whole_verdict(const crash_record& known, time_point now) const;
+    crash_verdict whole_verdict(const crash_record& known, request_fingerprint whole, time_point now) const;
+
+    /// What the classified losses that count say together.
+    struct loss_summary
+    {
+        std::size_t losses{0};
+        std::size_t unexplained{0}; ///< without another cause
+        /// Incidents without another cause. Losses of targets to which the request had been sent before the
+        /// first of them was lost are one incident: a request that was merely in flight on all of them has
+        /// such losses, one that crashes its targets one after the other has not.
+        std::size_t incidents{0};
+        std::size_t trials{0};
+        bool decided{true};       ///< no other loss can explain one of these any more
+        bool unclassified{false}; ///< there are others that are not classified yet
+    };
+    loss_summary summarize(const crash_record& known, time_point now) const;
     crash_verdict part_verdict(const crash_record& known, const crash_features& features,
                                time_point now) const;
     void count_loss(request_fingerprint fingerprint, crash_record& known, const counted_loss& added);
@@ -100,7 +115,8 @@
     std::unordered_map<std::uint64_t, crash_record> records; ///< by fingerprint
     std::deque<loss_event> recent_losses;
     std::vector<request_fingerprint> undecided;
-    acquitted_parts acquitted;
+    answered_features acquitted; ///< parts
+    answered_features answered;  ///< whole requests
     time_point next_expiry{};
     std::uint64_t evictions{0};
 };
--- a/src/decision/crash_records_verdicts.cpp
+++ b/src/decision/crash_records_verdicts.cpp
@@ -1,6 +1,8 @@
 #include "decision/crash_records.hpp"
 
 #include <algorithm>
+#include <optional>
+#include <vector>
 
 namespace rml {
 
@@ -84,24 +86,60 @@
     });
 }
 
+crash_records::loss_summary crash_records::summarize(const crash_record& known, time_point now) const
+{
+    loss_summary out;
+    std::vector<const counted_loss*> without_cause;
+    for (const auto& counted : known.counted_losses) {
+        if (!known.counts(counted)) {
+            continue;
+        }
+        // Whoever reports a loss of a whole request has classified it.
+        const bool classified_there = counted.reported && !known.part;
+        if (!classified_there && now < counted.at + limits::classification_delay) {
+            out.unclassified = true;
+            continue;
+        }
+        ++out.losses;
+        out.decided = out.decided && (counted.decided || now >= counted.at + decision_delay);
+        if (this->explained(known, counted) || this->explained_by_part(known, counted)) {
+            continue;
+        }
+        if (counted.trial) {
+            ++out.trials;
+        } else {
+            without_cause.push_back(&counted);
+        }
+    }
+    out.unexplained = out.trials + without_cause.size();
+    out.incidents = out.trials;
+    std::sort(without_cause.begin(), without_cause.end(),
+              [](const auto* a, const auto* b) { return a->at < b->at; });
+    std::optional<time_point> incident; // its first loss
+    for (const auto* counted : without_cause) {
+        const bool same = incident && counted->at <= *incident + limits::correlated_loss_window &&
+                          counted->sent < *incident;
+        if (!same) {
+            incident = counted->at;
+            ++out.incidents;
+        }
+    }
+    return out;
+}
+
 crash_verdict crash_records::verdict_of(const crash_record& known, time_point now) const
 {
     if (known.blocked) {
         return crash_verdict::blocked;
     }
-    std::size_t unexplained = 0;
-    bool decided = true;
-    for (const auto& counted : known.counted_losses) {
-        if (!counted.reported && now < counted.at + limits::classification_delay) {
-            return crash_verdict::hold;
-        }
-        unexplained += this->explained(known, counted) || this->explained_by_part(known, counted) ? 0 : 1;
-        decided = decided && (counted.decided || now >= counted.at + decision_delay);
+    const auto found = this->summarize(known, now);
+    if (found.unclassified) {
+        return crash_verdict::hold;
     }
-    if (unexplained >= crash_record::blocking_losses) {
-        return decided ? crash_verdict::blocked : crash_verdict::refuse;
+    if (found.incidents >= crash_record::blocking_losses) {
+        return found.decided ? crash_verdict::blocked : crash_verdict::refuse;
     }
-    return unexplained > 0 || known.counted_losses.size() >= 2 ? crash_verdict::trial : crash_verdict::run;
+    return found.incidents > 0 || found.losses >= 2 ? crash_verdict::trial : crash_verdict::run;
 }
 
 crash_verdict crash_records::part_verdict(const crash_record& known, const crash_features& features,
@@ -111,54 +149,50 @@
     const bool known_sound =
         known.acquitted && known.first_loss() < *known.acquitted + limits::crash_acquittal_lifetime;
     const std::size_t ignored = known_sound ? 1 : 0;
-    std::size_t losses = 0;
-    std::size_t unexplained = 0;
-    bool decided = true;
-    bool unclassified = false;
-    for (const auto& counted : known.counted_losses) {
-        if (!known.counts(counted)) {
-            continue;
-        }
-        if (now < counted.at + limits::classification_delay) {
-            unclassified = true;
-            continue;
-        }
-        ++losses;
-        const bool has_cause = this->explained(known, counted) || this->explained_by_part(known, counted);
-        unexplained += has_cause ? 0 : 1;
-        decided = decided && (counted.decided || now >= counted.at + decision_delay);
-    }
+    const auto found = this->summarize(known, now);
     const auto blocking = crash_record::blocking_losses + ignored;
-    const bool refused = unexplained >= blocking && !this->ambiguous(known, features);
+    // Requests with a part that crashes targets often run on several at once, so the losses of one incident
+    // all count against a part.
+    const bool refused = found.unexplained >= blocking && !this->ambiguous(known, features);
     if (refused && now < known.blocked_until()) {
-        return decided ? crash_verdict::blocked : crash_verdict::refuse;
+        return found.decided ? crash_verdict::blocked : crash_verdict::refuse;
     }
-    const bool suspected = unexplained > ignored || losses >= blocking;
-    if (unclassified && (suspected || !known_sound)) {
+    const bool suspected = found.unexplained > ignored || found.losses >= blocking;
+    if (found.unclassified && (suspected || !known_sound)) {
         return crash_verdict::hold;
     }
     return suspected ? crash_verdict::trial : crash_verdict::run;
 }
 
-crash_verdict crash_records::whole_verdict(const crash_record& known, time_point now) const
+crash_verdict crash_records::whole_verdict(const crash_record& known, request_fingerprint whole,
+                                           time_point now) const
 {
     const auto losses = known.counted_losses.size();
     if (losses < crash_record::refusing_losses) {
         return crash_verdict::run;
     }
-    const auto verdict = this->verdict_of(known, now);
-    if (verdict >= crash_verdict::hold) {
-        return verdict;
+    const auto found = this->summarize(known, now);
+    if (found.unclassified) {
+        return crash_verdict::hold;
+    }
+    // A request that was answered before crashes no target by itself. If it does now, a trial shows it.
+    const auto answer = this->answered.find(whole.value);
+    const bool known_sound = answer && known.first_loss() < *answer + limits::crash_acquittal_lifetime;
+    const bool refused =
+        found.incidents >= crash_record::blocking_losses && (!known_sound || found.trials > 0);
+    if (refused && now < known.blocked_until()) {
+        return found.decided ? crash_verdict::blocked : crash_verdict::refuse;
     }
-    return losses >= crash_record::suspecting_losses ? crash_verdict::trial : crash_verdict::run;
+    return found.incidents > 0 || losses >= crash_record::suspecting_losses ? crash_verdict::trial
+                                                                            : crash_verdict::run;
 }
 
 crash_finding crash_records::find_worst(const crash_features& features, time_point now) const
 {
     const auto* whole = this->find(features.whole);
     const bool counts = whole != nullptr && now < whole->expires;
-    crash_finding worst{counts ? this->whole_verdict(*whole, now) : crash_verdict::run, features.whole,
-                        false};
+    crash_finding worst{counts ? this->whole_verdict(*whole, features.whole, now) : crash_verdict::run,
+                        features.whole, false};
     for (const auto part : features.parts) {
         const auto known = this->records.find(part.value);
         if (known == this->records.end() || now >= known->second.expires) {
--- a/src/gateway/crash_guard.cpp
+++ b/src/gateway/crash_guard.cpp
@@ -168,7 +168,7 @@
         trial->second.target = target.instance;
         this->trial_targets.insert(target.instance);
     }
-    this->attribution.begin(ticket, features, run_of(target), on_trial);
+    this->attribution.begin(ticket, features, run_of(target), on_trial, steady_clock::now());
     return ticket;
 }
 
--- a/tests/decision/crash_attribution_test.cpp
+++ b/tests/decision/crash_attribution_test.cpp
@@ -291,7 +291,7 @@
         if (self.trial) {
             target.trial = c;
         }
-        this->daemons[self.daemon].begin(self.ticket, self.fingerprint, target.run);
+        this->daemons[self.daemon].begin(self.ticket, self.fingerprint, target.run, this->now);
         if (c != 0) {
             return;
         }
@@ -352,7 +352,7 @@
     crash_attribution daemon;
     const request_fingerprint fingerprint = make_fingerprint(account_id("a"), "/v1", "body");
     time_point now{seconds(1000)};
-    daemon.begin(1, fingerprint, make_run("g1", "d1"));
+    daemon.begin(1, fingerprint, make_run("g1", "d1"), now);
     daemon.group_lost(make_run("g1", "d1"), now, now);
     CHECK(daemon.check(fingerprint, now) == crash_verdict::hold);
     SECTION("a request is suspected after an unexplained loss")
@@ -367,7 +367,7 @@
 
         SECTION("and a successful trial clears it at all daemons")
         {
-            daemon.begin(2, fingerprint, make_run("g2", "d2"));
+            daemon.begin(2, fingerprint, make_run("g2", "d2"), now);
             const auto cleared = daemon.end(2, true, now);
             CHECK(daemon.check(fingerprint, now) == crash_verdict::run);
             other.apply(cleared.notices.at(0), now);
@@ -376,7 +376,7 @@
         }
         SECTION("and a second loss blocks it at all daemons for an hour")
         {
-            other.begin(2, fingerprint, make_run("g2", "d2"));
+            other.begin(2, fingerprint, make_run("g2", "d2"), now);
             const auto second = other.group_lost(make_run("g2", "d2"), now, now);
             daemon.apply(second.notices.at(0), now);
             CHECK(daemon.check(fingerprint, now) == crash_verdict::refuse);
@@ -388,7 +388,7 @@
         }
         SECTION("and a second loss of its own in the same failure domain does not explain the first")
         {
-            daemon.begin(2, fingerprint, make_run("g2", "d1"));
+            daemon.begin(2, fingerprint, make_run("g2", "d1"), now);
             daemon.group_lost(make_run("g2", "d1"), now, now);
             now += seconds(4);
             daemon.poll(now);
@@ -396,7 +396,7 @@
         }
         SECTION("and its retry avoids the failure domains of all its losses")
         {
-            daemon.begin(2, fingerprint, make_run("g2", "d2"));
+            daemon.begin(2, fingerprint, make_run("g2", "d2"), now);
             daemon.group_lost(make_run("g2", "d2"), now, now);
             now += limits::classification_delay;
             const auto second = daemon.poll(now);
--- a/tests/decision/crash_clearing_test.cpp
+++ b/tests/decision/crash_clearing_test.cpp
@@ -22,14 +22,14 @@
         const request_fingerprint whole{7};
         time_point now{seconds(1000)};
         const auto lose = [&](std::uint64_t ticket, const char* id) {
-            daemon.begin(ticket, {whole, {}}, run_on(id, id), false);
+            daemon.begin(ticket, {whole, {}}, run_on(id, id), false, now);
             daemon.group_lost(run_on(id, id), now, now);
             now += seconds(5);
             daemon.poll(now);
         };
         lose(1, "g1");
         for (std::uint64_t ticket = 10; ticket < 1010; ++ticket) {
-            daemon.begin(ticket, {whole, {}}, run_on("g0", "g0"), false);
+            daemon.begin(ticket, {whole, {}}, run_on("g0", "g0"), false, now);
             daemon.end(ticket, true, now);
         }
         now += seconds(1200);
@@ -52,11 +52,11 @@
                 to.apply(notice, now);
             }
         };
-        sender.begin(1, {whole, {}}, run_on("g1", "rack"), false);
-        sender.begin(3, {{8}, {}}, run_on("g3", "rack"), false);
+        sender.begin(1, {whole, {}}, run_on("g1", "rack"), false, now);
+        sender.begin(3, {{8}, {}}, run_on("g3", "rack"), false, now);
         exchange(sender.group_lost(run_on("g1", "rack"), now, now).notices, receiver);
         for (const auto* id : {"g2", "g4"}) {
-            sender.begin(2, {whole, {}}, run_on(id, "rack"), false);
+            sender.begin(2, {whole, {}}, run_on(id, "rack"), false, now);
             now += milliseconds(100);
             exchange(sender.group_lost(run_on(id, "rack"), now, now).notices, receiver);
         }
@@ -83,9 +83,9 @@
             std::uint64_t ticket = 0;
             const auto lose = [&](const char* id, bool with_sound) {
                 if (with_sound) {
-                    daemon.begin(++ticket, {whole, {}}, run_on(id, id), false);
+                    daemon.begin(++ticket, {whole, {}}, run_on(id, id), false, now);
                 }
-                daemon.begin(++ticket, {{100 + ticket}, {deadly}}, run_on(id, id), !with_sound);
+                daemon.begin(++ticket, {{100 + ticket}, {deadly}}, run_on(id, id), !with_sound, now);
                 daemon.group_lost(run_on(id, id), now, now);
                 now += milliseconds(400);
                 daemon.poll(now);
--- a/tests/decision/crash_evidence_test.cpp
+++ b/tests/decision/crash_evidence_test.cpp
@@ -52,6 +52,10 @@
 {
     return {step::kind::lose, target, {}};
 }
+step answer(const char* target)
+{
+    return {step::kind::answer, target, {}};
+}
 step wait(milliseconds time)
 {
     return {step::kind::wait, "", time};
@@ -82,12 +86,12 @@
         switch (entry.what) {
         case step::kind::send:
         case step::kind::trial:
-            daemon.begin(++ticket, crash_features{subject, {}}, run, entry.what == step::kind::trial);
+            daemon.begin(++ticket, crash_features{subject, {}}, run, entry.what == step::kind::trial, now);
             sent[entry.target] = ticket;
             break;
         case step::kind::other:
             ++ticket;
-            daemon.begin(ticket, crash_features{{1000 + ticket}, {}}, run, false);
+            daemon.begin(ticket, crash_features{{1000 + ticket}, {}}, run, false, now);
             break;
         case step::kind::lose:
             daemon.group_lost(run, now, now);
@@ -133,6 +137,48 @@
           send("a4"), lose("a4"), wait(seconds(10)), trial("a5"), lose("a5"), wait(seconds(5)), trial("a6"),
           lose("a6"), wait(decided)},
          crash_verdict::blocked},
+        {"in flight on three targets that are lost together",
+         {send("a1"), send("a2"), send("a3"), wait(milliseconds(100)), lose("a1"), lose("a2"), lose("a3"),
+          wait(decided)},
+         crash_verdict::trial},
+        {"the same in three failure domains",
+         {send("a1"), send("b1"), send("c1"), wait(milliseconds(100)), lose("a1"), lose("b1"), lose("c1"),
+          wait(decided)},
+         crash_verdict::trial},
+        {"the same, and answered in a trial",
+         {send("a1"), send("a2"), send("a3"), wait(milliseconds(100)), lose("a1"), lose("a2"), lose("a3"),
+          wait(decided), trial("a4"), answer("a4")},
+         crash_verdict::run},
+        {"the same, and lost in a trial",
+         {send("a1"), send("a2"), send("a3"), wait(milliseconds(100)), lose("a1"), lose("a2"), lose("a3"),
+          wait(decided), trial("a4"), lose("a4"), wait(decided)},
+         crash_verdict::blocked},
+        {"answered before, and repeated on three targets of a domain that is lost within a second",
+         {send("a0"), answer("a0"), wait(milliseconds(500)), send("a1"), wait(milliseconds(300)), lose("a1"),
+          send("a2"), wait(milliseconds(300)), lose("a2"), send("a3"), wait(milliseconds(300)), lose("a3"),
+          wait(decided)},
+         crash_verdict::trial},
+        {"the same, and lost in a trial",
+         {send("a0"), answer("a0"), wait(milliseconds(500)), send("a1"), wait(milliseconds(300)), lose("a1"),
+          send("a2"), wait(milliseconds(300)), lose("a2"), send("a3"), wait(milliseconds(300)), lose("a3"),
+          wait(decided), trial("a4"), lose("a4"), wait(decided)},
+         crash_verdict::blocked},
+        {"blocked some time ago",
+         {send("a1"), lose("a1"), send("b1"), lose("b1"), send("c1"), lose("c1"),
+          wait(limits::request_block_time)},
+         crash_verdict::trial},
+        {"the same, and answered in that trial",
+         {send("a1"), lose("a1"), send("b1"), lose("b1"), send("c1"), lose("c1"),
+          wait(limits::request_block_time), trial("a2"), answer("a2")},
+         crash_verdict::run},
+        {"the same, and lost in that trial, for a longer time",
+         {send("a1"), lose("a1"), send("b1"), lose("b1"), send("c1"), lose("c1"),
+          wait(limits::request_block_time), trial("a2"), lose("a2"), wait(2 * limits::request_block_time)},
+         crash_verdict::blocked},
+        {"blocked, and an attempt that was sent before is answered",
+         {send("b9"), send("a1"), lose("a1"), send("b1"), lose("b1"), send("c1"), lose("c1"), wait(decided),
+          answer("b9")},
+         crash_verdict::run},
     };
 }
 
--- a/tests/decision/crash_part_fleet.cpp
+++ b/tests/decision/crash_part_fleet.cpp
@@ -295,7 +295,7 @@
     self.begun = false;
     self.continued = false;
     this->daemons[self.daemon].begin(self.ticket, this->features_of(self), this->groups[g].run,
-                                     verdict == crash_verdict::trial);
+                                     verdict == crash_verdict::trial, this->now);
 }
 
 void crash_part_fleet::progress(request& self)
--- a/tests/decision/crash_part_test.cpp
+++ b/tests/decision/crash_part_test.cpp
@@ -35,14 +35,14 @@
     {
         const auto name = std::to_string(++this->tickets);
         const auto run = make_run("g" + name, "d" + name);
-        this->attribution.begin(this->tickets, {{1000 + this->tickets}, parts}, run, trial);
+        this->attribution.begin(this->tickets, {{1000 + this->tickets}, parts}, run, trial, this->now);
         this->attribution.group_lost(run, this->now, this->now);
         this->pass(limits::classification_delay);
     }
     void answer(const std::vector<request_fingerprint>& parts)
     {
         const auto run = make_run("a" + std::to_string(++this->tickets), "a");
-        this->attribution.begin(this->tickets, {{1000 + this->tickets}, parts}, run, false);
+        this->attribution.begin(this->tickets, {{1000 + this->tickets}, parts}, run, false, this->now);
         this->attribution.answer_continued(this->tickets, this->now, this->now);
         this->attribution.end(this->tickets, true, this->now);
     }
@@ -179,14 +179,14 @@
         daemon.lose({crashing});
         daemon.lose({crashing});
         const auto run = make_run("g", "d");
-        daemon.attribution.begin(100, {{100}, {crashing}}, run, true);
+        daemon.attribution.begin(100, {{100}, {crashing}}, run, true, daemon.now);
         daemon.attribution.group_lost(run, daemon.now, daemon.now);
         CHECK(daemon.check({crashing}) == crash_verdict::hold);
     }
     SECTION("the loss of a trial is not explained by another loss in its failure domain")
     {
         const auto first = make_run("x1", "d");
-        daemon.attribution.begin(100, {{100}, {crashing}}, first, true);
+        daemon.attribution.begin(100, {{100}, {crashing}}, first, true, daemon.now);
         daemon.attribution.group_lost(first, daemon.now, daemon.now);
         daemon.attribution.group_lost(make_run("x2", "d"), daemon.now, daemon.now);
         daemon.lose({crashing}, true);
@@ -198,7 +198,8 @@
         daemon.lose({crashing});
         for (std::uint64_t ticket = 100; ticket < 102; ++ticket) {
             const auto run = make_run("x" + std::to_string(ticket), "d");
-            daemon.attribution.begin(ticket, {{ticket}, {ticket == 100 ? crashing : other}}, run, false);
+            daemon.attribution.begin(ticket, {{ticket}, {ticket == 100 ? crashing : other}}, run, false,
+                                     daemon.now);
             daemon.attribution.group_lost(run, daemon.now, daemon.now);
         }
         daemon.pass(limits::classification_delay);
@@ -240,7 +241,7 @@
     {
         for (std::uint64_t ticket = 100; ticket < 103; ++ticket) {
             const auto run = make_run("g" + std::to_string(ticket), "d");
-            daemon.attribution.begin(ticket, {{999}, {}}, run, false);
+            daemon.attribution.begin(ticket, {{999}, {}}, run, false, daemon.now);
             daemon.attribution.group_lost(run, daemon.now, daemon.now);
             CHECK(daemon.check({}) == (ticket < 102 ? crash_verdict::run : crash_verdict::hold));
         }
@@ -394,7 +395,7 @@
     {
         for (std::size_t i = 0; i < crash_attribution::max_losses + 4; ++i) {
             const auto run = make_run("x" + std::to_string(i), "d");
-            daemon.attribution.begin(1000 + i, {{1000 + i}, {crashing}}, run, false);
+            daemon.attribution.begin(1000 + i, {{1000 + i}, {crashing}}, run, false, daemon.now);
             daemon.attribution.group_lost(run, daemon.now, daemon.now);
             daemon.pass(milliseconds(20));
         }
@@ -413,7 +414,7 @@
     }
     SECTION("answered parts are remembered up to a limit, the latest ones")
     {
-        acquitted_parts parts;
+        answered_features parts;
         for (std::uint64_t i = 0; i < 2 * limits::crash_acquitted_parts; ++i) {
             parts.record(i, daemon.now);
             REQUIRE(parts.size() <= limits::crash_acquitted_parts);
--- a/tests/gateway/peer_report_test.cpp
+++ b/tests/gateway/peer_report_test.cpp
@@ -27,7 +27,8 @@
     out.ttl = milliseconds(random.below(3'600'000));
     out.part = random.one_in(2);
     for (std::size_t i = random.below(crash_attribution::max_losses + 1); i > 0; --i) {
-        out.losses.push_back({random.bits(), random.one_in(2), milliseconds(random.below(3'600'000))});
+        out.losses.push_back({random.bits(), random.one_in(2), milliseconds(random.below(3'600'000)),
+                              random.one_in(2), milliseconds(random.below(3'600'000))});
     }
     if (random.one_in(2)) {
         out.acquitted_age = milliseconds(random.below(3'600'000));
