Keep evidence on requests that crash targets in the store

Cause: the evidence lived in the memory of the daemons only. One that restarts learns it from the others, and when all restart at once there is no other. The logs of the case show "blocked, it crashes targets" before each restart and nothing about the request after it until it has crashed three more.

Change: the manager writes evidence whose losses are settled and justify a refusal to the store, below rml/crash/, at most 64 records of some 500 bytes; one transaction for up to 32 changes, at most one in 0.5 s, one in 2 s while the store fails. Daemons read it with the rest of the store before they are ready. Records carry their remaining lifetime. The manager removes those that are cleared or over; an older version never undoes an answer.

Test: "evidence on requests that crash targets outlasts all daemons".

--- a/src/decision/crash_attribution.cpp
+++ b/src/decision/crash_attribution.cpp
@@ -211,6 +211,11 @@
     return this->records.notices(now);
 }
 
+std::vector<crash_notice> crash_attribution::established(time_point now) const
+{
+    return this->records.established(now);
+}
+
 std::size_t crash_attribution::memory() const
 {
     return this->in_flight.size() * sizeof(in_flight_request) + this->records.memory();
--- a/src/decision/crash_attribution.hpp
+++ b/src/decision/crash_attribution.hpp
@@ -106,6 +106,10 @@
     /// Notices of all parts, and of whole requests with several losses, for a daemon that missed earlier
     /// ones.
     std::vector<crash_notice> notices(time_point now) const;
+    /// Notices of the requests and parts whose losses justify a refusal and cannot be explained any more, for
+    /// a store that outlasts the daemons. At most `limits::archived_crash_records`, those with the latest
+    /// losses.
+    std::vector<crash_notice> established(time_point now) const;
 
     /// Bytes of the records, losses and requests in flight, without allocator overhead.
     std::size_t memory() const;
--- a/src/decision/crash_record.cpp
+++ b/src/decision/crash_record.cpp
@@ -51,6 +51,12 @@
     return at.empty() ? time_point::max() : at.front();
 }
 
+time_point crash_record::latest_loss() const
+{
+    const auto at = this->times();
+    return at.empty() ? time_point{} : at.back();
+}
+
 time_point crash_record::blocked_until() const
 {
     const auto at = this->times();
--- a/src/decision/crash_record.hpp
+++ b/src/decision/crash_record.hpp
@@ -58,6 +58,8 @@
     bool full() const { return this->counted_losses.size() >= max_losses; }
     /// Time of the first loss that counts; `time_point::max()` without one.
     time_point first_loss() const;
+    /// Time of the latest loss that counts; the start of the clock without one.
+    time_point latest_loss() const;
     /// End of the block that the losses justify. The time grows with each loss that came after the end of a
     /// block, as that of a trial does.
     time_point blocked_until() const;
--- a/src/decision/crash_records.cpp
+++ b/src/decision/crash_records.cpp
@@ -273,6 +273,28 @@
     return out;
 }
 
+std::vector<crash_notice> crash_records::established(time_point now) const
+{
+    using entry = std::pair<time_point, const std::pair<const std::uint64_t, crash_record>*>;
+    std::vector<entry> found;
+    for (const auto& record : this->records) {
+        const auto& [print, known] = record;
+        if (now < known.expires && known.weight() >= crash_record::blocking_losses &&
+            this->established(known, now)) {
+            found.emplace_back(known.latest_loss(), &record);
+        }
+    }
+    std::sort(found.begin(), found.end(), [](const entry& a, const entry& b) {
+        return std::make_pair(a.first, a.second->first) > std::make_pair(b.first, b.second->first);
+    });
+    found.resize(std::min(found.size(), limits::archived_crash_records));
+    std::vector<crash_notice> out;
+    for (const auto& [latest, record] : found) {
+        out.push_back(record->second.make_notice({record->first}, now));
+    }
+    return out;
+}
+
 std::size_t crash_records::memory() const
 {
     std::size_t sum = this->recent_losses.size() * sizeof(loss_event);
--- a/src/decision/crash_records.hpp
+++ b/src/decision/crash_records.hpp
@@ -54,6 +54,9 @@
 
     void apply(const crash_notice& notice, time_point now);
     std::vector<crash_notice> notices(time_point now) const;
+    /// Notices of the records whose settled losses justify a refusal, also when their block is over. At most
+    /// `limits::archived_crash_records`, those with the latest losses.
+    std::vector<crash_notice> established(time_point now) const;
 
     const crash_record* find(request_fingerprint fingerprint) const;
     /// Failure domains of the recent losses of a request.
@@ -102,7 +105,9 @@
         bool decided{true};       ///< no other loss can explain one of these any more
         bool unclassified{false}; ///< there are others that are not classified yet
     };
-    loss_summary summarize(const crash_record& known, time_point now) const;
+    /// `settled_only`: without losses that others may still explain.
+    loss_summary summarize(const crash_record& known, time_point now, bool settled_only = false) const;
+    bool established(const crash_record& known, time_point now) const;
     crash_verdict part_verdict(const crash_record& known, const crash_features& features,
                                time_point now) const;
     void count_loss(request_fingerprint fingerprint, crash_record& known, const counted_loss& added);
--- a/src/decision/crash_records_verdicts.cpp
+++ b/src/decision/crash_records_verdicts.cpp
@@ -86,7 +86,8 @@
     });
 }
 
-crash_records::loss_summary crash_records::summarize(const crash_record& known, time_point now) const
+crash_records::loss_summary crash_records::summarize(const crash_record& known, time_point now,
+                                                     bool settled_only) const
 {
     loss_summary out;
     std::vector<const counted_loss*> without_cause;
@@ -100,8 +101,12 @@
             out.unclassified = true;
             continue;
         }
+        const bool decided = counted.decided || now >= counted.at + decision_delay;
+        if (settled_only && !decided && !counted.trial) {
+            continue;
+        }
         ++out.losses;
-        out.decided = out.decided && (counted.decided || now >= counted.at + decision_delay);
+        out.decided = out.decided && decided;
         if (this->explained(known, counted) || this->explained_by_part(known, counted)) {
             continue;
         }
@@ -127,6 +132,14 @@
     return out;
 }
 
+bool crash_records::established(const crash_record& known, time_point now) const
+{
+    const auto found = this->summarize(known, now, true);
+    return known.part ? found.unexplained >= crash_record::blocking_losses
+                      : found.losses >= crash_record::refusing_losses &&
+                            found.incidents >= crash_record::blocking_losses;
+}
+
 crash_verdict crash_records::verdict_of(const crash_record& known, time_point now) const
 {
     if (known.blocked) {
--- a/src/gateway/crash_guard.cpp
+++ b/src/gateway/crash_guard.cpp
@@ -295,6 +295,14 @@
     }
 }
 
+void crash_guard::restore(const crash_notice& notice, time_point now)
+{
+    this->attribution.apply(notice, now);
+    if (this->logged.size() < max_logged_verdicts) {
+        this->logged.try_emplace(notice.fingerprint.value, logged_verdict{notice.part});
+    }
+}
+
 void crash_guard::accept(const peer_report& report, time_point now)
 {
     for (const auto& notice : report.crashes) {
--- a/src/gateway/crash_guard.hpp
+++ b/src/gateway/crash_guard.hpp
@@ -77,6 +77,11 @@
     /// Applies the evidence of another daemon.
     void accept(const peer_report& report, time_point now);
 
+    /// Evidence that is to outlast the daemons, at most `limits::archived_crash_records` notices.
+    std::vector<crash_notice> established(time_point now) const { return this->attribution.established(now); }
+    /// Applies evidence that has outlasted the daemons.
+    void restore(const crash_notice& notice, time_point now);
+
     /// Called when evidence has changed, or a trial has started or ended.
     std::function<void()> on_change;
 
--- a/src/gateway/daemon.cpp
+++ b/src/gateway/daemon.cpp
@@ -3,6 +3,7 @@
 #include "base/log.hpp"
 #include "base/metrics.hpp"
 #include "gateway/coroutine.hpp"
+#include "gateway/crash_archive.hpp"
 #include "gateway/entry_list.hpp"
 #include "gateway/fleet_state.hpp"
 #include "gateway/forwarder.hpp"
@@ -53,6 +54,7 @@
           holder(this->context, this->ports, this->mirror, this->fleet, this->configured, this->started_ms),
           requests(this->context, this->ports, this->fleet, this->connections, this->configured,
                    this->metrics),
+          archive(this->context, this->ports, this->requests.crashes(), this->metrics),
           manager(this->context, this->ports, this->fleet, this->holder, this->configured, this->metrics),
           exchange(this->context, this->fleet), readiness([this] { return this->ready(); }),
           entries(
@@ -115,6 +117,10 @@
             this->apply_server_limits();
             this->manager.tick();
         };
+        this->mirror.on_crash_record = [this](const std::string& key,
+                                              const std::optional<std::string>& value) {
+            this->archive.on_stored(key, value, steady_clock::now());
+        };
         this->mirror.needs_changes_at_once = [this] { return this->holder.manages(steady_clock::now()); };
         this->mirror.may_become_manager = [this] { return this->holder.is_first_candidate(); };
         this->mirror.on_store_changes = [this](const std::vector<change_notice>& notices) {
@@ -285,6 +291,7 @@
                 this->manager.on_progress(head);
             }
             this->manager.tick();
+            this->archive.tick(now);
             this->fleet.update_ejected(this->configured.daemon, this->manager.ejected(), now);
         }
         if (this->leaving) {
@@ -388,6 +395,7 @@
     store_mirror mirror;
     registration holder;
     forwarder requests;
+    crash_archive archive;
     group_manager manager;
     peer_exchange exchange;
     readiness_page readiness;
--- a/src/gateway/store_mirror.cpp
+++ b/src/gateway/store_mirror.cpp
@@ -209,6 +209,7 @@
         known_keys.push_back(own_keys::daemons_prefix + daemon.str());
     }
     known_keys.emplace_back(own_keys::manager);
+    known_keys.insert(known_keys.end(), this->crash_records.begin(), this->crash_records.end());
     for (const auto& key : known_keys) {
         if (present.count(key) == 0) {
             this->apply({key, std::nullopt, value(snapshot).revision}, now);
@@ -313,12 +314,26 @@
             {{"failure_domain", domain.str()}, {"revision", static_cast<std::int64_t>(event.revision)}});
     } else if (starts_with(event.key, own_keys::daemons_prefix)) {
         this->apply_daemon(event.key.substr(std::string(own_keys::daemons_prefix).size()), event);
+    } else if (starts_with(event.key, own_keys::crashes_prefix)) {
+        this->apply_crash_record(event);
     } else if (event.key == own_keys::manager) {
         this->current_manager =
             event.value ? std::optional(manager_record{*event.value, event.revision}) : std::nullopt;
     }
 }
 
+void store_mirror::apply_crash_record(const store_event& event)
+{
+    if (event.value) {
+        this->crash_records.insert(event.key);
+    } else {
+        this->crash_records.erase(event.key);
+    }
+    if (this->on_crash_record) {
+        this->on_crash_record(event.key, event.value);
+    }
+}
+
 void store_mirror::apply_config(const store_event& event)
 {
     if (!event.value) {
--- a/src/gateway/store_mirror.hpp
+++ b/src/gateway/store_mirror.hpp
@@ -24,6 +24,7 @@
 namespace own_keys {
 constexpr const char* daemons_prefix = "rml/daemon/";
 constexpr const char* manager = "rml/manager";
+constexpr const char* crashes_prefix = "rml/crash/";
 } // namespace own_keys
 
 std::string encode_daemon_entry(const daemon_entry& entry);
@@ -71,6 +72,8 @@
     std::function<bool()> may_become_manager;
     /// Called with each batch of changes that a watch returned, to forward them to the other daemons.
     std::function<void(const std::vector<change_notice>&)> on_store_changes;
+    /// Called with each record below `own_keys::crashes_prefix`; no value: it was removed.
+    std::function<void(const std::string& key, const std::optional<std::string>& value)> on_crash_record;
     /// Called after each batch of changes.
     std::function<void()> on_change;
 
@@ -83,6 +86,7 @@
     bool watch_once(yield_context yield);
     void apply(const store_event& event, time_point now);
     void apply_config(const store_event& event);
+    void apply_crash_record(const store_event& event);
     void apply_target(const std::string& instance, const store_event& event, time_point now);
     void apply_daemon(const std::string& name, const store_event& event);
     void record_failure(const failure& reason);
@@ -104,6 +108,7 @@
     boost::asio::steady_timer feed_timer;
     removal_grace removals;
     std::optional<manager_record> current_manager;
+    std::set<std::string> crash_records; ///< keys
 };
 
 } // namespace rml::gateway
