Bound the memory of all plain answers of targets together

Operators of a similar system saw: a faulty engine sent bytes without an end, its caller kept them all and ran out of memory, and the requests of other clients ended with it.

Cause here: one answer was limited, at 16 MiB, but the sum was not, and plain answers are held until they are complete. 24 floods of 3 MiB, each within its limit, were all held at once. The limit of an answer was also set after its head, so that it applied to the next answer on the connection only, and reports of engines and answers to orders could have 4 MiB each.

Change: decision/byte_budget bounds the bytes of all plain answers in progress at 32 MiB. The largest one gives way, so small answers pass.

--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -120,6 +120,9 @@
 constexpr std::size_t target_idle_connections = 32;   // per target
 constexpr milliseconds disconnect_poll_interval{100}; // detects a caller's disconnect while no token arrives
 constexpr std::size_t event_bytes = 64 * 1024;
+constexpr std::size_t answer_bytes = 16 * 1024 * 1024;          // one answer that is not a stream
+constexpr std::size_t buffered_answer_bytes = 32 * 1024 * 1024; // all such answers of a daemon together
+constexpr std::size_t engine_answer_bytes = 256 * 1024;         // a report or the answer to an order
 constexpr std::uint32_t generation_attempts = 5;
 constexpr std::uint32_t max_tokens = 32768;
 
--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "base/metrics.hpp"
+#include "decision/byte_budget.hpp"
 #include "decision/retry_budget.hpp"
 #include "decision/stop_admission.hpp"
 #include "decision/target_choice.hpp"
@@ -82,6 +83,9 @@
     /// Logs the requests that are still open when the process ends.
     void log_open_requests() const;
 
+    /// Bytes held of plain answers that are being received or sent to their callers.
+    std::size_t buffered_answer_bytes() const { return this->answer_bytes.used(); }
+
     /// Called when a slot was taken or released at a target that is nearly full.
     std::function<void()> on_scarce_slots;
     /// Called when a target becomes suspected.
@@ -90,6 +94,8 @@
 private:
     friend class detail::request_run;
 
+    byte_budget answer_bytes{limits::buffered_answer_bytes}; ///< of plain answers that are being received
+
     /// A stopping daemon needs the longest delay of requests at the current load.
     static constexpr seconds longest_delay_period{30};
 
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -1,5 +1,7 @@
 #include "gateway/request_run.hpp"
 
+#include "base/limits.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -15,7 +17,6 @@
 /// Longest idle time of a connection that carries a request that must not run twice: a target may drop an
 /// idle connection without notice, and then it is unknown whether the request has run.
 constexpr milliseconds non_idempotent_idle_limit{500};
-constexpr std::size_t max_buffered_body_bytes = 16 * 1024 * 1024;
 constexpr std::uint32_t max_urgency_value = 9;
 /// Weight of the newest request in the smoothed share of failed ones.
 constexpr double failure_smoothing = 0.15;
@@ -154,11 +155,14 @@
         this->owner.connections.give_back(attempt.target.address, std::move(attempt.bound));
     }
     attempt.bound = {};
+    attempt.head.body = {};
+    attempt.buffered.reset();
     this->record_result(attempt, end);
 }
 
 request_run::attempt_end request_run::exchange(target_attempt& attempt, http::yield_context in)
 {
+    attempt.bound.connection->update_body_limit(limits::answer_bytes);
     ++this->sends;
     ++this->possible_runs;
     attempt.sent_at = steady_clock::now();
@@ -335,9 +339,18 @@
 
 request_run::attempt_end request_run::read_whole(target_attempt& attempt, http::yield_context in)
 {
-    attempt.bound.connection->update_body_limit(max_buffered_body_bytes);
+    attempt.buffered = std::make_unique<byte_budget::share>(
+        this->owner.answer_bytes, [&attempt] { attempt.bound.connection->close(); });
     while (true) {
         auto part = attempt.bound.connection->read_body_part(this->deadline, in);
+        const bool within_budget = succeeded(part) && value(part)
+                                       ? attempt.buffered->grow(value(part)->size())
+                                       : !attempt.buffered->revoked();
+        if (!within_budget) {
+            attempt.head.body = {};
+            attempt.reason = "answers in progress exceed their memory, and this one is the largest";
+            return attempt_end::lost;
+        }
         if (failed(part)) {
             return this->failed_exchange(attempt, error(part));
         }
@@ -351,6 +364,7 @@
         }
         if (!value(part)) {
             attempt.complete = true;
+            attempt.buffered->settle();
             return attempt_end::begun;
         }
         attempt.head.body += *value(part);
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -39,7 +39,8 @@
     int refusal_status{0};         ///< status of a target that did not run the request
     std::string reason;            ///< why it ended
 
-    http::response head; ///< of a plain answer also the body
+    http::response head;                          ///< of a plain answer also the body
+    std::unique_ptr<byte_budget::share> buffered; ///< of a plain answer, the bytes of the body
     bool streamed{false};
     event_framer events;
     std::string complete_events; ///< received, and not yet sent to the caller
