--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -77,7 +77,7 @@
 constexpr std::size_t crash_records = 4096; // suspects and blocked requests together
 constexpr std::size_t crash_recent_losses = 256;
 constexpr std::size_t archived_crash_records = 64; // in the platform's store, some 500 bytes each
-constexpr std::size_t crash_parts = 16; // per request
+constexpr std::size_t crash_parts = 16;            // per request
 // Time after which a blocked part may run in one trial. It doubles with each further loss, up to
 // block_lifetime.
 constexpr seconds part_block_time{60};
--- a/src/gateway/crash_guard.hpp
+++ b/src/gateway/crash_guard.hpp
@@ -97,8 +97,7 @@
 
     struct running_trial
     {
-        std::vector<std::uint64_t>
-            prints; ///< fingerprints of the suspected parts, and of a suspected request
+        std::vector<std::uint64_t> prints; ///< of the suspected parts, and of the request if suspected
         std::optional<instance_id> target; ///< set once the request is sent
     };
     struct logged_verdict
