--- a/src/decision/crash_attribution.hpp
+++ b/src/decision/crash_attribution.hpp
@@ -6,8 +6,9 @@
 /// `limits::correlated_loss_window`, and the request was not in flight on that group. A request is suspected
 /// after one unexplained loss or two losses of any kind, and then runs only with a trial slot. After two
 /// unexplained losses it is refused, and it is blocked once `limits::loss_report_delay` has passed without an
-/// explanation. A request that is judged with its parts is refused after three losses of which two are
-/// unexplained, and runs only in trials after four losses of any kind.
+/// explanation. A request that is judged with its parts is refused after three losses in two unexplained
+/// incidents, and runs only in trials after three losses in one, or after four of any kind. If it was
+/// answered shortly before, it is refused only after the loss of a trial. An answer clears any request.
 ///
 /// A part of a prompt may crash groups too, whatever request carries it. Losses count against the parts of
 /// the requests in flight in the same way, since the last request with the part whose answer began and went
--- a/src/decision/crash_records.cpp
+++ b/src/decision/crash_records.cpp
@@ -289,6 +289,7 @@
     });
     found.resize(std::min(found.size(), limits::archived_crash_records));
     std::vector<crash_notice> out;
+    out.reserve(found.size());
     for (const auto& [latest, record] : found) {
         out.push_back(record->second.make_notice({record->first}, now));
     }
