--- a/src/gateway/group_formation.cpp
+++ b/src/gateway/group_formation.cpp
@@ -554,12 +554,20 @@
         this->load_starts.push_back(now);
         this->loads.add();
     }
-    log(log_level::info, "loading a model into an engine outside groups",
-        {{"engine", wanted.instance.str()}, {"model", wanted.model.str()}});
     group_order what;
     what.action = group_action::join;
     what.epoch = this->next_epoch();
     what.group = fence_group(what.epoch);
+    const auto& shown = state->entry.membership;
+    log(log_level::info, "loading a model into an engine outside groups",
+        {{"engine", wanted.instance.str()},
+         {"model", wanted.model.str()},
+         {"group", what.group.str()},
+         {"from_store", wanted.from_store},
+         {"shown_group", shown ? shown->group.str() : ""},
+         {"entry_revision", static_cast<std::int64_t>(state->entry.revision)},
+         {"mirror_revision", static_cast<std::int64_t>(this->lease.mirrored_revision())},
+         {"previous_groups", this->previous_groups({wanted.instance})}});
     what.model = wanted.model;
     what.members = {wanted.instance};
     this->send_preparation(state->entry, what);
--- a/src/gateway/group_manager.cpp
+++ b/src/gateway/group_manager.cpp
@@ -88,11 +88,26 @@
             std::none_of(this->fleet.targets().begin(), this->fleet.targets().end(), [](const auto& entry) {
                 return entry.second.entry.membership || !entry.second.entry.model.empty();
             });
+        this->log_takeover();
         this->probe_all_groups(now);
     }
     return true;
 }
 
+void group_manager::log_takeover() const
+{
+    const auto& targets = this->fleet.targets();
+    const auto members = std::count_if(targets.begin(), targets.end(), [](const auto& entry) {
+        return entry.second.entry.membership.has_value();
+    });
+    log(log_level::info, "managing groups",
+        {{"lease_revision", static_cast<std::int64_t>(this->lease_revision)},
+         {"mirror_revision", static_cast<std::int64_t>(this->lease.mirrored_revision())},
+         {"targets", static_cast<std::int64_t>(targets.size())},
+         {"members", static_cast<std::int64_t>(members)},
+         {"first_start", this->first_start}});
+}
+
 bool group_manager::may_send_orders(time_point now)
 {
     return this->check_manager_lease(now) && now >= this->active_from;
--- a/src/gateway/group_manager.hpp
+++ b/src/gateway/group_manager.hpp
@@ -160,6 +160,7 @@
     /// True while the lease is held and the orders of the previous manager have had time to arrive.
     bool may_send_orders(time_point now);
     void reset();
+    void log_takeover() const;
     /// Reviews the groups and plans, at a rate that leaves time for orders and store changes.
     void run_pass(time_point now);
     void review_groups(time_point now);
--- a/src/gateway/manager_lease.hpp
+++ b/src/gateway/manager_lease.hpp
@@ -20,6 +20,8 @@
     virtual bool manages(time_point now) const = 0;
     /// Store revision at which this daemon acquired the lease; larger for each later manager.
     virtual std::uint64_t manager_revision() const = 0;
+    /// Store revision up to which this daemon knows all changes.
+    virtual std::uint64_t mirrored_revision() const = 0;
 };
 
 } // namespace rml::gateway
--- a/src/gateway/registration.hpp
+++ b/src/gateway/registration.hpp
@@ -35,6 +35,7 @@
 
     bool manages(time_point now) const override;
     std::uint64_t manager_revision() const override { return this->acquired_revision; }
+    std::uint64_t mirrored_revision() const override { return this->mirror.revision(); }
 
 private:
     struct held_lease
--- a/src/gateway/site.hpp
+++ b/src/gateway/site.hpp
@@ -173,6 +173,7 @@
     bool draining{false};
     milliseconds cold_remaining{0}; ///< at the time of writing
     std::int64_t started_ms{0}; ///< start of this incarnation, Unix ms by the target's clock; 0: not reported
+    std::uint64_t revision{0};  ///< store revision at which the entry was written; 0: unknown
     // Engines only.
     fabric_domain_id fabric;
     model_id model; ///< model of its last group in this incarnation; empty: none
--- a/src/gateway/store_mirror.cpp
+++ b/src/gateway/store_mirror.cpp
@@ -372,7 +372,8 @@
         return;
     }
     const auto* before = this->fleet.find_target(id);
-    const auto& entry = value(decoded);
+    auto& entry = value(decoded);
+    entry.revision = event.revision;
     const bool changed = before == nullptr || before->entry.draining != entry.draining ||
                          before->entry.started_ms != entry.started_ms;
     if (changed) {
--- a/tests/gateway/managed_site.hpp
+++ b/tests/gateway/managed_site.hpp
@@ -16,9 +16,11 @@
 public:
     bool manages(time_point) const override { return this->held; }
     std::uint64_t manager_revision() const override { return this->revision; }
+    std::uint64_t mirrored_revision() const override { return this->mirrored; }
 
     bool held{true};
     std::uint64_t revision{7};
+    std::uint64_t mirrored{1000000};
 };
 
 class managed_site
