Order an engine to join only with evidence that it is in no serving group

Cause: two ways to the same order, one without the check of the other. A formation asks engines of unknown history for their group before it orders a join; a warm-up trusted the registry. After a change of the manager nothing is known, and the entry of an engine that could not reach the store when it joined still shows it outside groups.

Change: an order to join is built from a join_permit. Only group_assignments grants it, for an engine that is known to be in no group that may serve, and assigns the engine in the same step, so that a warm-up and a formation cannot both take it. Warm-ups ask as formations do. A permit is checked again before each send, so an order that waited for its turn under an earlier lease, or for a group that was released, is not sent. The fence of an ended group keeps its own permit: its epoch follows that of the group.

--- a/src/decision/group_assignments.cpp
+++ b/src/decision/group_assignments.cpp
@@ -35,6 +35,29 @@
     entry = {engine.started_ms, in, std::nullopt};
 }
 
+std::optional<join_permit> group_assignments::permit_join(const engine_life& engine, const membership& in)
+{
+    const auto* current = this->find(engine);
+    const bool same_group = current != nullptr && current->group == in.group;
+    const bool newer_group = current != nullptr && current->group.second > in.group.second;
+    if (!same_group && (newer_group || !this->vacant(engine))) {
+        return std::nullopt;
+    }
+    this->assign(engine, in);
+    return join_permit(engine, in.group, false);
+}
+
+join_permit group_assignments::permit_fence(const engine_life& head, const group_key& ended, group_id name)
+{
+    return {head, {std::move(name), fence_epoch(ended)}, true};
+}
+
+bool group_assignments::in_force(const join_permit& permit) const
+{
+    const auto* current = this->find(permit.holder);
+    return permit.is_fence || (current != nullptr && current->group == permit.target);
+}
+
 void group_assignments::record_free(const engine_life& engine)
 {
     this->records[engine.instance] = {engine.started_ms, std::nullopt, std::nullopt};
@@ -60,6 +83,12 @@
                : nullptr;
 }
 
+bool group_assignments::vacant(const engine_life& engine) const
+{
+    const auto* current = this->find(engine);
+    return this->knows(engine) && (current == nullptr || !current->may_serve);
+}
+
 bool group_assignments::knows(const engine_life& engine) const
 {
     const auto found = this->records.find(engine.instance);
--- a/src/decision/group_assignments.hpp
+++ b/src/decision/group_assignments.hpp
@@ -40,6 +40,32 @@
     std::int64_t started_ms{0};
 };
 
+/// Epoch of the fence of an ended group: newer than the group and older than every later group.
+inline std::uint64_t fence_epoch(const group_key& ended)
+{
+    return ended.second + 1;
+}
+
+/// Right to order one engine to join one group. Only `group_assignments` grants it, so an order to join
+/// cannot be built without evidence that the engine is in no other group that may serve.
+class join_permit
+{
+public:
+    const engine_life& engine() const { return this->holder; }
+    const group_key& group() const { return this->target; }
+
+private:
+    friend class group_assignments;
+    join_permit(engine_life engine, group_key group, bool fence)
+        : holder(std::move(engine)), target(std::move(group)), is_fence(fence)
+    {
+    }
+
+    engine_life holder;
+    group_key target;
+    bool is_fence;
+};
+
 class group_assignments
 {
 public:
@@ -47,11 +73,21 @@
     {
         group_key group;
         std::uint32_t rank{0}; ///< 0 is the head
+        bool may_serve{true};  ///< false for a group of one engine that is never opened
     };
 
     /// Records that the engine is in the group or has been ordered to join it. Does nothing if the same life
     /// of the engine is known in a group with a newer epoch.
     void assign(const engine_life& engine, const membership& in);
+    /// Assigns the engine to the group and permits the order to join it. Returns none if it is unknown
+    /// whether this life of the engine is in a group, if it may be in another group that serves, or if it is
+    /// assigned to a newer one.
+    std::optional<join_permit> permit_join(const engine_life& engine, const membership& in);
+    /// Permits the fence of an ended group, under that name, at its head. Needs no record of the engine: its
+    /// epoch follows that of the group, so an engine in any later group refuses it.
+    static join_permit permit_fence(const engine_life& head, const group_key& ended, group_id name);
+    /// Whether the engine is still assigned to the group of the permit. Check it before each order.
+    bool in_force(const join_permit& permit) const;
     /// Records that the engine has reported to be in no group that may serve.
     void record_free(const engine_life& engine);
     /// Records that the group no longer serves and cannot serve again.
@@ -59,6 +95,8 @@
 
     /// Group that this life of the engine may belong to, or null if none is known.
     const membership* find(const engine_life& engine) const;
+    /// Whether this life of the engine is known to be in no group that may serve.
+    bool vacant(const engine_life& engine) const;
     /// Whether anything is known about this life of the engine.
     bool knows(const engine_life& engine) const;
     /// The engine's last group with the evidence of its release, for logs.
--- a/src/gateway/group_ending.cpp
+++ b/src/gateway/group_ending.cpp
@@ -79,7 +79,7 @@
     state.next_order = steady_clock::now() + ending_retry_delay;
     state.order_pending = true;
     start_coroutine(this->context, [this, key, engine = member](yield_context yield) {
-        const auto answer = this->order(engine, leave_order(key), yield);
+        const auto answer = this->order(engine, group_order::leave(key), yield);
         const auto found = this->endings.find(key);
         if (found == this->endings.end()) {
             return;
@@ -171,7 +171,7 @@
     start_coroutine(this->context, [this, key, what, engine = state.head](yield_context yield) {
         const auto answer = this->order(engine, what, yield);
         if (const auto found = this->endings.find(key); found != this->endings.end()) {
-            this->handle_end_verdict(key, found->second, what.action, answer);
+            this->handle_end_verdict(key, found->second, what.action(), answer);
         }
     });
 }
@@ -186,36 +186,22 @@
     return group_id(std::string(fence_group_prefix) + std::to_string(epoch));
 }
 
-group_order group_manager::leave_order(const group_key& key)
-{
-    group_order what;
-    what.action = group_action::leave;
-    what.group = key.first;
-    what.epoch = key.second;
-    return what;
-}
-
 group_order group_manager::next_end_order(const group_key& key, const ending& state, const target_state* head,
                                           time_point now)
 {
     if (state.head_left) {
         // An engine that joins a fence group has seen a newer epoch and refuses orders still in flight. An
         // engine that has joined a later group in the meantime refuses the fence.
-        group_order what;
-        what.action = group_action::join;
-        what.epoch = fence_epoch(key);
-        what.group = fence_group(what.epoch);
-        what.model = head != nullptr && !head->entry.model.empty() ? head->entry.model : state.head.model;
-        what.members = {state.head.instance};
-        return what;
+        auto model = head != nullptr && !head->entry.model.empty() ? head->entry.model : state.head.model;
+        auto permit = group_assignments::permit_fence({state.head.instance, state.head.started_ms}, key,
+                                                      fence_group(fence_epoch(key)));
+        return group_order::join(std::move(permit), std::move(model), {state.head.instance});
     }
     const bool head_closed = state.head_closed && head != nullptr && head->entry.membership &&
                              head->entry.membership->phase == group_phase::ready;
     const bool closing = state.graceful && !head_closed && now - state.since < detail::graceful_end;
     // A closed head must leave as well: a late order to open would open it again.
-    auto what = leave_order(key);
-    what.action = closing ? group_action::close : group_action::leave;
-    return what;
+    return closing ? group_order::close(key) : group_order::leave(key);
 }
 
 void group_manager::handle_end_verdict(const group_key& key, ending& state, group_action action,
@@ -281,7 +267,7 @@
             continue;
         }
         start_coroutine(this->context, [this, key, engine = target->entry](yield_context yield) {
-            const auto answer = this->order(engine, leave_order(key), yield);
+            const auto answer = this->order(engine, group_order::leave(key), yield);
             if (failed(answer)) {
                 log(log_level::info, "member did not answer the order to leave an ended group",
                     {{"engine", engine.instance.str()}, context_field(error(answer))});
--- a/src/gateway/group_formation.cpp
+++ b/src/gateway/group_formation.cpp
@@ -93,7 +93,7 @@
 
 void group_manager::run_formation(formation plan, yield_context yield)
 {
-    if (!this->confirm_free(plan, yield)) {
+    if (!this->confirm_free(plan.members, plan.lease_revision, yield)) {
         if (this->in_force(plan)) {
             this->formations.erase(plan.group); // no order was sent
             this->tick();
@@ -146,7 +146,8 @@
     }
 }
 
-bool group_manager::confirm_free(const formation& plan, yield_context yield)
+bool group_manager::confirm_free(const std::vector<instance_id>& engines, std::uint64_t under_lease,
+                                 yield_context yield)
 {
     struct question
     {
@@ -154,12 +155,12 @@
         result<engine_report> answer;
     };
     std::vector<question> questions;
-    for (const auto& member : plan.members) {
-        const auto* state = this->fleet.find_target(member);
+    for (const auto& engine : engines) {
+        const auto* state = this->fleet.find_target(engine);
         if (state == nullptr) {
             return false;
         }
-        if (!this->assignments.knows({member, state->entry.started_ms})) {
+        if (!this->assignments.vacant({engine, state->entry.started_ms})) {
             questions.push_back({state->entry, failure{failure_kind::timeout, "no probe sent"}});
         }
     }
@@ -177,7 +178,7 @@
     const auto sent = steady_clock::now();
     this->run_all(std::move(tasks), yield);
     const auto now = steady_clock::now();
-    if (!this->in_force(plan)) {
+    if (under_lease != this->lease_revision) {
         return false; // the records belong to a later manager lease
     }
     bool all_free = true;
@@ -220,37 +221,34 @@
 
 bool group_manager::join_members(const formation& plan, yield_context yield)
 {
-    for (std::uint32_t rank = 0; rank < plan.members.size(); ++rank) {
-        if (const auto* state = this->fleet.find_target(plan.members[rank]); state != nullptr) {
-            this->assignments.assign({plan.members[rank], state->entry.started_ms},
-                                     {{plan.group, plan.epoch}, rank});
-        }
-    }
     bool all = true;
     bool given_up = false;
     std::vector<std::function<void(yield_context)>> tasks;
-    for (const auto& member : plan.members) {
-        const auto* state = this->fleet.find_target(member);
+    for (std::uint32_t rank = 0; rank < plan.members.size(); ++rank) {
+        const auto* state = this->fleet.find_target(plan.members[rank]);
         if (state == nullptr) {
             return false;
         }
-        tasks.emplace_back([this, &all, &given_up, &plan, entry = state->entry](yield_context inner) {
-            all = this->join_member(plan, entry, given_up, inner) && all;
-        });
+        const auto permit = this->assignments.permit_join({state->entry.instance, state->entry.started_ms},
+                                                          {{plan.group, plan.epoch}, rank, true});
+        if (!permit) {
+            log(log_level::info, "engine may be in another group",
+                {{"engine", state->entry.instance.str()}, {"group", plan.group.str()}});
+            return false;
+        }
+        tasks.emplace_back(
+            [this, &all, &given_up, &plan, permit = *permit, entry = state->entry](yield_context inner) {
+                all = this->join_member(plan, entry, permit, given_up, inner) && all;
+            });
     }
     this->run_all(std::move(tasks), yield);
     return all;
 }
 
-bool group_manager::join_member(const formation& plan, const target_entry& member, bool& given_up,
-                                yield_context yield)
+bool group_manager::join_member(const formation& plan, const target_entry& member, const join_permit& permit,
+                                bool& given_up, yield_context yield)
 {
-    group_order what;
-    what.action = group_action::join;
-    what.group = plan.group;
-    what.epoch = plan.epoch;
-    what.model = plan.model;
-    what.members = plan.members;
+    const auto what = group_order::join(permit, plan.model, plan.members);
     const auto sent = steady_clock::now();
     bool alive = false;
     bool silent = false;
@@ -264,7 +262,7 @@
             }
             log(log_level::info, "engine refused to join",
                 {{"engine", member.instance.str()},
-                 {"group", what.group.str()},
+                 {"group", what.group().str()},
                  {"verdict", std::string(to_string(verdict))}});
             if (verdict == order_verdict::wrong_incarnation) {
                 this->mark_lost(member.instance, "another instance answers at its address",
@@ -360,10 +358,7 @@
 
 bool group_manager::open_head(formation& plan, yield_context yield)
 {
-    group_order what;
-    what.action = group_action::open;
-    what.group = plan.group;
-    what.epoch = plan.epoch;
+    const auto what = group_order::open({plan.group, plan.epoch});
     for (int attempt = 0; attempt < max_open_attempts && this->in_force(plan); ++attempt) {
         const auto* head = this->fleet.find_target(plan.members.front());
         if (head == nullptr) {
@@ -515,34 +510,30 @@
     this->loads.add();
     log(log_level::info, "staging weights",
         {{"engine", wanted.instance.str()}, {"model", wanted.model.str()}});
-    group_order what;
-    what.action = group_action::stage;
-    what.model = wanted.model;
-    this->send_preparation(state->entry, what);
-}
-
-void group_manager::send_preparation(const target_entry& engine, const group_order& what)
-{
     ++this->stage_orders;
-    start_coroutine(this->context, [this, what, engine](yield_context yield) {
-        const auto answer = this->order(engine, what, yield, false);
+    start_coroutine(this->context, [this, engine = state->entry, model = wanted.model](yield_context yield) {
+        this->send_preparation(engine, group_order::stage(model), yield);
         --this->stage_orders;
-        if (succeeded(answer) &&
-            (value(answer) == order_verdict::started || value(answer) == order_verdict::already)) {
-            return;
-        }
-        log(log_level::info, "weights not prepared",
-            {{"engine", engine.instance.str()},
-             {"order", std::string(to_string(what.action))},
-             {"reason", failed(answer) ? error(answer).context : std::string(to_string(value(answer)))}});
-        const bool may_run = failed(answer) && error(answer).kind == failure_kind::outcome_unknown;
-        if (const auto found = this->stagings.find(engine.instance);
-            found != this->stagings.end() && !may_run) {
-            found->second.until = steady_clock::now() + staging_retry_delay;
-        }
     });
 }
 
+void group_manager::send_preparation(const target_entry& engine, const group_order& what, yield_context yield)
+{
+    const auto answer = this->order(engine, what, yield, false);
+    if (succeeded(answer) &&
+        (value(answer) == order_verdict::started || value(answer) == order_verdict::already)) {
+        return;
+    }
+    log(log_level::info, "weights not prepared",
+        {{"engine", engine.instance.str()},
+         {"order", std::string(to_string(what.action()))},
+         {"reason", failed(answer) ? error(answer).context : std::string(to_string(value(answer)))}});
+    const bool may_run = failed(answer) && error(answer).kind == failure_kind::outcome_unknown;
+    if (const auto found = this->stagings.find(engine.instance); found != this->stagings.end() && !may_run) {
+        found->second.until = steady_clock::now() + staging_retry_delay;
+    }
+}
+
 void group_manager::start_warmup(const planned_warmup& wanted, const served_model& model, time_point now)
 {
     const auto* state = this->fleet.find_target(wanted.instance);
@@ -554,23 +545,38 @@
         this->load_starts.push_back(now);
         this->loads.add();
     }
-    group_order what;
-    what.action = group_action::join;
-    what.epoch = this->next_epoch();
-    what.group = fence_group(what.epoch);
+    const auto epoch = this->next_epoch();
     const auto& shown = state->entry.membership;
     log(log_level::info, "loading a model into an engine outside groups",
         {{"engine", wanted.instance.str()},
          {"model", wanted.model.str()},
-         {"group", what.group.str()},
+         {"group", fence_group(epoch).str()},
          {"from_store", wanted.from_store},
          {"shown_group", shown ? shown->group.str() : ""},
          {"entry_revision", static_cast<std::int64_t>(state->entry.revision)},
          {"mirror_revision", static_cast<std::int64_t>(this->lease.mirrored_revision())},
          {"previous_groups", this->previous_groups({wanted.instance})}});
-    what.model = wanted.model;
-    what.members = {wanted.instance};
-    this->send_preparation(state->entry, what);
+    ++this->stage_orders;
+    start_coroutine(this->context, [this, engine = state->entry, model = wanted.model, epoch,
+                                    under_lease = this->lease_revision](yield_context yield) {
+        this->run_warmup(engine, model, epoch, under_lease, yield);
+        --this->stage_orders;
+    });
+}
+
+void group_manager::run_warmup(const target_entry& engine, const model_id& model, std::uint64_t epoch,
+                               std::uint64_t under_lease, yield_context yield)
+{
+    std::optional<join_permit> permit;
+    if (this->confirm_free({engine.instance}, under_lease, yield)) {
+        permit = this->assignments.permit_join({engine.instance, engine.started_ms},
+                                               {{fence_group(epoch), epoch}, 0, false});
+    }
+    if (permit) {
+        this->send_preparation(engine, group_order::join(*permit, model, {engine.instance}), yield);
+    } else if (under_lease == this->lease_revision) {
+        this->stagings.erase(engine.instance); // no order was sent
+    }
 }
 
 } // namespace rml::gateway
--- a/src/gateway/group_manager.cpp
+++ b/src/gateway/group_manager.cpp
@@ -473,10 +473,13 @@
     if (!this->lease.manages(now) || this->lease_revision != this->lease.manager_revision()) {
         return failure{failure_kind::lapsed, "order not sent: this daemon does not hold the manager lease"};
     }
+    if (what.permit() && !this->assignments.in_force(*what.permit())) {
+        return failure{failure_kind::lapsed, "order not sent: the engine is no longer assigned to the group"};
+    }
     this->orders.add();
     auto answer = this->ports.engines->order(engine, what, now + order_timeout, yield);
     if (failed(answer) && error(answer).kind == failure_kind::outcome_unknown) {
-        this->unanswered_groups.emplace(what.group, what.epoch);
+        this->unanswered_groups.emplace(what.group(), what.epoch());
     }
     return answer;
 }
--- a/src/gateway/group_manager.hpp
+++ b/src/gateway/group_manager.hpp
@@ -195,9 +195,10 @@
     void retire(const planned_retirement& wanted, time_point now);
     void start_formation(const service& of, const planned_group& wanted, time_point now);
     void run_formation(formation plan, yield_context yield);
-    /// Asks members of unknown history for their group. Returns false if one does not answer or may be in a
-    /// group that serves.
-    bool confirm_free(const formation& plan, yield_context yield);
+    /// Asks engines that are not known to be vacant for their group. Returns false if one does not answer or
+    /// may be in a group that serves, or if the manager lease with that revision is lost meanwhile.
+    bool confirm_free(const std::vector<instance_id>& engines, std::uint64_t under_lease,
+                      yield_context yield);
     /// Records the engine's own report. Returns whether it is in no group that may serve.
     bool record_report(const target_entry& engine, const engine_report& report);
     /// Last group of each member and why it no longer serves, for logs.
@@ -205,7 +206,8 @@
     bool join_members(const formation& plan, yield_context yield);
     /// Orders one member to join. Returns false when it cannot join; sets `given_up` when the whole formation
     /// is in vain.
-    bool join_member(const formation& plan, const target_entry& member, bool& given_up, yield_context yield);
+    bool join_member(const formation& plan, const target_entry& member, const join_permit& permit,
+                     bool& given_up, yield_context yield);
     /// Whether the engine reports. False is no evidence of a loss if this process paused meanwhile.
     bool answers_report(const target_entry& engine, yield_context yield);
     /// Waits until the registry shows the open head: until then the group stays in `formations`. Ends the
@@ -227,8 +229,10 @@
     void start_staging(const planned_stage& wanted, const served_model& model, time_point now);
     /// Lets the engine load the model by joining a fence group.
     void start_warmup(const planned_warmup& wanted, const served_model& model, time_point now);
+    void run_warmup(const target_entry& engine, const model_id& model, std::uint64_t epoch,
+                    std::uint64_t under_lease, yield_context yield);
     /// Sends an order to stage or load weights; when it is refused, another one may follow soon.
-    void send_preparation(const target_entry& engine, const group_order& what);
+    void send_preparation(const target_entry& engine, const group_order& what, yield_context yield);
     /// Name of the fence group with that epoch.
     static group_id fence_group(std::uint64_t epoch);
     void probe_all_groups(time_point now);
@@ -251,7 +255,6 @@
     /// The order to the head that advances the ending of its group: close, leave or join the fence group.
     static group_order next_end_order(const group_key& key, const ending& state, const target_state* head,
                                       time_point now);
-    static group_order leave_order(const group_key& key);
     /// Sends an order if this daemon still holds the manager lease.
     result<order_verdict> order(const target_entry& engine, const group_order& what, yield_context yield,
                                 bool urgent = true);
@@ -263,8 +266,6 @@
     std::uint64_t next_epoch();
     /// Whether the formation belongs to the present manager lease. Check it after each suspension.
     bool in_force(const formation& plan) const { return plan.lease_revision == this->lease_revision; }
-    /// Epoch that is newer than the group and older than every later group.
-    static std::uint64_t fence_epoch(const group_key& key) { return key.second + 1; }
 
     boost::asio::io_context& context;
     const platform_ports& ports;
--- a/src/gateway/ports.cpp
+++ b/src/gateway/ports.cpp
@@ -2,6 +2,22 @@
 
 namespace rml::gateway {
 
+group_order group_order::join(join_permit permit, model_id model, std::vector<instance_id> members)
+{
+    group_order out(group_action::join, permit.group());
+    out.weights = std::move(model);
+    out.instances = std::move(members);
+    out.evidence = std::move(permit);
+    return out;
+}
+
+group_order group_order::stage(model_id model)
+{
+    group_order out(group_action::stage, {});
+    out.weights = std::move(model);
+    return out;
+}
+
 std::string_view to_string(group_action action)
 {
     switch (action) {
--- a/src/gateway/ports.hpp
+++ b/src/gateway/ports.hpp
@@ -3,6 +3,7 @@
 
 #include "base/failure.hpp"
 #include "base/time.hpp"
+#include "decision/group_assignments.hpp"
 #include "gateway/site.hpp"
 
 #include <boost/asio/spawn.hpp>
@@ -12,6 +13,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace rml::gateway {
@@ -157,13 +159,32 @@
 
 std::string_view to_string(group_action action);
 
-struct group_order
+/// An order to an engine. An order to join carries the permit that it is built from.
+class group_order
 {
-    group_action action{group_action::join};
-    group_id group;
-    std::uint64_t epoch{0};
-    model_id model;                   ///< join and stage
-    std::vector<instance_id> members; ///< join; the first is the head
+public:
+    /// `members` are the instances of the group; the first is the head.
+    static group_order join(join_permit permit, model_id model, std::vector<instance_id> members);
+    static group_order open(const group_key& group) { return {group_action::open, group}; }
+    static group_order close(const group_key& group) { return {group_action::close, group}; }
+    static group_order leave(const group_key& group) { return {group_action::leave, group}; }
+    static group_order stage(model_id model);
+
+    group_action action() const { return this->kind; }
+    const group_id& group() const { return this->key.first; } ///< empty for `stage`
+    std::uint64_t epoch() const { return this->key.second; }
+    const model_id& model() const { return this->weights; }                     ///< join and stage
+    const std::vector<instance_id>& members() const { return this->instances; } ///< join
+    const std::optional<join_permit>& permit() const { return this->evidence; } ///< join
+
+private:
+    group_order(group_action action, group_key group) : kind(action), key(std::move(group)) {}
+
+    group_action kind;
+    group_key key;
+    model_id weights;
+    std::vector<instance_id> instances;
+    std::optional<join_permit> evidence;
 };
 
 /// How an engine answered an order.
--- a/tests/adapter/endless_answer_test.cpp
+++ b/tests/adapter/endless_answer_test.cpp
@@ -70,7 +70,8 @@
                 CHECK(kind_of(store->read("", deadline(), yield)) == read_failure);
                 CHECK(kind_of(store->commit({}, deadline(), yield)) == write_failure);
                 CHECK(kind_of(engines->report(engine, deadline(), yield)) == read_failure);
-                CHECK(kind_of(engines->order(engine, {}, deadline(), yield)) == write_failure);
+                CHECK(kind_of(engines->order(engine, gateway::group_order::open({}), deadline(), yield)) ==
+                      write_failure);
             },
             boost::coroutines::attributes(256 * 1024));
         context.run();
--- a/tests/adapter/engine_client_test.cpp
+++ b/tests/adapter/engine_client_test.cpp
@@ -1,5 +1,6 @@
 #include "clients.hpp"
 #include "decode.hpp"
+#include "gateway/managed_site.hpp"
 #include "standin/site.hpp"
 
 #include <boost/asio/spawn.hpp>
@@ -29,8 +30,7 @@
     boost::asio::spawn(context, [&](boost::asio::yield_context yield) {
         const auto deadline = steady_clock::now() + seconds(5);
         REQUIRE(succeeded(client->report(entry, deadline, yield))); // leaves an idle connection
-        const gateway::group_order join{
-            gateway::group_action::join, group_id("g1"), 1, model_id("planner"), {entry.instance}};
+        const auto join = test::join_order(entry, {group_id("g1"), 1}, {entry.instance});
         answer = client->order(entry, join, deadline, yield);
     });
     const auto limit = steady_clock::now() + seconds(5);
--- a/tests/decision/group_assignments_test.cpp
+++ b/tests/decision/group_assignments_test.cpp
@@ -58,6 +58,39 @@
         CHECK(assignments.find(restarted) != nullptr);
         CHECK(assignments.find(engine) == nullptr);
     }
+    SECTION("an order to join needs evidence that the engine is in no other group that may serve")
+    {
+        const engine_life unknown{instance_id("e2"), 100};
+        CHECK_FALSE(assignments.permit_join(unknown, {second, 0, true}));
+        CHECK_FALSE(assignments.permit_join(engine, {second, 0, true}));
+        assignments.release(first, release_evidence::head_left, time_point{});
+        const auto permit = assignments.permit_join(engine, {second, 0, true});
+        REQUIRE(permit);
+        CHECK(permit->group() == second);
+        CHECK(assignments.in_force(*permit));
+
+        SECTION("and only one of two groups gets it")
+        {
+            CHECK_FALSE(assignments.permit_join(engine, {{group_id("g6"), 6}, 0, true}));
+            CHECK(assignments.in_force(*permit));
+        }
+        SECTION("and it ends with the group, or with the lease of the manager")
+        {
+            assignments.release(second, release_evidence::never_opened, time_point{});
+            CHECK_FALSE(assignments.in_force(*permit));
+            assignments.clear();
+            CHECK_FALSE(assignments.permit_join(engine, {{group_id("g6"), 6}, 0, true}));
+        }
+    }
+    SECTION("a group that never serves gives way to a newer group, and to no older one")
+    {
+        assignments.release(first, release_evidence::head_left, time_point{});
+        const auto parked = assignments.permit_join(engine, {{group_id("parked-6"), 6}, 0, false});
+        REQUIRE(parked);
+        CHECK_FALSE(assignments.permit_join(engine, {second, 0, true}));
+        CHECK(assignments.permit_join(engine, {{group_id("g8"), 8}, 0, true}));
+        CHECK_FALSE(assignments.in_force(*parked));
+    }
     SECTION("an engine without an entry is forgotten")
     {
         assignments.forget_if([](const instance_id&) { return true; });
--- a/tests/gateway/group_manager_test.cpp
+++ b/tests/gateway/group_manager_test.cpp
@@ -4,19 +4,13 @@
 #include <boost/asio/spawn.hpp>
 
 using namespace rml;
-using test::managed_site;
+using namespace rml::test;
 
 namespace {
 
 /// Number of groups when all engines of both fabric domains are in groups of two.
 constexpr std::size_t all_groups = 4;
 
-std::string first_violation(const managed_site& site)
-{
-    const auto& violations = site.site->fleet.violations;
-    return violations.empty() ? "" : violations.front().rule + ": " + violations.front().what;
-}
-
 using target_state_pointer = const gateway::target_state*;
 
 target_state_pointer find_spare(const managed_site& site)
@@ -29,41 +23,6 @@
     return nullptr;
 }
 
-/// Sends an order as another manager would. The group is g1, with epoch 1.
-void send_order(managed_site& site, const instance_id& engine, gateway::group_action action,
-                const std::vector<instance_id>& members = {})
-{
-    std::optional<result<gateway::order_verdict>> answer;
-    boost::asio::spawn(site.context, [&](gateway::yield_context yield) {
-        const gateway::group_order what{action, group_id("g1"), 1, model_id("planner"), members};
-        answer = site.ports.engines->order(site.fleet.find_target(engine)->entry, what,
-                                           steady_clock::now() + seconds(1), yield);
-    });
-    REQUIRE(site.run_until([&] { return answer.has_value(); }));
-    REQUIRE(succeeded(*answer));
-    CHECK(value(*answer) == gateway::order_verdict::started);
-}
-
-/// Stages the model at the first `count` engines of the first fabric domain.
-void stage_all(managed_site& site, int count)
-{
-    for (int i = 0; i < count; ++i) {
-        const instance_id engine("e0" + std::to_string(i));
-        send_order(site, engine, gateway::group_action::stage);
-        REQUIRE(site.run_until([&] { return !site.fleet.find_target(engine)->entry.staged.empty(); }));
-    }
-}
-
-/// Forms and opens the group g1.
-void form_group(managed_site& site, const std::vector<instance_id>& members)
-{
-    for (const auto& member : members) {
-        send_order(site, member, gateway::group_action::join, members);
-    }
-    site.run_for(site.site->fleet.timing.load * 2);
-    send_order(site, members.front(), gateway::group_action::open);
-}
-
 } // namespace
 
 TEST_CASE("groups are formed from the registry alone and repaired", "[gateway][group_manager]")
@@ -302,8 +261,7 @@
     REQUIRE(spare != nullptr);
     auto& engine = site.engine(spare->entry.instance);
     boost::asio::spawn(site.context, [&, entry = spare->entry](gateway::yield_context yield) {
-        const gateway::group_order late{
-            gateway::group_action::join, group_id("old"), 1, model_id("planner"), {entry.instance}};
+        const auto late = join_order(entry, {group_id("old"), 1}, {entry.instance});
         (void)site.ports.engines->order(entry, late, steady_clock::now() + seconds(5), yield);
     });
     REQUIRE(site.run_until([&] { return spare->entry.membership.has_value(); }));
--- a/tests/gateway/managed_site.hpp
+++ b/tests/gateway/managed_site.hpp
@@ -7,7 +7,11 @@
 #include "gateway/store_mirror.hpp"
 #include "standin/site.hpp"
 
+#include <boost/asio/spawn.hpp>
 #include <catch2/catch.hpp>
+#include <optional>
+#include <string>
+#include <vector>
 
 namespace rml::test {
 
@@ -94,4 +98,62 @@
     }
 };
 
+inline std::string first_violation(const managed_site& site)
+{
+    const auto& violations = site.site->fleet.violations;
+    return violations.empty() ? "" : violations.front().rule + ": " + violations.front().what;
+}
+
+/// An order to join with a permit of a manager that knows nothing else of the engine.
+inline gateway::group_order join_order(const gateway::target_entry& engine, const group_key& group,
+                                       const std::vector<instance_id>& members)
+{
+    const engine_life life{engine.instance, engine.started_ms};
+    group_assignments records;
+    records.record_free(life);
+    return gateway::group_order::join(records.permit_join(life, {group, 0, true}).value(),
+                                      model_id("planner"), members);
+}
+
+/// Sends an order as another manager would; `group` has its name and epoch.
+inline void send_order(managed_site& site, const instance_id& engine, gateway::group_action action,
+                       const std::vector<instance_id>& members = {},
+                       const group_key& group = {group_id("g1"), 1})
+{
+    std::optional<result<gateway::order_verdict>> answer;
+    boost::asio::spawn(site.context, [&](gateway::yield_context yield) {
+        const auto& entry = site.fleet.find_target(engine)->entry;
+        const auto what = action == gateway::group_action::join   ? join_order(entry, group, members)
+                          : action == gateway::group_action::open ? gateway::group_order::open(group)
+                          : action == gateway::group_action::leave
+                              ? gateway::group_order::leave(group)
+                              : gateway::group_order::stage(model_id("planner"));
+        answer = site.ports.engines->order(entry, what, steady_clock::now() + seconds(1), yield);
+    });
+    REQUIRE(site.run_until([&] { return answer.has_value(); }));
+    REQUIRE(succeeded(*answer));
+    CHECK(value(*answer) == gateway::order_verdict::started);
+}
+
+/// Stages the model at the first `count` engines of the first fabric domain.
+inline void stage_all(managed_site& site, int count)
+{
+    for (int i = 0; i < count; ++i) {
+        const instance_id engine("e0" + std::to_string(i));
+        send_order(site, engine, gateway::group_action::stage);
+        REQUIRE(site.run_until([&] { return !site.fleet.find_target(engine)->entry.staged.empty(); }));
+    }
+}
+
+/// Forms and opens the group as another manager would.
+inline void form_group(managed_site& site, const std::vector<instance_id>& members,
+                       const group_key& group = {group_id("g1"), 1})
+{
+    for (const auto& member : members) {
+        send_order(site, member, gateway::group_action::join, members, group);
+    }
+    site.run_for(site.site->fleet.timing.load * 2);
+    send_order(site, members.front(), gateway::group_action::open, {}, group);
+}
+
 } // namespace rml::test
