Keep the requests of all daemons within the limit that a target states

Cause: a limit over all daemons existed for cold targets only, fed by the registry. What a target says of its own capacity in its answers had no owner.

Change: request_rate owns both limits and the lower one counts. An allowance is taken before each send, first or repeated, and again after connecting if none was in force before. Daemons tell each other what they heard, with its age; the newest statement counts.

--- a/src/gateway/daemon.cpp
+++ b/src/gateway/daemon.cpp
@@ -136,6 +136,7 @@
         };
         this->exchange.on_report = [this](const peer_report& report) { this->accept_report(report); };
         this->manager.on_ending = [this] { this->exchange.send_now(); };
+        this->fleet.on_request_limit = [this] { this->exchange.send_to_all_soon(); };
         this->requests.on_scarce_slots = [this] { this->exchange.send_soon(); };
         this->requests.crashes().on_change = [this] { this->exchange.send_to_all_soon(); };
         this->requests.on_suspect = [this] {
@@ -195,6 +196,7 @@
         }
         out.offered_load = this->requests.offered_load();
         out.requests_per_s = this->requests.requests_per_s();
+        out.request_limits = this->fleet.request_limits(steady_clock::now());
         out.departures = this->fleet.departures(out.manages, steady_clock::now());
         if (out.manages) {
             out.removals = this->fleet.recent_removals(steady_clock::now());
@@ -236,6 +238,9 @@
         for (const auto& target : report.departures) {
             this->fleet.record_departure(target, departure_source::peer, now);
         }
+        for (const auto& notice : report.request_limits) {
+            this->fleet.record_request_limit(notice, now);
+        }
         for (const auto& target : report.removals) {
             this->fleet.confirm_removal(target, now);
         }
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace rml::gateway {
 
@@ -16,6 +17,8 @@
 constexpr milliseconds peer_timeout{1500};
 /// Reports that may be missing before a daemon that reports less often does not count as live.
 constexpr int reports_per_timeout = 3;
+/// The limit of a cold target is stated per second.
+constexpr seconds cold_rate_window{1};
 /// Entries of removed targets that are kept, so that a head that lost only its entry can be ordered to end
 /// its group.
 constexpr std::size_t max_removed_entries = 256;
@@ -118,10 +121,14 @@
     if (signals.leaving) {
         this->record_departure({target.instance, target.started_ms}, departure_source::answer, now);
     }
-    auto* state = signals.pause ? this->find_target(target.instance) : nullptr;
+    auto* state = this->find_target(target.instance);
     if (state == nullptr || state->entry.started_ms != target.started_ms) {
         return;
     }
+    this->record_request_limit(*state, signals, now);
+    if (!signals.pause) {
+        return;
+    }
     const auto time = parse_pause(*signals.pause);
     if (!time) {
         if (!std::exchange(state->unreadable_pause_logged, true)) {
@@ -140,6 +147,85 @@
     state->pause.extend(*time, spread, now);
 }
 
+void fleet_state::record_request_limit(target_state& state, const target_signals& signals, time_point now)
+{
+    std::optional<double> rate;
+    if (signals.request_limit) {
+        rate = parse_request_rate(*signals.request_limit);
+        if (!rate) {
+            if (!std::exchange(state.unreadable_limit_logged, true)) {
+                log(log_level::warning, "target states an unreadable limit on requests; ignored",
+                    {{"target", state.entry.instance.str()}, {"text", *signals.request_limit}});
+            }
+            return;
+        }
+    } else if (!signals.ran_request || !state.limit.latest()) {
+        return; // other answers need not name the limit
+    }
+    state.limit_heard = true;
+    if (this->update_request_limit(state, rate, now, "its answer") && this->on_request_limit) {
+        this->on_request_limit();
+    }
+}
+
+bool fleet_state::update_request_limit(target_state& state, const std::optional<double>& rate,
+                                       time_point heard, const char* source)
+{
+    const bool limited = state.limit.latest().has_value();
+    state.limit.record(rate, heard);
+    const bool changed = limited != state.limit.latest().has_value();
+    if (changed) {
+        log(log_level::info, rate ? "target limits its requests" : "target no longer limits its requests",
+            {{"target", state.entry.instance.str()}, {"per_s", rate.value_or(0)}, {"source", source}});
+    }
+    return changed;
+}
+
+void fleet_state::record_request_limit(const request_limit_notice& notice, time_point now)
+{
+    auto* state = this->find_target(notice.target.instance);
+    const auto heard = now - notice.age;
+    if (state == nullptr || state->entry.started_ms != notice.target.started_ms ||
+        heard <= state->limit.heard_at()) {
+        return;
+    }
+    state->limit_heard = false;
+    this->update_request_limit(*state, notice.requests_per_s, heard, "another daemon");
+}
+
+std::vector<request_limit_notice> fleet_state::request_limits(time_point now) const
+{
+    std::vector<request_limit_notice> out;
+    for (const auto& [instance, state] : this->all_targets) {
+        const auto age = now - state.limit.heard_at();
+        if (state.limit_heard && age <= limits::stated_rate_report_time &&
+            out.size() < limits::stated_rate_reports) {
+            out.push_back({{instance, state.entry.started_ms},
+                           state.limit.latest(),
+                           std::chrono::duration_cast<milliseconds>(age)});
+        }
+    }
+    return out;
+}
+
+std::vector<request_allowance> fleet_state::allowances(const target_state& target, time_point now) const
+{
+    std::vector<request_allowance> out;
+    if (now < target.cold_until) {
+        const auto* service =
+            this->current_config ? this->current_config->find_service(target.entry.service) : nullptr;
+        if (service != nullptr && service->cold_requests_per_s > 0) {
+            out.push_back(divide_rate(service->cold_requests_per_s, cold_rate_window,
+                                      this->share_for(target.entry.instance, now)));
+        }
+    }
+    if (const auto rate = target.limit.in_force(now)) {
+        out.push_back(divide_rate(*rate, limits::stated_rate_window,
+                                  this->entry_share_for(target.entry.instance, now)));
+    }
+    return out;
+}
+
 void fleet_state::record_departure(const target_incarnation& target, departure_source source, time_point now)
 {
     if (!this->departed.record(target, source, now)) {
@@ -499,4 +585,18 @@
     return out;
 }
 
+fleet_share fleet_state::entry_share_for(const instance_id& target, time_point now) const
+{
+    if (this->entries.empty()) {
+        return this->share_for(target, now);
+    }
+    fleet_share out{0, 0, this->peers_settled, this->entries.count(this->self) != 0};
+    const auto own = rendezvous_weight(target.str(), this->self.str());
+    for (const auto& daemon : this->entries) {
+        ++out.daemons;
+        out.rank += daemon != this->self && rendezvous_weight(target.str(), daemon.str()) > own ? 1U : 0U;
+    }
+    return out;
+}
+
 } // namespace rml::gateway
--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -4,8 +4,8 @@
 
 #include "decision/departed_targets.hpp"
 #include "decision/progress_monitor.hpp"
+#include "decision/request_rate.hpp"
 #include "decision/send_right.hpp"
-#include "decision/slow_start.hpp"
 #include "decision/stall_suspicion.hpp"
 #include "decision/target_pause.hpp"
 #include "gateway/peer_report.hpp"
@@ -35,7 +35,10 @@
     daemon_id ejected_by;         ///< the manager that reported it
     std::optional<time_point>
         kept_until; ///< set when the entry was removed during an outage of the store: end of the grace time
-    slow_start_window cold_sends;
+    request_window limited_sends;
+    stated_rate limit;       ///< requests per second that the target takes from all daemons together
+    bool limit_heard{false}; ///< an answer to this daemon was the latest statement of the limit
+    bool unreadable_limit_logged{false};
     double failure_share{0}; ///< smoothed share of failed requests, 0 to 1
     double slowness{1};      ///< factor on its service time, as last reported
     time_point slow_until{}; ///< `slowness` is valid until then
@@ -116,8 +119,16 @@
     /// Whether a new request may be sent to the target; an unknown one is withdrawn.
     send_right right_to_send(const instance_id& instance, time_point now) const;
     send_right right_to_send(const target_state& target, time_point now) const;
+    /// Allowances for new requests of this daemon at the target; none if nothing limits them.
+    std::vector<request_allowance> allowances(const target_state& target, time_point now) const;
     /// Records what the target said of itself in an answer.
     void record_signals(const target_entry& target, const target_signals& signals, time_point now);
+    /// Records what another daemon heard of a target's limit on requests.
+    void record_request_limit(const request_limit_notice& notice, time_point now);
+    /// Limits that targets stated, or ended, in answers to this daemon, for the reports to the others.
+    std::vector<request_limit_notice> request_limits(time_point now) const;
+    /// Called when an answer to this daemon shows that a limit on requests begins or ends.
+    std::function<void()> on_request_limit;
     /// Records that the target leaves. Only another incarnation takes requests again.
     void record_departure(const target_incarnation& target, departure_source source, time_point now);
     /// Targets that leave, for the reports to the other daemons. The registry is known to all daemons but
@@ -163,6 +174,11 @@
     std::uint32_t others_in_flight(const instance_id& target, time_point now);
     /// Number of daemons, including this one, and the rank of this one among them for the target.
     fleet_share share_for(const instance_id& target, time_point now) const;
+    /// Sets the daemons that callers connect to.
+    void update_entries(std::set<daemon_id> daemons) { this->entries = std::move(daemons); }
+    /// The same as `share_for` among the daemons that callers connect to: a part of another daemon would be
+    /// used by nobody.
+    fleet_share entry_share_for(const instance_id& target, time_point now) const;
     /// Number of daemons, including this one.
     std::size_t daemons(time_point now) const;
     bool live(const peer_state& peer, time_point now) const;
@@ -188,6 +204,10 @@
     /// Subtracts the reports of daemons that are no longer live.
     void expire_reports(time_point now);
     void record_removal(const target_state& state);
+    void record_request_limit(target_state& state, const target_signals& signals, time_point now);
+    /// Returns whether a limit begins or ends.
+    static bool update_request_limit(target_state& state, const std::optional<double>& rate, time_point heard,
+                                     const char* source);
     void rebuild_groups();
     /// Removes absent members whose group no longer serves.
     void prune_absent_members();
@@ -204,6 +224,7 @@
     std::vector<served_group> served;
     bool groups_stale{true};
     std::map<daemon_id, peer_state> all_peers;
+    std::set<daemon_id> entries; ///< daemons that callers connect to; empty: not known yet
     /// Requests in flight by target, summed over the reports of the live daemons: a choice among many targets
     /// would otherwise read the reports of all daemons for each of them.
     std::unordered_map<instance_id, std::uint32_t> others;
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -113,18 +113,15 @@
     }
 }
 
-std::size_t forwarder::usable_slots(target_state& state, std::uint32_t slots, time_point now)
+std::size_t forwarder::usable_slots(target_state& state, std::uint32_t slots,
+                                    const std::vector<request_allowance>& allowances, time_point now)
 {
-    const auto* service =
-        this->fleet.config() ? this->fleet.config()->find_service(state.entry.service) : nullptr;
-    if (service == nullptr || now >= state.cold_until || service->cold_requests_per_s <= 0) {
+    if (allowances.empty()) {
         return slots;
     }
-    const auto share =
-        slow_start_share(service->cold_requests_per_s, this->fleet.share_for(state.entry.instance, now));
     const auto busy = this->fleet.in_flight.in_flight(state.entry.instance) +
                       this->fleet.others_in_flight(state.entry.instance, now);
-    return std::min<std::size_t>(slots, busy + state.cold_sends.available(share, now));
+    return std::min<std::size_t>(slots, busy + state.limited_sends.available(allowances, now));
 }
 
 template <class Visitor>
@@ -162,14 +159,15 @@
             return;
         }
         target_candidate candidate;
-        // The slots of a cold target are divided by its request allowance instead.
-        candidate.reserved = now < state.cold_until ? 0 : reserved_slots(this->order, index, slots);
+        // The slots of a target with limited requests are divided by the allowances instead.
+        const auto allowances = this->fleet.allowances(state, now);
+        candidate.reserved = allowances.empty() ? reserved_slots(this->order, index, slots) : 0;
         ++index;
         candidate.instance = state.entry.instance;
         candidate.fabric = state.entry.fabric;
         candidate.own = this->fleet.in_flight.in_flight(candidate.instance);
         candidate.others = this->fleet.others_in_flight(candidate.instance, now);
-        candidate.slots = static_cast<std::uint32_t>(this->usable_slots(state, slots, now));
+        candidate.slots = static_cast<std::uint32_t>(this->usable_slots(state, slots, allowances, now));
         candidate.slowness = state.slowness_at(now) * (1 + failure_slowdown * state.failure_share);
         candidate.tried = std::find(tried.begin(), tried.end(), candidate.instance) != tried.end();
         candidate.ejected = right == send_right::last_resort;
@@ -210,6 +208,7 @@
 
 void forwarder::update_entries(const std::set<daemon_id>& daemons)
 {
+    this->fleet.update_entries(daemons);
     const auto own = daemons.find(this->fleet.self);
     this->order = {static_cast<std::uint32_t>(std::distance(daemons.begin(), own)),
                    static_cast<std::uint32_t>(std::max<std::size_t>(1, daemons.size()))};
--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -128,7 +128,8 @@
     milliseconds retry_after_pause(milliseconds left);
     /// Calls `on_scarce_slots` if the target is nearly full, after a request began or ended there.
     void report_scarce_slots(const instance_id& target, time_point now);
-    std::size_t usable_slots(target_state& state, std::uint32_t slots, time_point now);
+    std::size_t usable_slots(target_state& state, std::uint32_t slots,
+                             const std::vector<request_allowance>& allowances, time_point now);
     duration silence_limit(const target_state& state, time_point now) const;
     retry_budget& budget(const service_id& service, time_point now);
     void update_slots(time_point now);
--- a/src/gateway/peer_report.cpp
+++ b/src/gateway/peer_report.cpp
@@ -60,6 +60,34 @@
     return out;
 }
 
+json encode_request_limits(const std::vector<request_limit_notice>& notices)
+{
+    json out = json::array();
+    for (const auto& notice : notices) {
+        const auto rate = notice.requests_per_s ? json(*notice.requests_per_s) : json(nullptr);
+        out.push_back({notice.target.instance.str(), notice.target.started_ms, rate, notice.age.count()});
+    }
+    return out;
+}
+
+std::vector<request_limit_notice> decode_request_limits(const json& rows)
+{
+    std::vector<request_limit_notice> out;
+    for (const auto& row : rows) {
+        request_limit_notice notice;
+        notice.target = {instance_id(row.at(0).get<std::string>()),
+                         static_cast<std::int64_t>(checked_integer(row.at(1), max_int64))};
+        if (!row.at(2).is_null()) {
+            notice.requests_per_s =
+                std::clamp(checked_amount(row.at(2)), limits::min_stated_rate, limits::max_stated_rate);
+        }
+        notice.age = milliseconds(
+            std::min<std::uint64_t>(checked_integer(row.at(3), max_int64), max_interval.count()));
+        out.push_back(std::move(notice));
+    }
+    return out;
+}
+
 /// Bounds the crash evidence in one report.
 constexpr std::size_t max_crash_rows = 256;
 constexpr std::size_t max_crash_trials = 256;
@@ -103,7 +131,8 @@
                         {"y", report.crash_trials},
                         {"i", report.interval.count()},
                         {"g", encode_incarnations(report.departures)},
-                        {"h", encode_incarnations(report.removals)}};
+                        {"h", encode_incarnations(report.removals)},
+                        {"v", encode_request_limits(report.request_limits)}};
     return to_cbor_bytes(document);
 }
 
@@ -169,6 +198,12 @@
             out.departures = decode_incarnations(message.at("g"));
             out.removals = decode_incarnations(message.at("h"));
         }
+        if (message.contains("v")) { // daemons of the previous version do not send this field
+            if (message.at("v").size() > limits::stated_rate_reports) {
+                return failure{failure_kind::too_large, "peer report"};
+            }
+            out.request_limits = decode_request_limits(message.at("v"));
+        }
         return out;
     } catch (const json::exception& problem) {
         return failure{failure_kind::malformed, std::string("peer report: ") + problem.what()};
--- a/src/gateway/peer_report.hpp
+++ b/src/gateway/peer_report.hpp
@@ -11,11 +11,20 @@
 #include <cstdint>
 #include <map>
 #include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace rml::gateway {
 
+/// What a target last said about its limit on requests.
+struct request_limit_notice
+{
+    target_incarnation target;
+    std::optional<double> requests_per_s; ///< nothing: it named a limit before and names none any more
+    milliseconds age{0};                  ///< of the answer that said so, when the report was composed
+};
+
 struct peer_report
 {
     daemon_id daemon;
@@ -36,8 +45,9 @@
     std::vector<crash_notice> crashes;       ///< evidence on requests and prompt parts that crash targets
     std::vector<std::uint64_t> crash_trials; ///< fingerprints of requests and prompt parts on trial there
     milliseconds interval{0}; ///< until the next report to the same receivers, if nothing happens
-    std::vector<target_incarnation> departures; ///< targets that leave
-    std::vector<target_incarnation> removals;   ///< from the group manager: entries that were removed
+    std::vector<target_incarnation> departures;       ///< targets that leave
+    std::vector<target_incarnation> removals;         ///< from the group manager: entries that were removed
+    std::vector<request_limit_notice> request_limits; ///< from answers that the sender received itself
 
     /// Whether the sender has no work, so that others need not know more of it than that it runs.
     bool idle() const
--- a/src/gateway/ports.hpp
+++ b/src/gateway/ports.hpp
@@ -35,6 +35,7 @@
     std::string not_executed;     ///< set by targets on answers to requests that they did not run
     std::string prompt_parts;     ///< parts of the prompt in order, `id:tokens,id:tokens,...`
     std::string leaving;          ///< `1`: the target leaves and gets no new requests
+    std::string request_limit;    ///< requests per second that the target takes from all daemons together
 };
 
 struct store_item
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -82,14 +82,8 @@
 {
     const auto now = steady_clock::now();
     const auto& target = attempt.target;
-    auto* state = this->owner.fleet.find_target(target.instance);
-    if (state != nullptr && now<state->cold_until&& this->chosen_service->cold_requests_per_s> 0) {
-        const auto share = slow_start_share(this->chosen_service->cold_requests_per_s,
-                                            this->owner.fleet.share_for(target.instance, now));
-        if (!state->cold_sends.take(share, now)) {
-            attempt.reason = "request rate limit of a cold target reached";
-            return attempt_end::not_sent;
-        }
+    if (!this->take_allowance(attempt, now)) {
+        return attempt_end::not_sent;
     }
     const bool once = !this->chosen_route->idempotent();
     auto bound = this->owner.connections.take_idle(
@@ -123,13 +117,38 @@
         attempt.reason = this->stopping ? stopping_reason : "target takes no new requests";
         return attempt_end::not_sent;
     }
+    // The target may have stated a limit during the connecting.
+    if (!attempt.allowance_taken && !this->take_allowance(attempt, steady_clock::now())) {
+        this->owner.connections.give_back(target.address, std::move(bound));
+        return attempt_end::not_sent;
+    }
     attempt.bound = std::move(bound);
     return std::nullopt;
 }
 
+bool request_run::take_allowance(target_attempt& attempt, time_point now)
+{
+    auto* state = this->owner.fleet.find_target(attempt.target.instance);
+    const auto allowances =
+        state != nullptr ? this->owner.fleet.allowances(*state, now) : std::vector<request_allowance>();
+    if (allowances.empty()) {
+        return true;
+    }
+    attempt.allowance_taken = state->limited_sends.take(allowances, now);
+    attempt.withheld = !attempt.allowance_taken;
+    if (attempt.withheld) {
+        attempt.reason = "request limit of the target reached";
+    }
+    return attempt.allowance_taken;
+}
+
 request_run::attempt_end request_run::begin(target_attempt& attempt, http::yield_context in)
 {
     if (const auto end = this->connect(attempt, in); end) {
+        auto* state = this->owner.fleet.find_target(attempt.target.instance);
+        if (state != nullptr && std::exchange(attempt.allowance_taken, false)) {
+            state->limited_sends.give_back();
+        }
         return *end;
     }
     const auto& target = attempt.target.instance;
@@ -260,15 +279,17 @@
     }
     this->owner.fleet.in_flight.progress(attempt.target.instance, false, steady_clock::now());
     attempt.head = value(std::move(read));
-    this->owner.fleet.record_signals(attempt.target, read_signals(attempt.head, this->owner.ports.headers),
-                                     steady_clock::now());
-    if (!this->is_valid_answer(attempt)) {
-        return attempt_end::lost;
-    }
     const auto status = attempt.head.status;
     const auto& names = this->owner.ports.headers;
+    const bool valid = this->is_valid_answer(attempt);
     const bool not_run =
         status == wrong_target_status || http::find_header(attempt.head.headers, names.not_executed);
+    auto signals = read_signals(attempt.head, names);
+    signals.ran_request = valid && !not_run;
+    this->owner.fleet.record_signals(attempt.target, signals, steady_clock::now());
+    if (!valid) {
+        return attempt_end::lost;
+    }
     if (not_run && status >= 400) {
         --this->possible_runs;
         attempt.refusal_status = status;
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -33,7 +33,8 @@
     bool superseded{false};        ///< its connection was closed in favour of another attempt
     bool answer_begun{false};      ///< a part of the body was received
     bool connection_broke{false};  ///< ended with a broken connection to the target
-    bool withheld{false};          ///< not sent because the target takes no requests any more
+    bool withheld{false};          ///< not sent because the target takes no requests, or no more now
+    bool allowance_taken{false};   ///< counted against a limit on the target's requests
     time_point sent_at{};          ///< when the request was written
     std::uint64_t crash_ticket{0}; ///< of the crash guard
     int refusal_status{0};         ///< status of a target that did not run the request
@@ -68,7 +69,7 @@
     {
         begun,               ///< not ended: a part of the answer was received that can be sent to the caller
         answered,            ///< the caller has the whole answer
-        not_sent,            ///< nothing was sent: no connection, or a cold target at its limit
+        not_sent,            ///< nothing was sent: no connection, or the target's limit is reached
         not_run,             ///< the target answered that it did not run the request
         lost,                ///< may have run; the connection broke, or the answer is not valid
         superseded,          ///< ended by this daemon in favour of another attempt
@@ -108,6 +109,9 @@
     attempt_end begin(target_attempt& attempt, http::yield_context in);
     /// Returns the end of the attempt when there is no connection.
     std::optional<attempt_end> connect(target_attempt& attempt, http::yield_context in);
+    /// Counts the request against the limits on the target's requests, if any. Returns false when it must not
+    /// be sent now.
+    bool take_allowance(target_attempt& attempt, time_point now);
     attempt_end exchange(target_attempt& attempt, http::yield_context in);
     attempt_end receive(target_attempt& attempt, http::yield_context in);
     /// Reads until at least one event is complete or the stream ends.
--- a/src/gateway/target_signals.cpp
+++ b/src/gateway/target_signals.cpp
@@ -15,6 +15,7 @@
 {
     target_signals out;
     out.leaving = http::find_header(answer.headers, names.leaving) == leaving_value;
+    out.request_limit = http::find_header(answer.headers, names.request_limit);
     if (answer.status == unavailable_status) {
         out.pause = http::find_header(answer.headers, pause_header);
     }
--- a/tests/gateway/crash_guard_test.cpp
+++ b/tests/gateway/crash_guard_test.cpp
@@ -133,9 +133,9 @@
 public:
     crash_fleet(std::size_t daemon_count, std::size_t target_count)
     {
-        this->ports.headers = {"x-id",        "x-deadline",     "x-account", "x-expect",
-                               "x-urgency",   "last-event",     "x-model",   "x-counts",
-                               "x-signature", "x-not-executed", "x-parts",   "x-leaving"};
+        this->ports.headers = {"x-id",       "x-deadline", "x-account", "x-expect",    "x-urgency",
+                               "last-event", "x-model",    "x-counts",  "x-signature", "x-not-executed",
+                               "x-parts",    "x-leaving",  "x-limit"};
         this->settings.bounds.retry_slack = 1000;
         for (std::size_t i = 0; i < target_count; ++i) {
             this->targets.push_back(std::make_unique<restarting_target>(this->deadly));
--- a/tests/gateway/forwarding_site.hpp
+++ b/tests/gateway/forwarding_site.hpp
@@ -6,6 +6,7 @@
 #include "http/pause.hpp"
 #include "target/raw_server.hpp"
 
+#include <atomic>
 #include <boost/asio/post.hpp>
 #include <boost/asio/spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -56,6 +57,46 @@
     return whole_answer("200 OK", id_line(id) + "x-signature: s\r\n", "answer to " + id);
 }
 
+/// A target that gives the same answer to every request, with the id of the request, and counts them.
+class answering_target
+{
+public:
+    answering_target(std::string status_line, std::string headers, std::string body = "body")
+        : server([this, status_line = std::move(status_line), headers = std::move(headers),
+                  body = std::move(body)](const http::request& message, raw_connection& connection) {
+              ++this->received;
+              connection.send(whole_answer(status_line, id_line(run_record::id_of(message)) + headers, body));
+              return true;
+          })
+    {
+    }
+
+    int requests() const { return this->received; }
+    endpoint address() const { return this->server.address(); }
+
+private:
+    std::atomic<int> received{0};
+    raw_server server;
+};
+
+inline answering_target sound_target(const std::string& headers = "")
+{
+    return {"200 OK", "x-signature: s\r\n" + headers};
+}
+
+/// The entry of a target of the plain service in forwarding_site.
+inline gateway::target_entry entry_of(const std::string& name, const endpoint& address,
+                                      std::int64_t started_ms)
+{
+    gateway::target_entry out;
+    out.instance = instance_id(name);
+    out.service = service_id("shop");
+    out.address = address;
+    out.slots = 4;
+    out.started_ms = started_ms;
+    return out;
+}
+
 constexpr milliseconds tick_interval{20};
 
 /// A forwarder with the plain service "shop", the engine service "pool" and a route for each kind of request.
@@ -64,9 +105,9 @@
 public:
     forwarding_site()
     {
-        this->ports.headers = {"x-id",        "x-deadline",     "x-account", "x-expect",
-                               "x-urgency",   "last-event",     "x-model",   "x-counts",
-                               "x-signature", "x-not-executed", "x-parts",   "x-leaving"};
+        this->ports.headers = {"x-id",       "x-deadline", "x-account", "x-expect",    "x-urgency",
+                               "last-event", "x-model",    "x-counts",  "x-signature", "x-not-executed",
+                               "x-parts",    "x-leaving",  "x-limit"};
         this->settings.daemon = daemon_id("d0");
         this->settings.bounds.retry_slack = 100;
         std::vector<gateway::route> routes;
@@ -165,13 +206,7 @@
     }
     void add_target(const std::string& name, const endpoint& address)
     {
-        gateway::target_entry entry;
-        entry.instance = instance_id(name);
-        entry.service = service_id("shop");
-        entry.address = address;
-        entry.slots = 4;
-        entry.started_ms = 1;
-        this->fleet.update_target(entry, steady_clock::now());
+        this->fleet.update_target(entry_of(name, address, 1), steady_clock::now());
     }
     /// Adds an engine that is a group by itself.
     void add_engine(const std::string& name, const endpoint& address, const std::string& service = "pool")
--- a/tests/gateway/leaving_target_test.cpp
+++ b/tests/gateway/leaving_target_test.cpp
@@ -11,33 +11,6 @@
 const std::string first_event = "id: 1\ndata: a\n\n";
 const std::string last_event = "id: 2\ndata: b\n\n";
 
-/// A target that gives the same answer to every request, with the id of the request, and counts them.
-class answering_target
-{
-public:
-    answering_target(std::string status_line, std::string headers, std::string body = "body")
-        : server([this, status_line = std::move(status_line), headers = std::move(headers),
-                  body = std::move(body)](const http::request& message, raw_connection& connection) {
-              ++this->received;
-              connection.send(whole_answer(status_line, id_line(run_record::id_of(message)) + headers, body));
-              return true;
-          })
-    {
-    }
-
-    int requests() const { return this->received; }
-    endpoint address() const { return this->server.address(); }
-
-private:
-    std::atomic<int> received{0};
-    raw_server server;
-};
-
-answering_target sound_target(const std::string& headers = "")
-{
-    return {"200 OK", "x-signature: s\r\n" + headers};
-}
-
 answering_target sound_engine(const std::string& headers = "")
 {
     return {"200 OK", "x-signature: s\r\ncontent-type: text/event-stream\r\n" + headers,
@@ -54,18 +27,6 @@
     return std::stod(http::find_header(answer.headers, "Retry-After").value_or("-1"));
 }
 
-/// The entry of a target of the plain service in forwarding_site.
-gateway::target_entry entry_of(const std::string& name, const endpoint& address, std::int64_t started_ms)
-{
-    gateway::target_entry out;
-    out.instance = instance_id(name);
-    out.service = service_id("shop");
-    out.address = address;
-    out.slots = 4;
-    out.started_ms = started_ms;
-    return out;
-}
-
 } // namespace
 
 // Guards against requests to a target after it has said that it leaves.
@@ -141,8 +102,8 @@
         site.fleet.update_target(entry_of("t", restarted.address(), 2), steady_clock::now());
         CHECK(site.send("/stock/1", "D").answer.status == 200);
         // An answer of the earlier incarnation, received now, does not concern the new one.
-        site.fleet.record_signals(entry_of("t", leaver.address(), 1), {true, std::nullopt},
-                                  steady_clock::now());
+        site.fleet.record_signals(entry_of("t", leaver.address(), 1),
+                                  {true, std::nullopt, std::nullopt, false}, steady_clock::now());
         CHECK(site.send("/stock/1", "E").answer.status == 200);
         CHECK(restarted.requests() == 2);
     }
@@ -258,13 +219,13 @@
 
     SECTION("it has said that it leaves while the connection was opened")
     {
-        say({true, std::nullopt});
+        say({true, std::nullopt, std::nullopt, false});
         CHECK(site.send("/orders/1", "A").answer.status == 503);
         CHECK(target.requests() == 0);
     }
     SECTION("it has asked for a pause while the connection was opened")
     {
-        say({false, "30"});
+        say({false, "30", std::nullopt, false});
         const auto& refused = site.send("/stock/1", "A").answer;
         CHECK(refused.status == 503);
         CHECK(retry_after_of(refused) > 1);
@@ -310,13 +271,13 @@
 
     SECTION("not at a target that leaves")
     {
-        site.fleet.record_signals(other, {true, std::nullopt}, steady_clock::now());
+        site.fleet.record_signals(other, {true, std::nullopt, std::nullopt, false}, steady_clock::now());
         CHECK(site.send("/plans/1", "A").aborted);
         CHECK(rest.requests() == 0);
     }
     SECTION("not at a target that asked for a pause")
     {
-        site.fleet.record_signals(other, {false, "30"}, steady_clock::now());
+        site.fleet.record_signals(other, {false, "30", std::nullopt, false}, steady_clock::now());
         CHECK(site.send("/plans/1", "A").aborted);
         CHECK(rest.requests() == 0);
     }
@@ -350,14 +311,15 @@
 
     SECTION("not at a target that asked for a pause")
     {
-        site.fleet.record_signals(entry_of("other", other.address(), 1), {false, "30"}, steady_clock::now());
+        site.fleet.record_signals(entry_of("other", other.address(), 1), {false, "30", std::nullopt, false},
+                                  steady_clock::now());
         CHECK(site.send("/plans-at-one-target/1", "B").answer.status == 503);
         CHECK(other.requests() == 0);
     }
     SECTION("not at a target that leaves")
     {
-        site.fleet.record_signals(entry_of("other", other.address(), 1), {true, std::nullopt},
-                                  steady_clock::now());
+        site.fleet.record_signals(entry_of("other", other.address(), 1),
+                                  {true, std::nullopt, std::nullopt, false}, steady_clock::now());
         CHECK(site.send("/plans-at-one-target/1", "B").answer.status == 503);
         CHECK(other.requests() == 0);
     }
--- a/tests/gateway/peer_report_test.cpp
+++ b/tests/gateway/peer_report_test.cpp
@@ -59,6 +59,10 @@
         out.crash_trials.push_back(random.bits());
         out.departures.push_back({instance_id("g" + std::to_string(i)), static_cast<std::int64_t>(i)});
         out.removals.push_back({instance_id("h" + std::to_string(i)), static_cast<std::int64_t>(i)});
+        const auto rate =
+            random.one_in(2) ? std::optional(0.5 + static_cast<double>(random.below(100))) : std::nullopt;
+        out.request_limits.push_back(
+            {out.departures.back(), rate, milliseconds(static_cast<int>(random.below(10000)))});
     }
     return out;
 }
@@ -71,7 +75,7 @@
     const bool held = rc::check("fields added since are missing", [] {
         random_source random;
         auto document = nlohmann::json::from_cbor(encode_report(sample(random)));
-        for (const char* added : {"a", "p", "m", "o", "q", "c", "y", "g", "h", "i"}) {
+        for (const char* added : {"a", "p", "m", "o", "q", "c", "y", "g", "h", "i", "v"}) {
             document.erase(added);
         }
         const auto bytes = nlohmann::json::to_cbor(document);
@@ -81,6 +85,7 @@
         RC_ASSERT(value(back).slow.empty());
         RC_ASSERT(value(back).crashes.empty());
         RC_ASSERT(value(back).departures.empty() && value(back).removals.empty());
+        RC_ASSERT(value(back).request_limits.empty());
         RC_ASSERT(value(back).suspected == value(back).stalled);
         RC_ASSERT(value(back).manages == !value(back).ejected.empty());
     });
--- /dev/null
+++ b/tests/gateway/request_limit_test.cpp
@@ -0,0 +1,159 @@
+#include "gateway/forwarding_site.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace rml;
+using namespace rml::test;
+
+namespace {
+
+const instance_id limited("limited");
+/// One request in 10 s, so that a slow test run stays within one window.
+const std::string low_limit = "x-limit: 0.1\r\n";
+constexpr double low_rate = 0.1;
+constexpr int requests_sent = 6;
+
+int answered(forwarding_site& site, const std::string& path)
+{
+    int out = 0;
+    for (int i = 0; i < requests_sent; ++i) {
+        out += site.send(path, "r" + std::to_string(i)).answer.status == 200 ? 1 : 0;
+    }
+    return out;
+}
+
+gateway::request_limit_notice notice_of(std::optional<double> requests_per_s, milliseconds age)
+{
+    return {{limited, 1}, requests_per_s, age};
+}
+
+} // namespace
+
+// Guards against a target that gets more requests than it has said that it takes.
+TEST_CASE("a target that states a limit on its requests gets no more than that", "[gateway][request_limit]")
+{
+    forwarding_site site;
+    site.fleet.peers_settled = true;
+    auto target = sound_target(low_limit);
+    site.add_target(limited.str(), target.address());
+    CHECK(site.send("/stock/1", "first").answer.status == 200);
+    CHECK(site.fleet.request_limits(steady_clock::now()).size() == 1);
+
+    SECTION("and the caller is refused when no other target is left")
+    {
+        CHECK(answered(site, "/stock/1") == 1);
+        CHECK(target.requests() == 2);
+    }
+    SECTION("and other targets get the rest, also of requests that must not run twice")
+    {
+        auto other = sound_target();
+        site.add_target("other", other.address());
+        CHECK(answered(site, "/orders/1") == requests_sent);
+        CHECK(target.requests() <= 2);
+    }
+    SECTION("and a repeat counts as well")
+    {
+        answering_target refusing("503 Unavailable", "x-not-executed: 1\r\n");
+        site.add_target("refusing", refusing.address());
+        answered(site, "/stock/1");
+        CHECK(target.requests() == 2);
+    }
+    SECTION("until another incarnation registers")
+    {
+        site.fleet.update_target(entry_of(limited.str(), target.address(), 2), steady_clock::now());
+        CHECK_FALSE(site.fleet.find_target(limited)->limit.latest());
+    }
+}
+
+// Guards against a limit that is dropped by an answer that need not name it, and against one that never ends.
+TEST_CASE("a stated limit ends when an answer to a request names none", "[gateway][request_limit]")
+{
+    forwarding_site site;
+    site.fleet.peers_settled = true;
+    auto target = sound_target();
+    const auto entry = entry_of(limited.str(), target.address(), 1);
+    site.add_target(limited.str(), target.address());
+    const auto hear = [&](std::optional<std::string> text, bool ran) {
+        site.fleet.record_signals(entry, {false, std::nullopt, std::move(text), ran}, steady_clock::now());
+    };
+    const auto rate = [&] { return site.fleet.find_target(limited)->limit.latest(); };
+    hear("0.1", true);
+    REQUIRE(rate() == low_rate);
+
+    SECTION("a refusal and an answer to an order change nothing")
+    {
+        hear(std::nullopt, false);
+        CHECK(rate() == low_rate);
+    }
+    SECTION("an unreadable limit changes nothing")
+    {
+        for (const auto* text : {"", "many", "-3", "1e9", "nan"}) {
+            hear(text, true);
+            CHECK(rate() == low_rate);
+        }
+    }
+    SECTION("a later value replaces it")
+    {
+        hear("7.5", true);
+        CHECK(rate() == 7.5);
+    }
+    SECTION("the answer to a request ends it")
+    {
+        CHECK(site.send("/stock/1", "one").answer.status == 200);
+        CHECK_FALSE(rate());
+        CHECK(answered(site, "/stock/1") == requests_sent);
+
+        SECTION("which the other daemons are told")
+        {
+            const auto notices = site.fleet.request_limits(steady_clock::now());
+            REQUIRE(notices.size() == 1);
+            CHECK_FALSE(notices.front().requests_per_s);
+        }
+    }
+}
+
+// Guards against daemons that each keep the limit of their own and together exceed it.
+TEST_CASE("daemons share what a target said about its limit", "[gateway][request_limit]")
+{
+    forwarding_site site;
+    site.fleet.peers_settled = true;
+    auto target = sound_target();
+    site.add_target(limited.str(), target.address());
+    const auto now = steady_clock::now();
+    const auto rate = [&] { return site.fleet.find_target(limited)->limit.latest(); };
+    site.fleet.record_request_limit(notice_of(low_rate, milliseconds(200)), now);
+    REQUIRE(rate() == low_rate);
+    CHECK(site.fleet.request_limits(now).empty()); // only what this daemon heard itself is passed on
+
+    SECTION("a daemon keeps the limit that it only knows from another one")
+    {
+        site.fleet.update_entries({daemon_id("a"), daemon_id("b"), daemon_id("c")});
+        CHECK(answered(site, "/stock/1") == 0); // callers connect to the others, which share the limit
+        CHECK(target.requests() == 0);
+    }
+    SECTION("an older statement does not replace a newer one")
+    {
+        site.fleet.record_request_limit(notice_of(std::nullopt, milliseconds(300)), now);
+        CHECK(rate() == low_rate);
+    }
+    SECTION("a newer statement that it has ended does")
+    {
+        site.fleet.record_request_limit(notice_of(std::nullopt, milliseconds(100)), now);
+        CHECK_FALSE(rate());
+    }
+    SECTION("a statement of another incarnation says nothing")
+    {
+        site.fleet.record_request_limit({{limited, 2}, std::nullopt, milliseconds(0)}, now);
+        CHECK(rate() == low_rate);
+    }
+    SECTION("a limit that is stated while the connection is opened holds for that request")
+    {
+        site.fleet.record_request_limit(notice_of(std::nullopt, milliseconds(100)), now);
+        site.fleet.update_entries({daemon_id("a")});
+        site.while_connecting = [&] {
+            site.fleet.record_request_limit(notice_of(low_rate, milliseconds(0)), steady_clock::now());
+        };
+        CHECK(site.send("/orders/1", "one").answer.status == 503);
+        CHECK(target.requests() == 0);
+    }
+}
