Take no unaccepted order and no outdated report as evidence of a vacant engine

* A warm-up that was lost or refused left its record, whose newer epoch hid a group that the entry did show.
Only an accepted order counts now; an engine with an unanswered one is asked before it joins a group.
* A group left ready by the previous manager was adopted although a member had a later order to join under way, which took the member out of the open group.
Such a group is ended and formed anew; members of an adopted one are recorded.
* A report asked for before an order could undo the record of that order.
An answer is ignored when the record has changed since the question.
* A permit is valid for its own engine only.

--- a/src/decision/group_assignments.cpp
+++ b/src/decision/group_assignments.cpp
@@ -27,12 +27,24 @@
 
 void group_assignments::assign(const engine_life& engine, const membership& in)
 {
-    auto& entry = this->records[engine.instance];
-    const bool same_life = entry.started_ms == engine.started_ms;
-    if (same_life && entry.current && entry.current->group.second > in.group.second) {
+    const auto* current = this->find(engine);
+    if (current != nullptr && current->group.second > in.group.second) {
         return;
     }
-    entry = {engine.started_ms, in, std::nullopt};
+    auto& entry = this->update(engine);
+    entry.current = in;
+    entry.previous.reset();
+}
+
+group_assignments::record& group_assignments::update(const engine_life& engine)
+{
+    ++this->changes[engine.instance];
+    auto& entry = this->records[engine.instance];
+    if (entry.started_ms != engine.started_ms) {
+        entry = {};
+        entry.started_ms = engine.started_ms;
+    }
+    return entry;
 }
 
 std::optional<join_permit> group_assignments::permit_join(const engine_life& engine, const membership& in)
@@ -43,7 +55,11 @@
     if (!same_group && (newer_group || !this->vacant(engine))) {
         return std::nullopt;
     }
-    this->assign(engine, in);
+    auto assigned = in;
+    assigned.confirmed = in.may_serve;
+    this->assign(engine, assigned);
+    auto& newest = this->records.at(engine.instance).newest_permit;
+    newest = std::max(newest, in.group.second);
     return join_permit(engine, in.group, false);
 }
 
@@ -58,9 +74,37 @@
     return permit.is_fence || (current != nullptr && current->group == permit.target);
 }
 
+void group_assignments::confirm(const join_permit& permit)
+{
+    if (!permit.is_fence && this->in_force(permit)) {
+        this->update(permit.holder).current->confirmed = true;
+    }
+}
+
+std::uint64_t group_assignments::newest_permit(const engine_life& engine) const
+{
+    return this->knows(engine) ? this->records.at(engine.instance).newest_permit : 0;
+}
+
+std::uint64_t group_assignments::changes_of(const instance_id& engine) const
+{
+    const auto found = this->changes.find(engine);
+    return found != this->changes.end() ? found->second : 0;
+}
+
+void group_assignments::forget(const instance_id& engine)
+{
+    if (const auto found = this->records.find(engine); found != this->records.end()) {
+        ++this->changes[engine];
+        this->records.erase(found);
+    }
+}
+
 void group_assignments::record_free(const engine_life& engine)
 {
-    this->records[engine.instance] = {engine.started_ms, std::nullopt, std::nullopt};
+    auto& entry = this->update(engine);
+    entry.current.reset();
+    entry.previous.reset();
 }
 
 void group_assignments::release(const group_key& group, release_evidence evidence, time_point now)
@@ -68,6 +112,7 @@
     this->releases[group] = {evidence, now};
     for (auto& [instance, entry] : this->records) {
         if (entry.current && entry.current->group == group) {
+            ++this->changes[instance];
             entry.current.reset();
             entry.previous = {group.first, evidence};
         }
@@ -86,7 +131,8 @@
 bool group_assignments::vacant(const engine_life& engine) const
 {
     const auto* current = this->find(engine);
-    return this->knows(engine) && (current == nullptr || !current->may_serve);
+    const bool parked = current != nullptr && !current->may_serve && current->confirmed;
+    return this->knows(engine) && (current == nullptr || parked);
 }
 
 bool group_assignments::knows(const engine_life& engine) const
@@ -137,6 +183,9 @@
     for (auto entry = this->records.begin(); entry != this->records.end();) {
         entry = removed(entry->first) ? this->records.erase(entry) : std::next(entry);
     }
+    for (auto entry = this->changes.begin(); entry != this->changes.end();) {
+        entry = removed(entry->first) ? this->changes.erase(entry) : std::next(entry);
+    }
 }
 
 void group_assignments::forget_released_before(time_point time)
--- a/src/decision/group_assignments.hpp
+++ b/src/decision/group_assignments.hpp
@@ -74,6 +74,8 @@
         group_key group;
         std::uint32_t rank{0}; ///< 0 is the head
         bool may_serve{true};  ///< false for a group of one engine that is never opened
+        bool confirmed{
+            true}; ///< false while the engine has not accepted an order to join a group that never serves
     };
 
     /// Records that the engine is in the group or has been ordered to join it. Does nothing if the same life
@@ -88,6 +90,16 @@
     static join_permit permit_fence(const engine_life& head, const group_key& ended, group_id name);
     /// Whether the engine is still assigned to the group of the permit. Check it before each order.
     bool in_force(const join_permit& permit) const;
+    /// Records that the engine has accepted the order of the permit, if that is still in force.
+    void confirm(const join_permit& permit);
+    /// Newest epoch with which this life of the engine was permitted to join a group; 0: none. An order
+    /// without an answer may be carried out later, and replaces a membership with an older epoch then.
+    std::uint64_t newest_permit(const engine_life& engine) const;
+    /// Number of changes to what is known of the engine. An answer that the engine was asked for before the
+    /// latest change may be older than it.
+    std::uint64_t changes_of(const instance_id& engine) const;
+    /// Forgets what is known of the engine, so that it is asked before it joins a group again.
+    void forget(const instance_id& engine);
     /// Records that the engine has reported to be in no group that may serve.
     void record_free(const engine_life& engine);
     /// Records that the group no longer serves and cannot serve again.
@@ -95,7 +107,8 @@
 
     /// Group that this life of the engine may belong to, or null if none is known.
     const membership* find(const engine_life& engine) const;
-    /// Whether this life of the engine is known to be in no group that may serve.
+    /// Whether this life of the engine is known to be in no group that may serve. An order that it has not
+    /// accepted is no evidence of that.
     bool vacant(const engine_life& engine) const;
     /// Whether anything is known about this life of the engine.
     bool knows(const engine_life& engine) const;
@@ -119,6 +132,7 @@
         std::int64_t started_ms{0};
         std::optional<membership> current;
         std::optional<std::pair<group_id, release_evidence>> previous;
+        std::uint64_t newest_permit{0};
     };
     struct release_record
     {
@@ -126,7 +140,10 @@
         time_point at{};
     };
 
+    record& update(const engine_life& engine);
+
     std::map<instance_id, record> records;
+    std::map<instance_id, std::uint64_t> changes;
     std::map<group_key, release_record> releases;
 };
 
--- a/src/gateway/group_formation.cpp
+++ b/src/gateway/group_formation.cpp
@@ -153,6 +153,7 @@
     {
         target_entry engine;
         result<engine_report> answer;
+        std::uint64_t changes{0}; ///< to what was known of the engine when it was asked
     };
     std::vector<question> questions;
     for (const auto& engine : engines) {
@@ -161,7 +162,8 @@
             return false;
         }
         if (!this->assignments.vacant({engine, state->entry.started_ms})) {
-            questions.push_back({state->entry, failure{failure_kind::timeout, "no probe sent"}});
+            questions.push_back({state->entry, failure{failure_kind::timeout, "no probe sent"},
+                                 this->assignments.changes_of(engine)});
         }
     }
     std::vector<std::function<void(yield_context)>> tasks;
@@ -182,8 +184,10 @@
         return false; // the records belong to a later manager lease
     }
     bool all_free = true;
-    for (const auto& [engine, answer] : questions) {
-        if (failed(answer)) {
+    for (const auto& [engine, answer, changes] : questions) {
+        if (changes != this->assignments.changes_of(engine.instance)) {
+            all_free = this->assignments.vacant({engine.instance, engine.started_ms}) && all_free;
+        } else if (failed(answer)) {
             all_free = false;
             if (!this->pauses.paused_since(sent, now)) {
                 this->mark_lost(engine.instance, "no report: " + error(answer).context, now);
@@ -414,7 +418,10 @@
         const auto phase = member->membership->phase;
         const bool usable = !member->draining && !this->is_lost(*member) &&
                             !this->fleet.drained_domain(member->failure_domain) &&
-                            (phase == group_phase::joining || phase == group_phase::ready);
+                            (phase == group_phase::joining || phase == group_phase::ready) &&
+                            // A later order to join may still be carried out.
+                            this->assignments.newest_permit({member->instance, member->started_ms}) <
+                                member->membership->epoch;
         if (!usable || !members.assigned.empty() || !ranks.insert(member->membership->rank).second) {
             return unfinished_group::unusable;
         }
@@ -445,6 +452,9 @@
     adopted.started = now;
     adopted.head = head;
     adopted.lease_revision = this->lease_revision;
+    for (const auto* member : members.registered) {
+        this->assignments.assign({member->instance, member->started_ms}, {key, member->membership->rank});
+    }
     this->formations[adopted.group] = adopted;
     this->unanswered_groups.insert(key); // orders of the previous manager may be in flight
     log(log_level::info, "adopting a group of a previous manager",
@@ -523,6 +533,9 @@
     const auto answer = this->order(engine, what, yield, false);
     if (succeeded(answer) &&
         (value(answer) == order_verdict::started || value(answer) == order_verdict::already)) {
+        if (what.permit()) {
+            this->assignments.confirm(*what.permit());
+        }
         return;
     }
     log(log_level::info, "weights not prepared",
--- a/src/gateway/group_manager.cpp
+++ b/src/gateway/group_manager.cpp
@@ -333,7 +333,7 @@
 {
     const auto* known = this->assignments.find({engine.instance, engine.started_ms});
     const auto& shown = engine.membership;
-    if (shown && (known == nullptr || known->group.second <= shown->epoch)) {
+    if (shown && (known == nullptr || !known->confirmed || known->group.second <= shown->epoch)) {
         return group_assignments::membership{{shown->group, shown->epoch}, shown->rank};
     }
     return known != nullptr ? std::optional(*known) : std::nullopt;
@@ -480,7 +480,8 @@
     if (!this->lease.manages(now) || this->lease_revision != this->lease.manager_revision()) {
         return failure{failure_kind::lapsed, "order not sent: this daemon does not hold the manager lease"};
     }
-    if (what.permit() && !this->assignments.in_force(*what.permit())) {
+    if (const auto& permit = what.permit();
+        permit && (permit->engine().instance != engine.instance || !this->assignments.in_force(*permit))) {
         return failure{failure_kind::lapsed, "order not sent: the engine is no longer assigned to the group"};
     }
     this->orders.add();
--- a/tests/decision/group_assignments_test.cpp
+++ b/tests/decision/group_assignments_test.cpp
@@ -87,6 +87,8 @@
         assignments.release(first, release_evidence::head_left, time_point{});
         const auto parked = assignments.permit_join(engine, {{group_id("parked-6"), 6}, 0, false});
         REQUIRE(parked);
+        CHECK_FALSE(assignments.permit_join(engine, {{group_id("g8"), 8}, 0, true}));
+        assignments.confirm(*parked);
         CHECK_FALSE(assignments.permit_join(engine, {second, 0, true}));
         CHECK(assignments.permit_join(engine, {{group_id("g8"), 8}, 0, true}));
         CHECK_FALSE(assignments.in_force(*parked));
@@ -97,3 +99,31 @@
         CHECK_FALSE(assignments.knows(engine));
     }
 }
+
+TEST_CASE("an answer that was asked for before an order is recognised", "[group_assignments]")
+{
+    // Guards against a report that undoes a newer record: it was asked for before the order to join.
+    group_assignments assignments;
+    const engine_life engine{instance_id("e1"), 100};
+    assignments.record_free(engine);
+    const auto asked = assignments.changes_of(engine.instance);
+    const auto permit = assignments.permit_join(engine, {{group_id("parked-4"), 4}, 0, false});
+    REQUIRE(permit);
+    CHECK(assignments.changes_of(engine.instance) != asked);
+    CHECK(assignments.newest_permit(engine) == 4);
+
+    SECTION("and an order that the engine has not accepted is no evidence that it is vacant")
+    {
+        CHECK_FALSE(assignments.vacant(engine));
+        CHECK_FALSE(assignments.permit_join(engine, {{group_id("g6"), 6}, 1, true}));
+        assignments.confirm(*permit);
+        CHECK(assignments.vacant(engine));
+        CHECK(assignments.permit_join(engine, {{group_id("g6"), 6}, 1, true}));
+    }
+    SECTION("and its epoch is known after the engine has reported to be in no group")
+    {
+        assignments.record_free(engine);
+        CHECK(assignments.newest_permit(engine) == 4);
+        CHECK(assignments.newest_permit({engine.instance, 200}) == 0);
+    }
+}
--- a/tests/gateway/warm_up_test.cpp
+++ b/tests/gateway/warm_up_test.cpp
@@ -88,3 +88,65 @@
     CHECK(joins() == 1);
     CHECK(first_violation(site).empty());
 }
+
+TEST_CASE("a warm-up that an engine carries out late does not take a member of an adopted group",
+          "[gateway][group_manager]")
+{
+    site_standin::site_options options;
+    options.fabrics = 1;
+    managed_site site(options);
+    site.lease.held = false;
+    add_model(site);
+    REQUIRE(site.run_until([&] { return site.fleet.targets().size() == 6; }));
+    stage_all(site, 3);
+    form_group(site, {instance_id("e00"), instance_id("e01")}, {group_id("g3"), 3});
+    const std::vector<instance_id> members{instance_id("e02"), instance_id("e03")};
+    send_order(site, members[0], gateway::group_action::join, members);
+    site.run_for(milliseconds(300));
+    auto& late = site.engine(members[1]);
+    late.faults.late_operation = "join";
+    late.faults.order_delay = milliseconds(1500);
+    site.lease.held = true;
+    site.lease.revision = 90;
+    site.run_for(milliseconds(600)); // the order to warm up is on its way
+    late.faults.late_operation.clear();
+    send_order(site, members[1], gateway::group_action::join, members); // late order of the previous manager
+    late.faults.late_operation = "join";
+    site.run_for(milliseconds(2500));
+    CHECK(first_violation(site).empty());
+}
+
+TEST_CASE("a lost order to warm up does not make a member of an adopted group free",
+          "[gateway][group_manager]")
+{
+    site_standin::site_options options;
+    options.fabrics = 1;
+    options.engines_per_fabric = 5;
+    managed_site site(options);
+    site.lease.held = false;
+    add_model(site);
+    REQUIRE(site.run_until([&] { return site.fleet.targets().size() == 7; }));
+    stage_all(site, 3);
+    form_group(site, {instance_id("e00"), instance_id("e01")}, {group_id("g3"), 3});
+    const std::vector<instance_id> members{instance_id("e02"), instance_id("e03")};
+    send_order(site, members[0], gateway::group_action::join, members);
+    site.run_for(milliseconds(300));
+    send_order(site, instance_id("e04"), gateway::group_action::stage);
+    site.run_for(milliseconds(300));
+    site.engine(instance_id("e04")).faults.unregistered = true;
+    site.engine(instance_id("e04")).update_entry();
+    site.run_for(milliseconds(300));
+    auto& late = site.engine(members[1]);
+    late.faults.late_operation = "join";
+    late.faults.order_delay = milliseconds(60000); // the order is lost
+    site.lease.held = true;
+    site.lease.revision = 90;
+    site.run_for(milliseconds(600));
+    late.faults.late_operation.clear();
+    send_order(site, members[1], gateway::group_action::join, members);
+    site.run_for(milliseconds(700));
+    site.engine(instance_id("e04")).faults.unregistered = false;
+    site.engine(instance_id("e04")).update_entry();
+    site.run_for(milliseconds(3000));
+    CHECK(first_violation(site).empty());
+}
