Order a head to leave that answers again after its group was given up

An idle head does not break, so it may still be open when it answers again, and it was then ordered into another group without a question.

Change: the record of a head that was released without its own answer is dropped, so it is asked before it joins. One that reports that it is open goes back into the ending of its group and is ordered to leave.

--- a/src/gateway/group_formation.cpp
+++ b/src/gateway/group_formation.cpp
@@ -205,14 +205,23 @@
     const auto& in = report.membership;
     const group_key key = in ? group_key(in->group, in->epoch) : group_key();
     const auto end = this->endings.find(key);
+    // A head that stopped answering counts as gone after a time; it says itself when it is not.
+    const bool serves =
+        in && in->rank == 0 && (in->phase == group_phase::open || in->phase == group_phase::closing);
     const bool ended =
-        this->assignments.released(key) || (end != this->endings.end() && end->second.released);
+        !serves && (this->assignments.released(key) || (end != this->endings.end() && end->second.released));
     if (!in || is_fence_group(in->group) || ended) {
         this->assignments.record_free(life);
         return true;
     }
     this->assignments.assign(life, {key, in->rank});
     if (end != this->endings.end()) {
+        if (serves && end->second.released) {
+            end->second.released.reset();
+            end->second.member_left = false;
+            end->second.head_broken_at.reset();
+            end->second.head = engine;
+        }
         end->second.members.push_back(engine.instance);
         if (in->rank == 0 && end->second.head.instance.empty()) {
             end->second.head = engine;
--- a/tests/gateway/group_manager_test.cpp
+++ b/tests/gateway/group_manager_test.cpp
@@ -683,3 +683,30 @@
         CHECK(site.manager.lost().empty());
     }
 }
+
+TEST_CASE("a head that is still open is not reused after its group was released without its answer",
+          "[gateway][group_manager]")
+{
+    site_standin::site_options options;
+    options.fabrics = 1;
+    options.engines_per_fabric = 3;
+    managed_site site(options);
+    REQUIRE(site.run_until([&] { return site.group_count() == 1; }));
+    const auto group = site.fleet.groups().front();
+    for (const auto* name : {"e00", "e01", "e02"}) {
+        const instance_id id(name);
+        if (std::find(group.members.begin(), group.members.end(), id) == group.members.end()) {
+            site.engine(id).drain();
+        }
+    }
+    auto& head = site.engine(group.head);
+    head.faults.unresponsive = true;
+    site.manager.on_suspect(group.head);
+    auto& member = site.engine(group.members.back());
+    REQUIRE(site.run_until(
+        [&] { return std::count(member.operations.begin(), member.operations.end(), "leave") >= 1; }));
+    site.run_for(milliseconds(2000));
+    head.faults.unresponsive = false;
+    site.run_for(milliseconds(3000));
+    CHECK(first_violation(site).empty());
+}
