--- a/src/decision/group_assignments.hpp
+++ b/src/decision/group_assignments.hpp
@@ -46,8 +46,8 @@
     return ended.second + 1;
 }
 
-/// Right to order one engine to join one group. Only `group_assignments` grants it, so an order to join
-/// cannot be built without evidence that the engine is in no other group that may serve.
+/// Right to order one engine to join one group. Only `group_assignments` grants it: on evidence that the
+/// engine is in no other group that may serve, or for the fence of an ended group.
 class join_permit
 {
 public:
@@ -74,8 +74,8 @@
         group_key group;
         std::uint32_t rank{0}; ///< 0 is the head
         bool may_serve{true};  ///< false for a group of one engine that is never opened
-        bool confirmed{
-            true}; ///< false while the engine has not accepted an order to join a group that never serves
+        /// False while the engine has not accepted the order to join a group that never serves.
+        bool confirmed{true};
     };
 
     /// Records that the engine is in the group or has been ordered to join it. Does nothing if the same life
