Believe a head's own answer to the order to leave before its report

Change: a report that the head serves counts only against a release for which the head had given no answer.

--- a/src/gateway/group_formation.cpp
+++ b/src/gateway/group_formation.cpp
@@ -205,11 +205,17 @@
     const auto& in = report.membership;
     const group_key key = in ? group_key(in->group, in->epoch) : group_key();
     const auto end = this->endings.find(key);
-    // A head that stopped answering counts as gone after a time; it says itself when it is not.
     const bool serves =
         in && in->rank == 0 && (in->phase == group_phase::open || in->phase == group_phase::closing);
-    const bool ended =
-        !serves && (this->assignments.released(key) || (end != this->endings.end() && end->second.released));
+    auto released = this->assignments.released(key);
+    if (end != this->endings.end() && end->second.released) {
+        released = end->second.released;
+    }
+    // Reports lag behind, so one that says that the head serves counts only against a release without the
+    // head's own answer.
+    const bool given_up =
+        released == release_evidence::head_stalled || released == release_evidence::head_unknown;
+    const bool ended = released && !(serves && given_up);
     if (!in || is_fence_group(in->group) || ended) {
         this->assignments.record_free(life);
         return true;
