Let a join permit name nothing but the group it is for

Cause: the caller of permit_fence passed the name of the fence group, and the caller of permit_join set may_serve beside the name. No run has shown such a call.

Change: fence_group and is_fence_group are functions of decision/group_assignments, and the only place with the name prefix. permit_fence derives the name from the ended group, and membership has no may_serve any more: a group with the name of a fence never serves. Behaviour and log lines stay as they are. A new test checks group and epoch of the permit for a fence.

--- a/src/decision/group_assignments.cpp
+++ b/src/decision/group_assignments.cpp
@@ -4,6 +4,22 @@
 
 namespace rml {
 
+namespace {
+
+constexpr std::string_view fence_group_prefix = "parked-";
+
+} // namespace
+
+group_key fence_group(std::uint64_t epoch)
+{
+    return {group_id(std::string(fence_group_prefix) + std::to_string(epoch)), epoch};
+}
+
+bool is_fence_group(const group_id& group)
+{
+    return group.str().compare(0, fence_group_prefix.size(), fence_group_prefix) == 0;
+}
+
 std::string_view to_string(release_evidence evidence)
 {
     switch (evidence) {
@@ -56,16 +72,16 @@
         return std::nullopt;
     }
     auto assigned = in;
-    assigned.confirmed = in.may_serve;
+    assigned.confirmed = !is_fence_group(in.group.first);
     this->assign(engine, assigned);
     auto& newest = this->records.at(engine.instance).newest_permit;
     newest = std::max(newest, in.group.second);
     return join_permit(engine, in.group, false);
 }
 
-join_permit group_assignments::permit_fence(const engine_life& head, const group_key& ended, group_id name)
+join_permit group_assignments::permit_fence(const engine_life& head, const group_key& ended)
 {
-    return {head, {std::move(name), fence_epoch(ended)}, true};
+    return {head, fence_group(fence_epoch(ended)), true};
 }
 
 bool group_assignments::in_force(const join_permit& permit) const
@@ -131,8 +147,8 @@
 bool group_assignments::vacant(const engine_life& engine) const
 {
     const auto* current = this->find(engine);
-    const bool parked = current != nullptr && !current->may_serve && current->confirmed;
-    return this->knows(engine) && (current == nullptr || parked);
+    const bool fenced = current != nullptr && is_fence_group(current->group.first) && current->confirmed;
+    return this->knows(engine) && (current == nullptr || fenced);
 }
 
 bool group_assignments::knows(const engine_life& engine) const
--- a/src/decision/group_assignments.hpp
+++ b/src/decision/group_assignments.hpp
@@ -46,6 +46,12 @@
     return ended.second + 1;
 }
 
+/// The fence group with that epoch: a group of one engine that is never opened. An engine joins one to see a
+/// newer epoch than that of an ended group, or to load a model.
+group_key fence_group(std::uint64_t epoch);
+/// Whether the group is a fence group by its name, and therefore never serves.
+bool is_fence_group(const group_id& group);
+
 /// Right to order one engine to join one group. Only `group_assignments` grants it: on evidence that the
 /// engine is in no other group that may serve, or for the fence of an ended group.
 class join_permit
@@ -73,8 +79,7 @@
     {
         group_key group;
         std::uint32_t rank{0}; ///< 0 is the head
-        bool may_serve{true};  ///< false for a group of one engine that is never opened
-        /// False while the engine has not accepted the order to join a group that never serves.
+        /// False while the engine has not accepted the order to join a fence group.
         bool confirmed{true};
     };
 
@@ -85,9 +90,9 @@
     /// whether this life of the engine is in a group, if it may be in another group that serves, or if it is
     /// assigned to a newer one.
     std::optional<join_permit> permit_join(const engine_life& engine, const membership& in);
-    /// Permits the fence of an ended group, under that name, at its head. Needs no record of the engine: its
-    /// epoch follows that of the group, so an engine in any later group refuses it.
-    static join_permit permit_fence(const engine_life& head, const group_key& ended, group_id name);
+    /// Permits the fence of an ended group at its head. Needs no record of the engine: its epoch follows that
+    /// of the group, so an engine in any later group refuses it.
+    static join_permit permit_fence(const engine_life& head, const group_key& ended);
     /// Whether the engine is still assigned to the group of the permit. Check it before each order.
     bool in_force(const join_permit& permit) const;
     /// Records that the engine has accepted the order of the permit, if that is still in force.
--- a/src/gateway/group_ending.cpp
+++ b/src/gateway/group_ending.cpp
@@ -4,7 +4,6 @@
 #include "gateway/coroutine.hpp"
 
 #include <algorithm>
-#include <string_view>
 
 namespace rml::gateway {
 
@@ -18,8 +17,6 @@
 constexpr std::uint32_t max_unanswered_orders = 2;
 /// Bound on the linear backoff: the delay grows by at most this many times `ending_retry_delay`.
 constexpr std::uint32_t max_retry_factor = 6;
-/// Name prefix of fence groups: groups of one engine that only carry a newer epoch.
-constexpr std::string_view fence_group_prefix = "parked-";
 /// Added to the time after which a stalled group is broken, for the latency of the order to the member.
 constexpr milliseconds stall_margin{500};
 
@@ -176,16 +173,6 @@
     });
 }
 
-bool group_manager::is_fence_group(const group_id& group)
-{
-    return group.str().compare(0, fence_group_prefix.size(), fence_group_prefix) == 0;
-}
-
-group_id group_manager::fence_group(std::uint64_t epoch)
-{
-    return group_id(std::string(fence_group_prefix) + std::to_string(epoch));
-}
-
 group_order group_manager::next_end_order(const group_key& key, const ending& state, const target_state* head,
                                           time_point now)
 {
@@ -193,8 +180,7 @@
         // An engine that joins a fence group has seen a newer epoch and refuses orders still in flight. An
         // engine that has joined a later group in the meantime refuses the fence.
         auto model = head != nullptr && !head->entry.model.empty() ? head->entry.model : state.head.model;
-        auto permit = group_assignments::permit_fence({state.head.instance, state.head.started_ms}, key,
-                                                      fence_group(fence_epoch(key)));
+        auto permit = group_assignments::permit_fence({state.head.instance, state.head.started_ms}, key);
         return group_order::join(std::move(permit), std::move(model), {state.head.instance});
     }
     const bool head_closed = state.head_closed && head != nullptr && head->entry.membership &&
--- a/src/gateway/group_formation.cpp
+++ b/src/gateway/group_formation.cpp
@@ -249,7 +249,7 @@
             return false;
         }
         const auto permit = this->assignments.permit_join({state->entry.instance, state->entry.started_ms},
-                                                          {{plan.group, plan.epoch}, rank, true});
+                                                          {{plan.group, plan.epoch}, rank});
         if (!permit) {
             log(log_level::info, "engine may be in another group",
                 {{"engine", state->entry.instance.str()}, {"group", plan.group.str()}});
@@ -582,7 +582,7 @@
     log(log_level::info, "loading a model into an engine outside groups",
         {{"engine", wanted.instance.str()},
          {"model", wanted.model.str()},
-         {"group", fence_group(epoch).str()},
+         {"group", fence_group(epoch).first.str()},
          {"from_store", wanted.from_store},
          {"shown_group", shown ? shown->group.str() : ""},
          {"entry_revision", static_cast<std::int64_t>(state->entry.revision)},
@@ -601,8 +601,7 @@
 {
     std::optional<join_permit> permit;
     if (this->confirm_free({engine.instance}, under_lease, yield)) {
-        permit = this->assignments.permit_join({engine.instance, engine.started_ms},
-                                               {{fence_group(epoch), epoch}, 0, false});
+        permit = this->assignments.permit_join({engine.instance, engine.started_ms}, {fence_group(epoch), 0});
     }
     if (permit) {
         this->send_preparation(engine, group_order::join(*permit, model, {engine.instance}), yield);
--- a/src/gateway/group_manager.hpp
+++ b/src/gateway/group_manager.hpp
@@ -238,8 +238,6 @@
                     std::uint64_t under_lease, yield_context yield);
     /// Sends an order to stage or load weights; when it is refused, another one may follow soon.
     void send_preparation(const target_entry& engine, const group_order& what, yield_context yield);
-    /// Name of the fence group with that epoch.
-    static group_id fence_group(std::uint64_t epoch);
     void probe_all_groups(time_point now);
     void probe_slow_groups(time_point now);
     /// Probes members without a registry entry: they stay in their groups as long as they answer.
@@ -256,7 +254,6 @@
     void add_probes(const target_entry& engine, result<engine_report>& answer,
                     std::vector<std::function<void(yield_context)>>& tasks);
 
-    static bool is_fence_group(const group_id& group);
     /// The order to the head that advances the ending of its group: close, leave or join the fence group.
     static group_order next_end_order(const group_key& key, const ending& state, const target_state* head,
                                       time_point now);
--- a/tests/decision/group_assignments_test.cpp
+++ b/tests/decision/group_assignments_test.cpp
@@ -61,17 +61,17 @@
     SECTION("an order to join needs evidence that the engine is in no other group that may serve")
     {
         const engine_life unknown{instance_id("e2"), 100};
-        CHECK_FALSE(assignments.permit_join(unknown, {second, 0, true}));
-        CHECK_FALSE(assignments.permit_join(engine, {second, 0, true}));
+        CHECK_FALSE(assignments.permit_join(unknown, {second, 0}));
+        CHECK_FALSE(assignments.permit_join(engine, {second, 0}));
         assignments.release(first, release_evidence::head_left, time_point{});
-        const auto permit = assignments.permit_join(engine, {second, 0, true});
+        const auto permit = assignments.permit_join(engine, {second, 0});
         REQUIRE(permit);
         CHECK(permit->group() == second);
         CHECK(assignments.in_force(*permit));
 
         SECTION("and only one of two groups gets it")
         {
-            CHECK_FALSE(assignments.permit_join(engine, {{group_id("g6"), 6}, 0, true}));
+            CHECK_FALSE(assignments.permit_join(engine, {{group_id("g6"), 6}, 0}));
             CHECK(assignments.in_force(*permit));
         }
         SECTION("and it ends with the group, or with the lease of the manager")
@@ -79,18 +79,18 @@
             assignments.release(second, release_evidence::never_opened, time_point{});
             CHECK_FALSE(assignments.in_force(*permit));
             assignments.clear();
-            CHECK_FALSE(assignments.permit_join(engine, {{group_id("g6"), 6}, 0, true}));
+            CHECK_FALSE(assignments.permit_join(engine, {{group_id("g6"), 6}, 0}));
         }
     }
     SECTION("a group that never serves gives way to a newer group, and to no older one")
     {
         assignments.release(first, release_evidence::head_left, time_point{});
-        const auto parked = assignments.permit_join(engine, {{group_id("parked-6"), 6}, 0, false});
+        const auto parked = assignments.permit_join(engine, {fence_group(6), 0});
         REQUIRE(parked);
-        CHECK_FALSE(assignments.permit_join(engine, {{group_id("g8"), 8}, 0, true}));
+        CHECK_FALSE(assignments.permit_join(engine, {{group_id("g8"), 8}, 0}));
         assignments.confirm(*parked);
-        CHECK_FALSE(assignments.permit_join(engine, {second, 0, true}));
-        CHECK(assignments.permit_join(engine, {{group_id("g8"), 8}, 0, true}));
+        CHECK_FALSE(assignments.permit_join(engine, {second, 0}));
+        CHECK(assignments.permit_join(engine, {{group_id("g8"), 8}, 0}));
         CHECK_FALSE(assignments.in_force(*parked));
     }
     SECTION("an engine without an entry is forgotten")
@@ -100,6 +100,19 @@
     }
 }
 
+TEST_CASE("the fence of an ended group never serves and is older than every later group",
+          "[group_assignments]")
+{
+    // Guards against a fence that counts as a group that may serve: its engine would never be free again.
+    const engine_life head{instance_id("e1"), 100};
+    const group_key ended{group_id("g2"), 2};
+    const auto permit = group_assignments::permit_fence(head, ended);
+    CHECK(permit.engine().instance == head.instance);
+    CHECK(permit.group() == group_key(group_id("parked-3"), 3));
+    CHECK(is_fence_group(permit.group().first));
+    CHECK_FALSE(is_fence_group(ended.first));
+}
+
 TEST_CASE("an answer that was asked for before an order is recognised", "[group_assignments]")
 {
     // Guards against a report that undoes a newer record: it was asked for before the order to join.
@@ -107,7 +120,7 @@
     const engine_life engine{instance_id("e1"), 100};
     assignments.record_free(engine);
     const auto asked = assignments.changes_of(engine.instance);
-    const auto permit = assignments.permit_join(engine, {{group_id("parked-4"), 4}, 0, false});
+    const auto permit = assignments.permit_join(engine, {fence_group(4), 0});
     REQUIRE(permit);
     CHECK(assignments.changes_of(engine.instance) != asked);
     CHECK(assignments.newest_permit(engine) == 4);
@@ -115,10 +128,10 @@
     SECTION("and an order that the engine has not accepted is no evidence that it is vacant")
     {
         CHECK_FALSE(assignments.vacant(engine));
-        CHECK_FALSE(assignments.permit_join(engine, {{group_id("g6"), 6}, 1, true}));
+        CHECK_FALSE(assignments.permit_join(engine, {{group_id("g6"), 6}, 1}));
         assignments.confirm(*permit);
         CHECK(assignments.vacant(engine));
-        CHECK(assignments.permit_join(engine, {{group_id("g6"), 6}, 1, true}));
+        CHECK(assignments.permit_join(engine, {{group_id("g6"), 6}, 1}));
     }
     SECTION("and its epoch is known after the engine has reported to be in no group")
     {
--- a/tests/gateway/managed_site.hpp
+++ b/tests/gateway/managed_site.hpp
@@ -111,8 +111,8 @@
     const engine_life life{engine.instance, engine.started_ms};
     group_assignments records;
     records.record_free(life);
-    return gateway::group_order::join(records.permit_join(life, {group, 0, true}).value(),
-                                      model_id("planner"), members);
+    return gateway::group_order::join(records.permit_join(life, {group, 0}).value(), model_id("planner"),
+                                      members);
 }
 
 /// Sends an order as another manager would; `group` has its name and epoch.
