Share the setup of the tests of manager changes

Sections and assertions stay. take_over raises the revision of the lease by one, instead of setting it to 90.

--- a/tests/gateway/group_manager_test.cpp
+++ b/tests/gateway/group_manager_test.cpp
@@ -125,7 +125,7 @@
     SECTION("a new manager takes over the serving groups without restarting any")
     {
         // Guards against a change of the manager that forms all groups anew.
-        site.lease.revision = 90;
+        site.take_over();
         site.run_for(milliseconds(1200));
         CHECK(site.group_count() == all_groups);
         CHECK(site.fleet.groups().front().epoch == group.epoch);
@@ -137,8 +137,7 @@
         site.lease.held = false;
         site.engine(group.members.back()).faults.unresponsive = true;
         site.run_for(milliseconds(50));
-        site.lease.held = true;
-        site.lease.revision = 90;
+        site.take_over();
         REQUIRE(site.run_until([&] { return site.group_count() == all_groups - 1; }));
         CHECK(site.manager.lost() == std::vector<instance_id>{group.members.back()});
         CHECK(first_violation(site).empty());
@@ -172,7 +171,7 @@
         }
         SECTION("also shortly after a change of the manager")
         {
-            site.lease.revision = 90;
+            site.take_over();
             site.run_for(gateway::detail::group_stall_limit + milliseconds(500));
             suspect_for(milliseconds(100), false);
             site.run_for(milliseconds(500));
@@ -213,9 +212,7 @@
     managed_site site(options);
     REQUIRE(site.run_until([&] { return site.group_count() == 2; }));
     const auto group = site.fleet.groups().front();
-    auto& head = site.engine(group.head);
-    head.faults.late_orders = 6;
-    head.faults.order_delay = milliseconds(60000);
+    site.lose_next_orders(group.head, 6);
     site.engine(group.members.back()).drain();
     const auto started = steady_clock::now();
     site.run_until([&] { return steady_clock::now() - started > milliseconds(9000); });
@@ -356,9 +353,7 @@
     managed_site site(options);
     REQUIRE(site.run_until([&] { return site.group_count() == 1; }));
     const auto group = site.fleet.groups().front();
-    auto& head = site.engine(group.head);
-    head.faults.late_orders = 100;
-    head.faults.order_delay = milliseconds(60000);
+    site.lose_next_orders(group.head, 100);
     auto& member = site.engine(group.members.back());
     member.faults.unregistered = true;
     member.update_entry();
@@ -406,7 +401,7 @@
     for (auto& engine : site.site->engines) {
         engine->faults.late_orders =
             1; // the first order to join is retried, so the group needs a fence later
-        engine->faults.order_delay = milliseconds(60000);
+        engine->faults.order_delay = lost_order_delay;
         engine->faults.unanswered_group = "parked-";
     }
     REQUIRE(site.run_until([&] { return site.group_count() == 1; }));
@@ -431,8 +426,7 @@
     const auto member = group.members.back();
     REQUIRE(member != group.head);
     // The head keeps serving: it does not execute the order to close.
-    site.engine(group.head).faults.late_orders = 100;
-    site.engine(group.head).faults.order_delay = milliseconds(60000);
+    site.lose_next_orders(group.head, 100);
     auto old = nlohmann::json::parse(site.site->store->find("servers/" + member.str()).value());
     old["group"]["name"] = "old";
     old["group"]["epoch"] = 1;
@@ -456,9 +450,7 @@
     managed_site site(options);
     REQUIRE(site.run_until([&] { return site.group_count() == 1; }));
     const auto group = site.fleet.groups().front();
-    auto& head = site.engine(group.head);
-    head.faults.late_orders = 6;
-    head.faults.order_delay = milliseconds(60000);
+    site.lose_next_orders(group.head, 6);
     site.engine(group.members.back()).faults.unresponsive = true;
     site.manager.on_suspect(group.head);
     REQUIRE(site.run_until([&] { return site.group_count() == 0; }));
@@ -479,8 +471,7 @@
     for (const auto* name : {"e01", "e02"}) {
         site.engine(instance_id(name)).faults.entry_frozen = true;
     }
-    site.engine(head).faults.late_operation = "close";
-    site.engine(head).faults.order_delay = milliseconds(60000);
+    site.lose_orders(head, "close");
     REQUIRE(site.run_until([&] {
         const auto* state = site.fleet.find_target(head);
         return state != nullptr && state->entry.membership &&
@@ -515,10 +506,8 @@
         site.engine(members[1]).faults.entry_frozen = true;
         form_group(site, members);
     }
-    site.engine(members[0]).faults.late_operation = "close";
-    site.engine(members[0]).faults.order_delay = milliseconds(60000);
-    site.lease.held = true;
-    site.lease.revision = 90;
+    site.lose_orders(members[0], "close");
+    site.take_over();
     site.run_for(milliseconds(1500));
     CHECK(first_violation(site).empty());
 }
@@ -533,16 +522,11 @@
     options.group_size = 3;
     managed_site site(options);
     const instance_id first("e00");
-    auto& head = site.engine(first);
-    head.faults.entry_frozen = true;
-    REQUIRE(site.run_until(
-        [&] { return std::count(head.operations.begin(), head.operations.end(), "open") == 1; }));
-    site.engine(instance_id("e02")).faults.late_operation = "leave";
-    site.engine(instance_id("e02")).faults.order_delay = milliseconds(60000);
+    site.engine(first).faults.entry_frozen = true;
+    REQUIRE(site.run_until([&] { return site.orders_of(first, "open") == 1; }));
+    site.lose_orders(instance_id("e02"), "leave");
     site.site->store->remove("servers/" + first.str());
-    CHECK(site.run_until(
-        [&] { return std::count(head.operations.begin(), head.operations.end(), "leave") == 1; },
-        milliseconds(5000)));
+    CHECK(site.run_until([&] { return site.orders_of(first, "leave") == 1; }, milliseconds(5000)));
     site.run_for(milliseconds(3000));
     CHECK(first_violation(site).empty());
 }
@@ -560,15 +544,12 @@
     const std::vector<instance_id> members{instance_id("e00"), instance_id("e01"), instance_id("e02")};
     REQUIRE(site.run_until([&] { return site.fleet.targets().size() == 7; }));
     stage_all(site, 5);
-    auto& head = site.engine(members[0]);
-    head.faults.entry_frozen = true;
+    site.engine(members[0]).faults.entry_frozen = true;
     form_group(site, members);
-    head.faults.late_operation = "leave";
-    head.faults.order_delay = milliseconds(60000);
-    site.lease.held = true;
-    site.lease.revision = 90;
+    site.lose_orders(members[0], "leave");
+    site.take_over();
     site.run_for(milliseconds(5000));
-    CHECK(std::count(head.operations.begin(), head.operations.end(), "close") >= 1);
+    CHECK(site.orders_of(members[0], "close") >= 1);
     CHECK(first_violation(site).empty());
 }
 
@@ -579,19 +560,16 @@
     options.fabrics = 1;
     options.engines_per_fabric = 2;
     managed_site site(options);
-    auto& first = site.engine(instance_id("e00"));
-    auto& second = site.engine(instance_id("e01"));
-    second.faults.late_operation = "join";
-    second.faults.order_delay = milliseconds(60000);
-    REQUIRE(site.run_until(
-        [&] { return std::count(first.operations.begin(), first.operations.end(), "join") == 1; }));
+    const instance_id second("e01");
+    site.lose_orders(second, "join");
+    REQUIRE(site.run_until([&] { return site.orders_of(instance_id("e00"), "join") == 1; }));
     const auto earlier = site.lease.revision;
-    site.lease.revision = 90;
+    site.take_over();
     site.run_for(milliseconds(100));
-    second.faults.late_operation.clear();
+    site.engine(second).faults.late_operation.clear();
     std::uint64_t first_epoch = 0;
     REQUIRE(site.run_until([&] {
-        const auto* state = site.fleet.find_target(instance_id("e01"));
+        const auto* state = site.fleet.find_target(second);
         first_epoch = state != nullptr && state->entry.membership ? state->entry.membership->epoch : 0;
         return first_epoch != 0;
     }));
@@ -609,14 +587,6 @@
     site.lease.held = false;
     const std::vector<instance_id> members{instance_id("e00"), instance_id("e01")};
     REQUIRE(site.run_until([&] { return site.fleet.targets().size() == 4; }));
-    const auto orders_of = [&](const instance_id& engine, const std::string& operation) {
-        const auto& executed = site.engine(engine).operations;
-        return std::count(executed.begin(), executed.end(), operation);
-    };
-    const auto take_over = [&] {
-        site.lease.held = true;
-        site.lease.revision = 90;
-    };
     for (const auto& member : members) {
         send_order(site, member, gateway::group_action::join, members);
     }
@@ -624,12 +594,12 @@
     SECTION("when all members are ready")
     {
         site.run_for(site.site->fleet.timing.load * 2);
-        take_over();
+        site.take_over();
         REQUIRE(site.run_until([&] { return site.group_count() == 1; }));
     }
     SECTION("also when they become ready only after the change")
     {
-        take_over();
+        site.take_over();
         REQUIRE(site.run_until([&] { return site.group_count() == 1; }));
     }
     SECTION("but not when a member has left since")
@@ -638,7 +608,7 @@
         auto& left = site.engine(members[1]);
         left.faults.entry_frozen = true; // its entry still shows the group
         send_order(site, members[1], gateway::group_action::leave);
-        take_over();
+        site.take_over();
         site.run_for(milliseconds(700));
         CHECK(first_violation(site).empty());
         left.faults.entry_frozen = false;
@@ -649,8 +619,8 @@
         return;
     }
     CHECK(site.fleet.groups().front().group == group_id("g1"));
-    CHECK(orders_of(members[0], "join") == 1);
-    CHECK(orders_of(members[1], "join") == 1);
+    CHECK(site.orders_of(members[0], "join") == 1);
+    CHECK(site.orders_of(members[1], "join") == 1);
     CHECK(first_violation(site).empty());
 }
 
@@ -663,8 +633,7 @@
     options.engines_per_fabric = 3; // the other two make a group
     managed_site site(options);
     auto& dead = site.engine(instance_id("e00"));
-    dead.faults.late_operation = "join";
-    dead.faults.order_delay = milliseconds(60000);
+    site.lose_orders(instance_id("e00"), "join");
 
     SECTION("when it does not report")
     {
@@ -702,9 +671,7 @@
     auto& head = site.engine(group.head);
     head.faults.unresponsive = true;
     site.manager.on_suspect(group.head);
-    auto& member = site.engine(group.members.back());
-    REQUIRE(site.run_until(
-        [&] { return std::count(member.operations.begin(), member.operations.end(), "leave") >= 1; }));
+    REQUIRE(site.run_until([&] { return site.orders_of(group.members.back(), "leave") >= 1; }));
     site.run_for(milliseconds(2000));
     head.faults.unresponsive = false;
     site.run_for(milliseconds(3000));
--- a/tests/gateway/managed_site.hpp
+++ b/tests/gateway/managed_site.hpp
@@ -7,6 +7,7 @@
 #include "gateway/store_mirror.hpp"
 #include "standin/site.hpp"
 
+#include <algorithm>
 #include <boost/asio/spawn.hpp>
 #include <catch2/catch.hpp>
 #include <optional>
@@ -27,6 +28,9 @@
     std::uint64_t mirrored{1000000};
 };
 
+/// Delay of an order that is lost: longer than any test runs.
+constexpr milliseconds lost_order_delay{60000};
+
 class managed_site
 {
 public:
@@ -62,11 +66,42 @@
     {
         this->run_until([] { return false; }, time);
     }
+    /// Acquires the manager lease anew, as when another daemon becomes the manager.
+    void take_over()
+    {
+        this->lease.held = true;
+        ++this->lease.revision;
+    }
     std::size_t group_count() { return this->fleet.groups().size(); }
     site_standin::engine_server& engine(const instance_id& name)
     {
         return *this->site->fleet.engines.at(name.str());
     }
+    /// From now on the engine executes orders of this kind late, and does not answer them.
+    void delay_orders(const instance_id& name, const std::string& operation, milliseconds delay)
+    {
+        auto& faults = this->engine(name).faults;
+        faults.late_operation = operation;
+        faults.order_delay = delay;
+    }
+    /// From now on orders of this kind to the engine are lost.
+    void lose_orders(const instance_id& name, const std::string& operation)
+    {
+        this->delay_orders(name, operation, lost_order_delay);
+    }
+    /// The next `count` orders to the engine are lost.
+    void lose_next_orders(const instance_id& name, std::uint32_t count)
+    {
+        auto& faults = this->engine(name).faults;
+        faults.late_orders = count;
+        faults.order_delay = lost_order_delay;
+    }
+    /// Number of orders of this kind that the engine has executed.
+    std::ptrdiff_t orders_of(const instance_id& name, const std::string& operation)
+    {
+        const auto& executed = this->engine(name).operations;
+        return std::count(executed.begin(), executed.end(), operation);
+    }
 
     boost::asio::io_context context;
     std::unique_ptr<site_standin::platform_site> site;
