Form groups anew that a previous manager left unfinished

Cause: a new manager opened a group that the previous one had left ready, under the epoch of the previous one. If that manager had ordered a member into a later group and the order was carried out late, the engine accepted it: its epoch was newer than that of the open group.

Change: such a group waits until its members have loaded, as before, and then ends with a fence. Its members, with the model in memory, form a group with an epoch of the new manager in a fraction of a second, and they refuse all orders of the previous one. No path is left that opens a group of another manager, so adoption and newest_permit, which only adoption used, are removed.

--- a/src/decision/group_assignments.cpp
+++ b/src/decision/group_assignments.cpp
@@ -74,8 +74,6 @@
     auto assigned = in;
     assigned.confirmed = !is_fence_group(in.group.first);
     this->assign(engine, assigned);
-    auto& newest = this->records.at(engine.instance).newest_permit;
-    newest = std::max(newest, in.group.second);
     return join_permit(engine, in.group, false);
 }
 
@@ -97,11 +95,6 @@
     }
 }
 
-std::uint64_t group_assignments::newest_permit(const engine_life& engine) const
-{
-    return this->knows(engine) ? this->records.at(engine.instance).newest_permit : 0;
-}
-
 std::uint64_t group_assignments::changes_of(const instance_id& engine) const
 {
     const auto found = this->changes.find(engine);
--- a/src/decision/group_assignments.hpp
+++ b/src/decision/group_assignments.hpp
@@ -97,9 +97,6 @@
     bool in_force(const join_permit& permit) const;
     /// Records that the engine has accepted the order of the permit, if that is still in force.
     void confirm(const join_permit& permit);
-    /// Newest epoch with which this life of the engine was permitted to join a group; 0: none. An order
-    /// without an answer may be carried out later, and replaces a membership with an older epoch then.
-    std::uint64_t newest_permit(const engine_life& engine) const;
     /// Number of changes to what is known of the engine. An answer that the engine was asked for before the
     /// latest change may be older than it.
     std::uint64_t changes_of(const instance_id& engine) const;
@@ -137,7 +134,6 @@
         std::int64_t started_ms{0};
         std::optional<membership> current;
         std::optional<std::pair<group_id, release_evidence>> previous;
-        std::uint64_t newest_permit{0};
     };
     struct release_record
     {
--- a/src/gateway/group_formation.cpp
+++ b/src/gateway/group_formation.cpp
@@ -29,7 +29,7 @@
 constexpr double formation_factor = 3.0;
 /// Time after a change of the manager in which members of a group that the previous one left unfinished may
 /// become ready: a join with staged weights takes less.
-constexpr milliseconds adoption_time{2000};
+constexpr milliseconds unfinished_join_time{2000};
 /// Interval between checks of the mirrored registry while members join; a check makes no call.
 constexpr milliseconds poll_interval{50};
 
@@ -423,105 +423,28 @@
     return this->endings.at(key);
 }
 
-group_manager::unfinished_group group_manager::inspect_unfinished(const group_members& members,
-                                                                  const target_entry& head,
-                                                                  time_point now) const
+bool group_manager::may_become_ready(const group_members& members, const target_entry& head,
+                                     time_point now) const
 {
+    if (now >= this->active_from + unfinished_join_time || !members.assigned.empty()) {
+        return false;
+    }
     bool all_ready = true;
     std::set<std::uint32_t> ranks;
     for (const auto* member : members.registered) {
         const auto phase = member->membership->phase;
         const bool usable = !member->draining && !this->is_lost(*member) &&
                             !this->fleet.drained_domain(member->failure_domain) &&
-                            (phase == group_phase::joining || phase == group_phase::ready) &&
-                            // A later order to join may still be carried out.
-                            this->assignments.newest_permit({member->instance, member->started_ms}) <
-                                member->membership->epoch;
-        if (!usable || !members.assigned.empty() || !ranks.insert(member->membership->rank).second) {
-            return unfinished_group::unusable;
+                            (phase == group_phase::joining || phase == group_phase::ready);
+        if (!usable || !ranks.insert(member->membership->rank).second) {
+            return false;
         }
         all_ready = all_ready && phase == group_phase::ready && member->model == head.model;
     }
     const auto* service = this->fleet.config()->find_service(head.service);
     const auto* model = service != nullptr && service->engines ? service->engines->find(head.model) : nullptr;
-    if (all_ready && model != nullptr && ranks.size() == model->group_size &&
-        *ranks.rbegin() + 1 == model->group_size) {
-        return unfinished_group::ready;
-    }
-    return now < this->active_from + adoption_time ? unfinished_group::joining : unfinished_group::unusable;
-}
-
-void group_manager::adopt_group(const group_key& key, const group_members& members, const target_entry& head,
-                                time_point now)
-{
-    formation adopted;
-    adopted.group = key.first;
-    adopted.epoch = key.second;
-    adopted.service = head.service;
-    adopted.model = head.model;
-    adopted.fabric = head.fabric;
-    adopted.members.resize(members.registered.size());
-    for (const auto* member : members.registered) {
-        adopted.members[member->membership->rank] = member->instance;
-    }
-    adopted.started = now;
-    adopted.head = head;
-    adopted.lease_revision = this->lease_revision;
-    for (const auto* member : members.registered) {
-        this->assignments.assign({member->instance, member->started_ms}, {key, member->membership->rank});
-    }
-    this->formations[adopted.group] = adopted;
-    this->unanswered_groups.insert(key); // orders of the previous manager may be in flight
-    log(log_level::info, "adopting a group of a previous manager",
-        {{"group", adopted.group.str()},
-         {"model", adopted.model.str()},
-         {"members", text_of(adopted.members)}});
-    start_coroutine(this->context,
-                    [this, adopted](yield_context yield) { this->run_adoption(adopted, yield); });
-}
-
-void group_manager::run_adoption(formation plan, yield_context yield)
-{
-    const bool opened =
-        this->confirm_ready(plan, yield) && this->in_force(plan) && this->open_head(plan, yield);
-    if (!this->in_force(plan)) {
-        return; // the state belongs to a later manager lease
-    }
-    if (opened) {
-        this->formed.add();
-        log(log_level::info, "group opened", {{"group", plan.group.str()}, {"adopted", true}});
-        this->wait_until_shown(plan, yield);
-    } else {
-        this->end_formed_group(plan, false, "left unfinished by a previous manager");
-    }
-    if (this->in_force(plan)) {
-        this->formations.erase(plan.group);
-        this->tick();
-    }
-}
-
-bool group_manager::confirm_ready(const formation& plan, yield_context yield)
-{
-    bool all = true;
-    std::vector<std::function<void(yield_context)>> tasks;
-    for (std::uint32_t rank = 0; rank < plan.members.size(); ++rank) {
-        const auto* state = this->fleet.find_target(plan.members[rank]);
-        if (state == nullptr) {
-            return false;
-        }
-        tasks.emplace_back([this, &all, &plan, rank, entry = state->entry](yield_context inner) {
-            this->probes_sent.add();
-            const auto answer =
-                this->ports.engines->report(entry, steady_clock::now() + detail::probe_timeout, inner);
-            const auto* in =
-                succeeded(answer) && value(answer).membership ? &*value(answer).membership : nullptr;
-            all = all && in != nullptr && in->group == plan.group && in->epoch == plan.epoch &&
-                  in->rank == rank &&
-                  (in->phase == group_phase::ready || (rank == 0 && in->phase == group_phase::open));
-        });
-    }
-    this->run_all(std::move(tasks), yield);
-    return all;
+    const bool complete = all_ready && model != nullptr && ranks.size() == model->group_size;
+    return !complete;
 }
 
 void group_manager::start_staging(const planned_stage& wanted, const served_model& model, time_point now)
--- a/src/gateway/group_manager.cpp
+++ b/src/gateway/group_manager.cpp
@@ -255,16 +255,12 @@
     if (phase == group_phase::closing) {
         return;
     }
-    const auto unfinished = phase == group_phase::open ? unfinished_group::unusable
-                                                       : this->inspect_unfinished(members, *head, now);
-    if (unfinished == unfinished_group::joining) {
-        return;
-    }
-    if (unfinished == unfinished_group::ready) {
-        return this->adopt_group(key, members, *head, now);
-    }
     if (phase != group_phase::open) {
-        // A previous manager left the group unfinished, and its orders may still be in flight.
+        if (this->may_become_ready(members, *head, now)) {
+            return;
+        }
+        // The previous manager may have ordered members into later groups, and such orders may be carried out
+        // late. Members of a group with an epoch of this manager refuse them.
         this->unanswered_groups.insert(key);
         return this->end_group(key, *head, names, false, now, "left unfinished by a previous manager");
     }
--- a/src/gateway/group_manager.hpp
+++ b/src/gateway/group_manager.hpp
@@ -92,13 +92,6 @@
         bool open_sent{false};
         std::uint64_t lease_revision{0}; ///< of the manager lease under which it runs
     };
-    /// What a previous manager left of a group whose head is not open.
-    enum class unfinished_group
-    {
-        joining, ///< its members may still become ready
-        ready,   ///< complete: only its head has to be opened
-        unusable,
-    };
     struct lost_engine
     {
         std::int64_t started_ms{0};
@@ -223,14 +216,9 @@
     bool wait_until_ready(const formation& plan, yield_context yield);
     bool open_head(formation& plan, yield_context yield);
     void abandon(const formation& plan, const std::string& reason);
-    unfinished_group inspect_unfinished(const group_members& members, const target_entry& head,
-                                        time_point now) const;
-    /// Opens a group that a previous manager left ready.
-    void adopt_group(const group_key& key, const group_members& members, const target_entry& head,
-                     time_point now);
-    void run_adoption(formation plan, yield_context yield);
-    /// Asks all members whether they are ready in the group.
-    bool confirm_ready(const formation& plan, yield_context yield);
+    /// Whether members of a group that a previous manager left unfinished still join it. Once they are ready,
+    /// they form a group anew in a fraction of a second; before that their loads would be lost.
+    bool may_become_ready(const group_members& members, const target_entry& head, time_point now) const;
     void start_staging(const planned_stage& wanted, const served_model& model, time_point now);
     /// Lets the engine load the model by joining a fence group.
     void start_warmup(const planned_warmup& wanted, const served_model& model, time_point now);
