Manage groups only with the store as of the manager lease

What callers would see: a new manager plans with groups as they were before the last orders of the previous one, and orders engines that it takes for free.

Cause: the manager began 0.4 s after it had acquired its lease, whatever its mirror of the store had reached.

Change: the manager begins when its mirror has reached the revision at which the lease was acquired. Acquiring the lease ends the mirror's wait for notices of the previous manager, so that it watches the store at once.

--- a/src/gateway/group_manager.cpp
+++ b/src/gateway/group_manager.cpp
@@ -77,7 +77,8 @@
 
 bool group_manager::check_manager_lease(time_point now)
 {
-    if (!this->lease.manages(now)) {
+    // A mirror that lacks changes from before the lease shows groups as the previous manager found them.
+    if (!this->lease.manages(now) || this->lease.mirrored_revision() < this->lease.manager_revision()) {
         return false;
     }
     if (this->lease_revision != this->lease.manager_revision()) {
--- a/src/gateway/group_manager.hpp
+++ b/src/gateway/group_manager.hpp
@@ -151,7 +151,8 @@
         std::vector<const target_entry*> assigned;   ///< their entries do not show it yet
     };
 
-    /// Whether this daemon holds the manager lease. Resets the state when the lease was acquired anew.
+    /// Whether this daemon holds the manager lease and knows the store as of its acquisition. Resets the state
+    /// when the lease was acquired anew.
     bool check_manager_lease(time_point now);
     /// True while the lease is held and the orders of the previous manager have had time to arrive.
     bool may_send_orders(time_point now);
--- a/src/gateway/registration.cpp
+++ b/src/gateway/registration.cpp
@@ -257,6 +257,7 @@
         this->acquired_revision = value(written);
         log(log_level::info, "manager lease acquired",
             {{"revision", static_cast<std::int64_t>(this->acquired_revision)}});
+        this->mirror.watch_now(); // orders need the store as of this revision
     }
     return true;
 }
--- a/src/gateway/store_mirror.hpp
+++ b/src/gateway/store_mirror.hpp
@@ -61,6 +61,8 @@
     /// Applies changes that another daemon forwards. While notices arrive without a gap, this daemon does not
     /// call the store.
     void accept_notice(const change_notice& notice);
+    /// Ends a wait for notices or for a batch of changes, for example because this daemon became the manager.
+    void watch_now() { this->feed_timer.cancel(); }
     /// A notice without changes that only carries the revision known here; empty when the last contact with
     /// the store is too old.
     std::optional<change_notice> compose_notice(time_point now) const;
--- a/tests/gateway/manager_change_test.cpp
+++ b/tests/gateway/manager_change_test.cpp
@@ -33,3 +33,17 @@
           gateway::order_verdict::stale);
     CHECK(first_violation(site).empty());
 }
+
+TEST_CASE("a new manager gives no order before it knows the store as of its lease",
+          "[gateway][group_manager]")
+{
+    managed_site site(one_group());
+    site.lease.held = false;
+    REQUIRE(site.run_until([&] { return site.fleet.targets().size() == 4; }));
+    site.take_over();
+    site.lease.mirrored = site.lease.revision - 1;
+    site.run_for(milliseconds(1000));
+    CHECK(site.orders_of(instance_id("e00"), "join") == 0);
+    site.lease.mirrored = site.lease.revision;
+    CHECK(site.run_until([&] { return site.group_count() == 1; }));
+}
