Let a restarted head leave before its group is released

Cause: when the head of an ending group was registered with another start time, the group was released at once as "head replaced". Orders name the instance only, so the new process may have carried out orders to join and open: the order to join was repeated after the restart, and orders to open without an answer are carried out later.

Evidence: the test "a head that restarts while its group is formed is held until it refuses late orders" failed before: the head opens its group 1.5 s after one of its members has joined another one.

Change: the new process becomes the head of the ending. It is ordered to leave, and to join the fence if an order was left unanswered, like any other head. This costs one order in place of none. The evidence "head replaced" has no use any more.

--- a/src/decision/group_assignments.cpp
+++ b/src/decision/group_assignments.cpp
@@ -31,8 +31,6 @@
         return "head moved on";
     case release_evidence::head_fenced:
         return "head fenced";
-    case release_evidence::head_replaced:
-        return "head replaced";
     case release_evidence::head_stalled:
         return "head stalled";
     case release_evidence::head_unknown:
--- a/src/decision/group_assignments.hpp
+++ b/src/decision/group_assignments.hpp
@@ -26,7 +26,6 @@
     head_left,     ///< the head has accepted the order to leave
     head_moved_on, ///< the head has seen a newer epoch, or another instance answers at its address
     head_fenced,   ///< the head has left and refuses late orders by a newer epoch
-    head_replaced, ///< the head's process has restarted
     head_stalled,  ///< the head does not answer; a member left, and the stall time has passed since
     head_unknown,  ///< the same, but no address of the head is known
 };
--- a/src/gateway/group_ending.cpp
+++ b/src/gateway/group_ending.cpp
@@ -140,11 +140,25 @@
     if (now < state.next_order) {
         return;
     }
+    const auto* head = this->fleet.find_target(state.head.instance);
+    if (head != nullptr && head->entry.started_ms != state.head.started_ms) {
+        // Orders name the instance only, so the new process may have carried out some for this group. It has
+        // to leave as well.
+        log(log_level::info, "head of an ending group has restarted",
+            {{"group", key.first.str()}, {"head", state.head.instance.str()}});
+        auto model = std::move(state.head.model);
+        state.head = head->entry;
+        if (state.head.model.empty()) {
+            state.head.model = std::move(model);
+        }
+        state.head_left = false;
+        state.head_closed = false;
+        state.unanswered_orders = 0;
+    }
     // When a member leaves, the group stalls, and its head stops serving after the stall time even if it
     // cannot be reached. The head itself keeps receiving orders if it has left and only lacks its fence, or
     // if no other member is reachable.
-    const bool registered = this->fleet.find_target(state.head.instance) != nullptr;
-    const auto max_unanswered = registered ? max_unanswered_orders : 1;
+    const auto max_unanswered = head != nullptr ? max_unanswered_orders : 1;
     const bool head_unreachable =
         state.head.instance.empty() || this->is_lost(state.head) || state.unanswered_orders >= max_unanswered;
     if (!state.head_left && !state.member_left && head_unreachable) {
@@ -155,10 +169,6 @@
     if (state.head.instance.empty()) {
         return;
     }
-    const auto* head = this->fleet.find_target(state.head.instance);
-    if (head != nullptr && head->entry.started_ms != state.head.started_ms) {
-        return this->release(key, state, release_evidence::head_replaced);
-    }
     if (state.graceful && state.head_closed && now - state.since < detail::graceful_end && head != nullptr &&
         head->entry.membership && head->entry.membership->phase == group_phase::closing) {
         return; // the head finishes its requests
