Send an order only under the lease it was decided under

Cause: an order that waits for one of the 64 slots was checked against the lease in force at its turn. Orders to join are checked by their permits; the others were not.

Change: the lease in force when the order was decided has to be in force at its turn. Found by reading; no test reaches the limit of orders in flight.

--- a/src/gateway/group_manager.cpp
+++ b/src/gateway/group_manager.cpp
@@ -472,9 +472,10 @@
 result<order_verdict> group_manager::order(const target_entry& engine, const group_order& what,
                                            yield_context yield, bool urgent)
 {
+    const auto decided_under = this->lease_revision;
     const order_slots::permit slot(this->slots, urgent, yield);
     const auto now = steady_clock::now();
-    if (!this->lease.manages(now) || this->lease_revision != this->lease.manager_revision()) {
+    if (!this->lease.manages(now) || decided_under != this->lease.manager_revision()) {
         return failure{failure_kind::lapsed, "order not sent: this daemon does not hold the manager lease"};
     }
     if (const auto& permit = what.permit();
--- a/src/gateway/group_manager.hpp
+++ b/src/gateway/group_manager.hpp
@@ -246,7 +246,8 @@
     /// The order to the head that advances the ending of its group: close, leave or join the fence group.
     static group_order next_end_order(const group_key& key, const ending& state, const target_state* head,
                                       time_point now);
-    /// Sends an order if this daemon still holds the manager lease.
+    /// Sends an order, after waiting for its turn, if this daemon still holds the manager lease under which the
+    /// order was decided.
     result<order_verdict> order(const target_entry& engine, const group_order& what, yield_context yield,
                                 bool urgent = true);
     void mark_lost(const instance_id& engine, const std::string& reason, time_point now);
