--- a/src/gateway/group_manager.hpp
+++ b/src/gateway/group_manager.hpp
@@ -151,8 +151,8 @@
         std::vector<const target_entry*> assigned;   ///< their entries do not show it yet
     };
 
-    /// Whether this daemon holds the manager lease and knows the store as of its acquisition. Resets the state
-    /// when the lease was acquired anew.
+    /// Whether this daemon holds the manager lease and knows the store as of its acquisition. Resets the
+    /// state when the lease was acquired anew.
     bool check_manager_lease(time_point now);
     /// True while the lease is held and the orders of the previous manager have had time to arrive.
     bool may_send_orders(time_point now);
@@ -246,8 +246,8 @@
     /// The order to the head that advances the ending of its group: close, leave or join the fence group.
     static group_order next_end_order(const group_key& key, const ending& state, const target_state* head,
                                       time_point now);
-    /// Sends an order, after waiting for its turn, if this daemon still holds the manager lease under which the
-    /// order was decided.
+    /// Sends an order, after waiting for its turn, if this daemon still holds the manager lease under which
+    /// the order was decided.
     result<order_verdict> order(const target_entry& engine, const group_order& what, yield_context yield,
                                 bool urgent = true);
     void mark_lost(const instance_id& engine, const std::string& reason, time_point now);
