Report to daemons whose registry entry has expired while they are heard

Cause, in part: the entry of a daemon that cannot reach the store expires after 6 s, and the others then sent it no reports and no changes of the store, although they heard its reports and it kept serving.

Change: reports and notices go to each daemon that is registered or heard.

--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -204,7 +204,8 @@
 void peer_exchange::send_datagram(const std::string& bytes, const peer_state& peer)
 {
     const auto& target = peer.entry.peer;
-    if (target.port == 0 || !peer.registered) {
+    // The entry of a daemon that cannot reach the store expires while the daemon still serves.
+    if (target.port == 0 || (!peer.registered && !this->fleet.live(peer, steady_clock::now()))) {
         return;
     }
     boost::system::error_code code;
--- a/tests/gateway/peer_exchange_test.cpp
+++ b/tests/gateway/peer_exchange_test.cpp
@@ -139,3 +139,44 @@
     }
     run(milliseconds(1));
 }
+
+// Guards against a daemon that cannot reach the store and sends to targets whose removal the others know.
+TEST_CASE("a daemon whose registry entry has expired receives reports while the others hear it",
+          "[gateway][peer_exchange]")
+{
+    boost::asio::io_context context;
+    talking_daemon cut(context, "cut");
+    talking_daemon other(context, "other");
+    cut.meet(other.fleet.self, other.address);
+    other.meet(cut.fleet.self, cut.address);
+    int reports = 0;
+    cut.exchange.on_report = [&](const gateway::peer_report&) { ++reports; };
+    const auto wait_for_report = [&] {
+        reports = 0;
+        for (int i = 0; i < 200 && reports == 0; ++i) {
+            context.run_for(milliseconds(10));
+            context.restart();
+        }
+        return reports > 0;
+    };
+    REQUIRE(wait_for_report());
+    other.fleet.destroy_peer(cut.fleet.self);
+
+    SECTION("as long as it reports itself")
+    {
+        REQUIRE(wait_for_report());
+        CHECK(wait_for_report());
+    }
+    SECTION("and no more once it is silent")
+    {
+        cut.exchange.stop();
+        const auto& peer = other.fleet.peers().at(cut.fleet.self);
+        for (int i = 0; i < 500 && other.fleet.live(peer, steady_clock::now()); ++i) {
+            context.run_for(milliseconds(10));
+            context.restart();
+        }
+        const auto sent = other.exchange.stats().sent;
+        context.run_for(milliseconds(500));
+        CHECK(other.exchange.stats().sent == sent);
+    }
+}
