Renew the entry of a daemon as soon as the store answers again

Cause: three daemons were cut off from the store from 1.0 to 13.0 s. They heard it again at 14.30 s and kept the entries of targets that had been removed meanwhile, as after an outage, until another daemon confirms a removal. The manager had started during the cut and did not know them, so it sent them no reports. Their leases had expired; they noticed at 14.98 to 15.07 s, paused after that attempt as their calls during the cut had made them do, and had written their entries by 16.68 s only, when the manager told them.

Ruled out: reports that are lost (with the change before, all other daemons report to the three throughout), and a manager that forgets removals (its reports name them from 13.89 s on).

Change: the mirror tells when the store answers again after it was unreachable. The daemon then renews its entry at once, and replaces a lease that has ended in the same attempt. Pauses between failed attempts during an outage stay as long as they were.

Test: twelve outages that end all leases, a new entry after each; without the renewal they take longer than a test waits (failed).

--- a/src/gateway/daemon.cpp
+++ b/src/gateway/daemon.cpp
@@ -117,6 +117,7 @@
             this->apply_server_limits();
             this->manager.tick();
         };
+        this->mirror.on_store_return = [this] { this->holder.on_store_return(); };
         this->mirror.on_crash_record = [this](const std::string& key,
                                               const std::optional<std::string>& value) {
             this->archive.on_stored(key, value, steady_clock::now());
--- a/src/gateway/registration.cpp
+++ b/src/gateway/registration.cpp
@@ -87,6 +87,12 @@
     }
 }
 
+void registration::on_store_return()
+{
+    this->store_returned = true;
+    this->entry_timer.cancel();
+}
+
 milliseconds registration::candidate_delay() const
 {
     return candidate_step * static_cast<int>(std::min(this->candidate_rank(), max_candidate_rank));
@@ -145,9 +151,11 @@
 {
     auto retry = retry_delay;
     while (!this->leaving) {
+        this->store_returned = false;
         const bool good = this->mirror.complete() && this->register_daemon(yield);
         // An incomplete mirror is no failure: the first read of the store is still in progress.
-        retry = good || !this->mirror.complete() ? retry_delay : std::min(retry * 2, max_entry_retry_delay);
+        const bool back_off = !good && this->mirror.complete() && !this->store_returned;
+        retry = back_off ? std::min(retry * 2, max_entry_retry_delay) : retry_delay;
         this->entry_timer.expires_after(good ? this->entry_lease.lifetime / renewals_per_lease : retry);
         boost::system::error_code ignored;
         this->entry_timer.async_wait(yield[ignored]);
@@ -156,6 +164,9 @@
 
 bool registration::register_daemon(yield_context yield)
 {
+    if (this->entry_written && this->renew(this->entry_lease, yield)) {
+        return true;
+    }
     if (this->entry_lease.id == 0) {
         const auto created = this->create_lease(entry_lifetime, yield);
         if (failed(created)) {
@@ -164,7 +175,7 @@
         this->entry_lease = value(created);
         this->entry_written = false;
     }
-    return this->entry_written ? this->renew(this->entry_lease, yield) : this->write_entry(yield);
+    return !this->entry_written && this->write_entry(yield);
 }
 
 bool registration::write_entry(yield_context yield)
--- a/src/gateway/registration.hpp
+++ b/src/gateway/registration.hpp
@@ -29,6 +29,9 @@
     void leave(yield_context yield);
     /// Call after the mirror has applied changes of the store.
     void notify();
+    /// The store answers again. Renews the entry at once: until the other daemons see it, a daemon among them
+    /// that has started meanwhile does not know this one.
+    void on_store_return();
 
     /// Whether this daemon is among the first that try to become the manager.
     bool is_first_candidate() const { return this->candidate_rank() < first_candidates; }
@@ -72,6 +75,7 @@
     boost::asio::steady_timer manager_timer;
     held_lease entry_lease;
     bool entry_written{false};
+    bool store_returned{false}; ///< since the last attempt to renew the entry began
     held_lease manager_key_lease;
     std::uint64_t acquired_revision{0}; ///< 0: this daemon is not the manager
     std::optional<time_point> vacant_since;
--- a/src/gateway/store_mirror.cpp
+++ b/src/gateway/store_mirror.cpp
@@ -296,8 +296,11 @@
         log(log_level::info, "store answers again",
             {{"silent_ms", std::chrono::duration_cast<milliseconds>(now - this->contact).count()}});
     }
-    this->was_reachable = true;
+    const bool returned = !std::exchange(this->was_reachable, true);
     this->contact = now;
+    if (returned && this->on_store_return) {
+        this->on_store_return();
+    }
 }
 
 void store_mirror::apply(const store_event& event, time_point now)
--- a/src/gateway/store_mirror.hpp
+++ b/src/gateway/store_mirror.hpp
@@ -76,6 +76,8 @@
     std::function<void(const std::vector<change_notice>&)> on_store_changes;
     /// Called with each record below `own_keys::crashes_prefix`; no value: it was removed.
     std::function<void(const std::string& key, const std::optional<std::string>& value)> on_crash_record;
+    /// Called when the store answers again after it could not be reached.
+    std::function<void()> on_store_return;
     /// Called after each batch of changes.
     std::function<void()> on_change;
 
--- a/tests/gateway/registration_test.cpp
+++ b/tests/gateway/registration_test.cpp
@@ -44,3 +44,27 @@
     REQUIRE(site.run_until([&] { return left; }));
     site.run_for(milliseconds(100));
 }
+
+// Guards against a daemon that other daemons know only seconds after it has reached the store again: attempts
+// to renew its entry had become rare during the outage.
+TEST_CASE("a daemon renews its entry when the store answers again", "[gateway][registration]")
+{
+    constexpr int returns = 12; // by its interval alone, as many renewals take longer than a test waits
+    managed_site site;
+    site.lease.held = false;
+    gateway::registration holder(site.context, site.ports, site.mirror, site.fleet, site.settings, 1);
+    site.mirror.on_change = [&] { holder.notify(); };
+    holder.start();
+    const auto entry = std::string(gateway::own_keys::daemons_prefix) + site.settings.daemon.str();
+    REQUIRE(site.run_until([&] { return site.site->store->find(entry).has_value(); }));
+
+    int renewed = 0;
+    CHECK(site.run_until([&] {
+        if (site.site->store->find(entry)) {
+            ++renewed;
+            site.site->store->end_leases();
+            holder.on_store_return();
+        }
+        return renewed == returns;
+    }));
+}
