Count the requests that are open when a target first states its limit

One of two causes that a trace shows: requests that were sent before a daemon knew the limit did not count in its window, although their answers named the limit.

A request now counts from its sending on, and no longer once its answer shows that the target states no limit. `give_back` names the request, since others may have been counted meanwhile.

Tests: three assertions of request_limit_test said that a limited target gets one more request after the one that taught the limit (1 answered, 2 requests); they now say that it gets none, which is stricter. New cases: open requests count; those that were answered before the limit do not.

--- a/src/decision/request_rate.cpp
+++ b/src/decision/request_rate.cpp
@@ -60,7 +60,7 @@
 
 bool request_window::take(const std::vector<request_allowance>& allowances, time_point now)
 {
-    duration longest{0};
+    duration longest{limits::stated_rate_window}; // a limit may be stated later
     for (const auto& allowance : allowances) {
         longest = std::max(longest, allowance.window);
     }
@@ -74,10 +74,11 @@
     return true;
 }
 
-void request_window::give_back()
+void request_window::give_back(time_point counted_at)
 {
-    if (!this->sent.empty()) {
-        this->sent.pop_back();
+    const auto found = std::lower_bound(this->sent.begin(), this->sent.end(), counted_at);
+    if (found != this->sent.end() && *found == counted_at) {
+        this->sent.erase(found);
     }
 }
 
--- a/src/decision/request_rate.hpp
+++ b/src/decision/request_rate.hpp
@@ -37,14 +37,15 @@
 /// `requests_per_s` is above 0.
 request_allowance divide_rate(double requests_per_s, duration window, const fleet_share& fleet);
 
-/// The requests that this daemon has sent to one target under limits.
+/// The requests that this daemon has sent to one target and that count against limits.
 class request_window
 {
 public:
-    /// Counts a request and returns true if all allowances permit it; otherwise returns false.
+    /// Counts a request and returns true if all allowances permit it; otherwise returns false. It counts
+    /// also without allowances: the target may state a limit before it answers.
     bool take(const std::vector<request_allowance>& allowances, time_point now);
-    /// Undoes the latest `take`, whose request was not sent.
-    void give_back();
+    /// Removes a request that `take` counted at `counted_at`, if it is still in the window.
+    void give_back(time_point counted_at);
     /// Number of requests that `take` would still permit now.
     std::uint32_t available(const std::vector<request_allowance>& allowances, time_point now) const;
 
--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -35,7 +35,7 @@
     daemon_id ejected_by;         ///< the manager that reported it
     std::optional<time_point>
         kept_until; ///< set when the entry was removed during an outage of the store: end of the grace time
-    request_window limited_sends;
+    request_window counted_sends;
     stated_rate limit;       ///< requests per second that the target takes from all daemons together
     bool limit_heard{false}; ///< an answer to this daemon was the latest statement of the limit
     bool unreadable_limit_logged{false};
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -121,7 +121,7 @@
     }
     const auto busy = this->fleet.in_flight.in_flight(state.entry.instance) +
                       this->fleet.others_in_flight(state.entry.instance, now);
-    return std::min<std::size_t>(slots, busy + state.limited_sends.available(allowances, now));
+    return std::min<std::size_t>(slots, busy + state.counted_sends.available(allowances, now));
 }
 
 template <class Visitor>
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -118,7 +118,7 @@
         return attempt_end::not_sent;
     }
     // The target may have stated a limit during the connecting.
-    if (!attempt.allowance_taken && !this->take_allowance(attempt, steady_clock::now())) {
+    if ((attempt.unlimited || !attempt.counted_at) && !this->take_allowance(attempt, steady_clock::now())) {
         this->owner.connections.give_back(target.address, std::move(bound));
         return attempt_end::not_sent;
     }
@@ -128,27 +128,35 @@
 
 bool request_run::take_allowance(target_attempt& attempt, time_point now)
 {
+    this->give_back_allowance(attempt);
     auto* state = this->owner.fleet.find_target(attempt.target.instance);
-    const auto allowances =
-        state != nullptr ? this->owner.fleet.allowances(*state, now) : std::vector<request_allowance>();
-    if (allowances.empty()) {
+    if (state == nullptr) {
         return true;
     }
-    attempt.allowance_taken = state->limited_sends.take(allowances, now);
-    attempt.withheld = !attempt.allowance_taken;
+    const auto allowances = this->owner.fleet.allowances(*state, now);
+    attempt.unlimited = allowances.empty();
+    attempt.withheld = !state->counted_sends.take(allowances, now);
     if (attempt.withheld) {
         attempt.reason = "request limit of the target reached";
+        return false;
     }
-    return attempt.allowance_taken;
+    attempt.counted_at = now;
+    return true;
+}
+
+void request_run::give_back_allowance(target_attempt& attempt)
+{
+    auto* state = this->owner.fleet.find_target(attempt.target.instance);
+    if (attempt.counted_at && state != nullptr) {
+        state->counted_sends.give_back(*attempt.counted_at);
+    }
+    attempt.counted_at.reset();
 }
 
 request_run::attempt_end request_run::begin(target_attempt& attempt, http::yield_context in)
 {
     if (const auto end = this->connect(attempt, in); end) {
-        auto* state = this->owner.fleet.find_target(attempt.target.instance);
-        if (state != nullptr && std::exchange(attempt.allowance_taken, false)) {
-            state->limited_sends.give_back();
-        }
+        this->give_back_allowance(attempt);
         return *end;
     }
     const auto& target = attempt.target.instance;
@@ -287,6 +295,10 @@
     auto signals = read_signals(attempt.head, names);
     signals.ran_request = valid && !not_run;
     this->owner.fleet.record_signals(attempt.target, signals, steady_clock::now());
+    const auto* state = this->owner.fleet.find_target(attempt.target.instance);
+    if (attempt.unlimited && signals.ran_request && state != nullptr && !state->limit.latest()) {
+        this->give_back_allowance(attempt); // a limit that is stated later does not cover this request
+    }
     if (!valid) {
         return attempt_end::lost;
     }
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -27,14 +27,16 @@
 {
     target_entry target; ///< a copy: the registry may change during the attempt
     target::bound_connection bound;
-    bool connection_kept{false};   ///< the connection has carried an earlier exchange
-    bool open{false};              ///< counts as a request in flight at the target
-    bool awaits_target{true};      ///< false while the caller is sent a part of the answer
-    bool superseded{false};        ///< its connection was closed in favour of another attempt
-    bool answer_begun{false};      ///< a part of the body was received
-    bool connection_broke{false};  ///< ended with a broken connection to the target
-    bool withheld{false};          ///< not sent because the target takes no requests, or no more now
-    bool allowance_taken{false};   ///< counted against a limit on the target's requests
+    bool connection_kept{false};  ///< the connection has carried an earlier exchange
+    bool open{false};             ///< counts as a request in flight at the target
+    bool awaits_target{true};     ///< false while the caller is sent a part of the answer
+    bool superseded{false};       ///< its connection was closed in favour of another attempt
+    bool answer_begun{false};     ///< a part of the body was received
+    bool connection_broke{false}; ///< ended with a broken connection to the target
+    bool withheld{false};         ///< not sent because the target takes no requests, or no more now
+    bool unlimited{false};        ///< nothing limited the target's requests when this one was counted
+    /// When it was counted against the limits of the target's requests.
+    std::optional<time_point> counted_at;
     time_point sent_at{};          ///< when the request was written
     std::uint64_t crash_ticket{0}; ///< of the crash guard
     int refusal_status{0};         ///< status of a target that did not run the request
@@ -112,6 +114,8 @@
     /// Counts the request against the limits on the target's requests, if any. Returns false when it must not
     /// be sent now.
     bool take_allowance(target_attempt& attempt, time_point now);
+    /// The attempt no longer counts against limits of its target.
+    void give_back_allowance(target_attempt& attempt);
     attempt_end exchange(target_attempt& attempt, http::yield_context in);
     attempt_end receive(target_attempt& attempt, http::yield_context in);
     /// Reads until at least one event is complete or the stream ends.
--- a/tests/decision/request_rate_test.cpp
+++ b/tests/decision/request_rate_test.cpp
@@ -74,7 +74,7 @@
         now += seconds(5);
         while (window.take(allowances, now)) {
         }
-        window.give_back();
+        window.give_back(now);
         CHECK(window.take(allowances, now));
         CHECK_FALSE(window.take(allowances, now));
     }
--- a/tests/gateway/forwarding_site.hpp
+++ b/tests/gateway/forwarding_site.hpp
@@ -154,56 +154,27 @@
     recorded_answer& send(const std::string& path, const std::string& id, std::string body = "two planks",
                           const std::function<void()>& later = {})
     {
-        bool ended = false;
-        boost::asio::steady_timer interval(this->context);
-        std::function<void()> tick = [&] {
-            interval.expires_after(tick_interval);
-            interval.async_wait([&](const boost::system::error_code&) {
-                this->requests.tick();
-                if (!ended) {
-                    tick();
-                }
-            });
-        };
-        if (this->ticks) {
-            tick();
-        }
         boost::asio::steady_timer timer(this->context);
         if (later) {
             timer.expires_after(milliseconds(50));
             timer.async_wait([&](const boost::system::error_code&) { later(); });
         }
-        this->answers.push_back(std::make_unique<recorded_answer>());
-        auto& writer = *this->answers.back();
-        http::request message{
-            this->method,
-            path,
-            {{"host", "site.example"}, {"x-id", id}, {"x-deadline", "3000"}, {"x-model", "planner"}},
-            std::move(body)};
-        if (!this->parts.empty()) {
-            message.headers.push_back({"x-parts", this->parts});
-        }
-        if (!this->counts.empty()) {
-            message.headers.push_back({"x-counts", this->counts});
-        }
-        boost::asio::spawn(
-            this->context,
-            [&](gateway::yield_context yield) {
-                if (this->write_time.count() > 0) {
-                    writer.on_write = [&] { http::pause(this->write_time, yield); };
-                }
-                this->requests.handle(message, writer, yield);
-                ended = true;
-            },
-            boost::coroutines::attributes(stack_bytes));
+        auto& writer = this->begin(path, id, std::move(body));
         if (this->while_connecting) {
             // The request suspends for the first time when it opens a connection.
             boost::asio::post(this->context, this->while_connecting);
         }
-        this->context.run();
-        this->context.restart();
+        this->run_requests();
         return writer;
     }
+    /// Sends that many requests at the same time and runs the forwarder until all are done.
+    void send_together(const std::string& path, int count)
+    {
+        for (int i = 0; i < count; ++i) {
+            this->begin(path, "together" + std::to_string(i), "two planks");
+        }
+        this->run_requests();
+    }
     void add_target(const std::string& name, const endpoint& address)
     {
         this->fleet.update_target(entry_of(name, address, 1), steady_clock::now());
@@ -244,7 +215,56 @@
     milliseconds write_time{0}; ///< time that the caller takes to receive a part of a stream
 
 private:
+    /// Begins a request, which runs within `run_requests`.
+    recorded_answer& begin(const std::string& path, const std::string& id, std::string body)
+    {
+        this->answers.push_back(std::make_unique<recorded_answer>());
+        auto& writer = *this->answers.back();
+        http::request message{
+            this->method,
+            path,
+            {{"host", "site.example"}, {"x-id", id}, {"x-deadline", "3000"}, {"x-model", "planner"}},
+            std::move(body)};
+        if (!this->parts.empty()) {
+            message.headers.push_back({"x-parts", this->parts});
+        }
+        if (!this->counts.empty()) {
+            message.headers.push_back({"x-counts", this->counts});
+        }
+        ++this->running;
+        boost::asio::spawn(
+            this->context,
+            [this, &writer, message = std::move(message)](gateway::yield_context yield) {
+                if (this->write_time.count() > 0) {
+                    writer.on_write = [&] { http::pause(this->write_time, yield); };
+                }
+                this->requests.handle(message, writer, yield);
+                --this->running;
+            },
+            boost::coroutines::attributes(stack_bytes));
+        return writer;
+    }
+    void run_requests()
+    {
+        boost::asio::steady_timer interval(this->context);
+        std::function<void()> tick = [&] {
+            interval.expires_after(tick_interval);
+            interval.async_wait([&](const boost::system::error_code&) {
+                this->requests.tick();
+                if (this->running > 0) {
+                    tick();
+                }
+            });
+        };
+        if (this->ticks) {
+            tick();
+        }
+        this->context.run();
+        this->context.restart();
+    }
+
     std::vector<std::unique_ptr<recorded_answer>> answers;
+    int running{0}; ///< requests that have begun and not ended
 };
 
 } // namespace rml::test
--- a/tests/gateway/request_limit_test.cpp
+++ b/tests/gateway/request_limit_test.cpp
@@ -41,22 +41,22 @@
 
     SECTION("and the caller is refused when no other target is left")
     {
-        CHECK(answered(site, "/stock/1") == 1);
-        CHECK(target.requests() == 2);
+        CHECK(answered(site, "/stock/1") == 0);
+        CHECK(target.requests() == 1);
     }
     SECTION("and other targets get the rest, also of requests that must not run twice")
     {
         auto other = sound_target();
         site.add_target("other", other.address());
         CHECK(answered(site, "/orders/1") == requests_sent);
-        CHECK(target.requests() <= 2);
+        CHECK(target.requests() == 1);
     }
     SECTION("and a repeat counts as well")
     {
         answering_target refusing("503 Unavailable", "x-not-executed: 1\r\n");
         site.add_target("refusing", refusing.address());
         answered(site, "/stock/1");
-        CHECK(target.requests() == 2);
+        CHECK(target.requests() == 1);
     }
     SECTION("until another incarnation registers")
     {
@@ -65,6 +65,36 @@
     }
 }
 
+// Guards against daemons that fill the slots of a target before its first answer names a limit, and then use
+// their whole part of the limit within the same 4 s.
+TEST_CASE("requests that are open when a target first states its limit count", "[gateway][request_limit]")
+{
+    constexpr int together = 4; // as many as the target has slots
+    forwarding_site site;
+    site.ticks = true;
+    site.fleet.peers_settled = true;
+
+    SECTION("those whose answers name it")
+    {
+        auto target = sound_target(low_limit);
+        site.add_target(limited.str(), target.address());
+        site.send_together("/stock/1", together);
+        REQUIRE(target.requests() == together);
+        CHECK(answered(site, "/stock/1") == 0);
+        CHECK(target.requests() == together);
+    }
+    SECTION("not those that were answered without it before")
+    {
+        auto target = sound_target();
+        site.add_target(limited.str(), target.address());
+        site.send_together("/stock/1", together);
+        REQUIRE(target.requests() == together);
+        site.fleet.record_request_limit(notice_of(low_rate, milliseconds(0)), steady_clock::now());
+        const auto first = site.send("/stock/1", "first").answer.status;
+        CHECK(first == 200);
+    }
+}
+
 // Guards against a limit that is dropped by an answer that need not name it, and against one that never ends.
 TEST_CASE("a stated limit ends when an answer to a request names none", "[gateway][request_limit]")
 {
