Send a target one request until a started daemon knows its limit

A daemon that has just started sends a target one request at a time until an answer to a request, or another daemon, tells whether it states a limit. Requests wait for the answer in their slot and are not refused at once. A daemon reports what it heard itself also when another one has heard later: otherwise each of two could leave it to the other to tell a started one.

--- a/src/decision/target_choice.cpp
+++ b/src/decision/target_choice.cpp
@@ -58,7 +58,8 @@
     auto best = preference::ejected;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const bool excluded = candidates[i].ejected && any_usable;
-        if (candidates[i].tried || excluded || !has_free_slot(candidates[i])) {
+        if (candidates[i].tried || candidates[i].awaits_first_answer || excluded ||
+            !has_free_slot(candidates[i])) {
             continue;
         }
         const auto found = preference_of(candidates[i], candidates);
--- a/src/decision/target_choice.hpp
+++ b/src/decision/target_choice.hpp
@@ -20,15 +20,16 @@
 struct target_candidate
 {
     instance_id instance;
-    fabric_domain_id fabric;   ///< empty: none
-    std::uint32_t own{0};      ///< requests of this daemon in flight at the target
-    std::uint32_t others{0};   ///< requests of other daemons, as last reported
-    std::uint32_t slots{1};    ///< requests that the target runs concurrently
-    std::uint32_t reserved{0}; ///< free slots that are reserved for other daemons
-    double slowness{1};        ///< factor on the service time; above 1: slower than usual
-    bool tried{false};         ///< this request was already sent to the target
-    bool suspected{false};     ///< silent for a while; chosen when no other target has a free slot
-    bool ejected{false};       ///< presumed failed or closing; chosen when all untried targets are
+    fabric_domain_id fabric;         ///< empty: none
+    std::uint32_t own{0};            ///< requests of this daemon in flight at the target
+    std::uint32_t others{0};         ///< requests of other daemons, as last reported
+    std::uint32_t slots{1};          ///< requests that the target runs concurrently
+    std::uint32_t reserved{0};       ///< free slots that are reserved for other daemons
+    double slowness{1};              ///< factor on the service time; above 1: slower than usual
+    bool tried{false};               ///< this request was already sent to the target
+    bool awaits_first_answer{false}; ///< takes no other request before; its free slots count nevertheless
+    bool suspected{false};           ///< silent for a while; chosen when no other target has a free slot
+    bool ejected{false};             ///< presumed failed or closing; chosen when all untried targets are
 };
 
 /// Position of a daemon in the order in which the daemons may take the last slots of targets.
--- a/src/gateway/daemon.cpp
+++ b/src/gateway/daemon.cpp
@@ -113,6 +113,9 @@
             this->fleet.record_signals(engine, signals, steady_clock::now());
         };
         this->mirror.on_change = [this] {
+            if (this->mirror.complete() && !std::exchange(this->store_was_read, true)) {
+                this->fleet.record_store_read();
+            }
             this->holder.notify();
             this->apply_server_limits();
             this->manager.tick();
@@ -196,6 +199,7 @@
         }
         out.offered_load = this->requests.offered_load();
         out.requests_per_s = this->requests.requests_per_s();
+        out.limits_known = this->fleet.knows_limits();
         out.request_limits = this->fleet.request_limits(steady_clock::now());
         out.departures = this->fleet.departures(out.manages, steady_clock::now());
         if (out.manages) {
@@ -413,6 +417,7 @@
     boost::asio::signal_set signals;
     boost::asio::steady_timer timer;
     std::uint64_t applied_version{0};
+    bool store_was_read{false};
     time_point entries_updated{};
     time_point notice_sent{};
     bool leaving{false};
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -149,6 +149,7 @@
 
 void fleet_state::record_request_limit(target_state& state, const target_signals& signals, time_point now)
 {
+    state.limit_known = state.limit_known || signals.ran_request;
     std::optional<double> rate;
     if (signals.request_limit) {
         rate = parse_request_rate(*signals.request_limit);
@@ -162,7 +163,8 @@
     } else if (!signals.ran_request || !state.limit.latest()) {
         return; // other answers need not name the limit
     }
-    state.limit_heard = true;
+    state.limit_known = true;
+    state.heard_limit.record(rate, now);
     if (this->update_request_limit(state, rate, now, "its answer") && this->on_request_limit) {
         this->on_request_limit();
     }
@@ -189,7 +191,7 @@
         heard <= state->limit.heard_at()) {
         return;
     }
-    state->limit_heard = false;
+    state->limit_known = true;
     this->update_request_limit(*state, notice.requests_per_s, heard, "another daemon");
 }
 
@@ -197,11 +199,12 @@
 {
     std::vector<request_limit_notice> out;
     for (const auto& [instance, state] : this->all_targets) {
-        const auto age = now - state.limit.heard_at();
-        if (state.limit_heard && age <= limits::stated_rate_report_time &&
+        const auto heard = state.heard_limit.heard_at();
+        const auto age = now - heard;
+        if (heard != time_point{} && age <= limits::stated_rate_report_time &&
             out.size() < limits::stated_rate_reports) {
             out.push_back({{instance, state.entry.started_ms},
-                           state.limit.latest(),
+                           state.heard_limit.latest(),
                            std::chrono::duration_cast<milliseconds>(age)});
         }
     }
@@ -501,9 +504,27 @@
     peer.reported_at = now;
     this->count_report(peer, true);
     this->next_report_expiry = std::min(this->next_report_expiry, now + report_lifetime(peer));
+    this->learn_limits(now);
     return true;
 }
 
+void fleet_state::record_store_read()
+{
+    this->store_read = true;
+    this->limits_learnt = this->all_peers.empty();
+}
+
+void fleet_state::learn_limits(time_point now)
+{
+    if (this->knows_limits() || !this->store_read) {
+        return;
+    }
+    this->limits_learnt = std::all_of(this->all_peers.begin(), this->all_peers.end(), [&](const auto& entry) {
+        const auto& [daemon, peer] = entry;
+        return !this->counts(daemon, peer, now) || peer.last_report.limits_known;
+    });
+}
+
 bool fleet_state::live(const peer_state& peer, time_point now) const
 {
     return peer.reported_at != time_point{} && now - peer.reported_at < report_lifetime(peer);
--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -37,7 +37,9 @@
         kept_until; ///< set when the entry was removed during an outage of the store: end of the grace time
     request_window counted_sends;
     stated_rate limit;       ///< requests per second that the target takes from all daemons together
-    bool limit_heard{false}; ///< an answer to this daemon was the latest statement of the limit
+    stated_rate heard_limit; ///< what answers to this daemon say about it
+    bool limit_known{false}; ///< an answer or another daemon has told whether the target states a limit
+    bool first_request_open{false}; ///< a request was sent while `limit_unknown`, and has no answer yet
     bool unreadable_limit_logged{false};
     double failure_share{0}; ///< smoothed share of failed requests, 0 to 1
     double slowness{1};      ///< factor on its service time, as last reported
@@ -121,6 +123,18 @@
     send_right right_to_send(const target_state& target, time_point now) const;
     /// Allowances for new requests of this daemon at the target; none if nothing limits them.
     std::vector<request_allowance> allowances(const target_state& target, time_point now) const;
+    /// Whether this daemon has just started and does not know yet whether the target states a limit. Until
+    /// then it sends the target one request at a time: its previous life may have used its part of the limit.
+    bool limit_unknown(const target_state& target) const
+    {
+        return !target.limit_known && !this->knows_limits();
+    }
+    /// Whether this daemon has heard, from all other daemons, the limits that targets stated before it
+    /// started, or has run for long enough.
+    bool knows_limits() const { return this->peers_settled || this->limits_learnt; }
+    /// Called when the whole store has been read for the first time. A daemon that finds no entry of another
+    /// one, nor of its own previous life, is the first one of its fleet.
+    void record_store_read();
     /// Records what the target said of itself in an answer.
     void record_signals(const target_entry& target, const target_signals& signals, time_point now);
     /// Records what another daemon heard of a target's limit on requests.
@@ -205,6 +219,8 @@
     void expire_reports(time_point now);
     void record_removal(const target_state& state);
     void record_request_limit(target_state& state, const target_signals& signals, time_point now);
+    /// Ends the time in which limits are unknown when all other daemons have reported those that they know.
+    void learn_limits(time_point now);
     /// Returns whether a limit begins or ends.
     static bool update_request_limit(target_state& state, const std::optional<double>& rate, time_point heard,
                                      const char* source);
@@ -219,6 +235,8 @@
     std::deque<std::pair<target_incarnation, time_point>> removed_at_once;
     departed_targets departed;
     std::map<instance_id, target_entry> absent;
+    bool store_read{false};
+    bool limits_learnt{false}; ///< from reports of all other daemons, or there was no other daemon
     time_point newest{};
     std::set<failure_domain_id> drained;
     std::vector<served_group> served;
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -175,6 +175,7 @@
             candidate.slots = std::min(candidate.slots, candidate.others + *limit);
             candidate.reserved = 0;
         }
+        candidate.awaits_first_answer = state.first_request_open && this->fleet.limit_unknown(state);
         candidate.suspected = this->fleet.in_flight.silence(candidate.instance, now) >=
                               this->silence_limit(state, now) / stall_suspicion_divisor;
         out.push_back(std::move(candidate));
--- a/src/gateway/peer_report.cpp
+++ b/src/gateway/peer_report.cpp
@@ -132,7 +132,8 @@
                         {"i", report.interval.count()},
                         {"g", encode_incarnations(report.departures)},
                         {"h", encode_incarnations(report.removals)},
-                        {"v", encode_request_limits(report.request_limits)}};
+                        {"v", encode_request_limits(report.request_limits)},
+                        {"k", report.limits_known}};
     return to_cbor_bytes(document);
 }
 
@@ -204,6 +205,8 @@
             }
             out.request_limits = decode_request_limits(message.at("v"));
         }
+        // Daemons of the previous version do not send this flag.
+        out.limits_known = message.contains("k") && message.at("k").get<bool>();
         return out;
     } catch (const json::exception& problem) {
         return failure{failure_kind::malformed, std::string("peer report: ") + problem.what()};
--- a/src/gateway/peer_report.hpp
+++ b/src/gateway/peer_report.hpp
@@ -48,6 +48,7 @@
     std::vector<target_incarnation> departures;       ///< targets that leave
     std::vector<target_incarnation> removals;         ///< from the group manager: entries that were removed
     std::vector<request_limit_notice> request_limits; ///< from answers that the sender received itself
+    bool limits_known{false}; ///< the sender knows which targets state limits, see `fleet_state`
 
     /// Whether the sender has no work, so that others need not know more of it than that it runs.
     bool idle() const
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -133,19 +133,37 @@
     if (state == nullptr) {
         return true;
     }
+    attempt.is_first = this->owner.fleet.limit_unknown(*state);
+    if (attempt.is_first && std::exchange(state->first_request_open, true)) {
+        attempt.is_first = false;
+        attempt.withheld = true;
+        attempt.reason = "the target has not answered its first request";
+        return false;
+    }
     const auto allowances = this->owner.fleet.allowances(*state, now);
     attempt.unlimited = allowances.empty();
     attempt.withheld = !state->counted_sends.take(allowances, now);
     if (attempt.withheld) {
         attempt.reason = "request limit of the target reached";
+        this->end_first_request(attempt);
         return false;
     }
     attempt.counted_at = now;
     return true;
 }
 
+void request_run::end_first_request(target_attempt& attempt)
+{
+    auto* state = this->owner.fleet.find_target(attempt.target.instance);
+    if (std::exchange(attempt.is_first, false) && state != nullptr &&
+        state->entry.started_ms == attempt.target.started_ms) {
+        state->first_request_open = false;
+    }
+}
+
 void request_run::give_back_allowance(target_attempt& attempt)
 {
+    this->end_first_request(attempt);
     auto* state = this->owner.fleet.find_target(attempt.target.instance);
     if (attempt.counted_at && state != nullptr) {
         state->counted_sends.give_back(*attempt.counted_at);
@@ -177,6 +195,7 @@
         this->owner.report_scarce_slots(attempt.target.instance, steady_clock::now());
         this->record_crash_evidence(attempt, end, in);
     }
+    this->end_first_request(attempt);
     // A refusal may be written once more with the id of the next request, so its connection is not reused.
     if (end == attempt_end::answered) {
         this->owner.connections.give_back(attempt.target.address, std::move(attempt.bound));
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -34,6 +34,7 @@
     bool answer_begun{false};     ///< a part of the body was received
     bool connection_broke{false}; ///< ended with a broken connection to the target
     bool withheld{false};         ///< not sent because the target takes no requests, or no more now
+    bool is_first{false};         ///< the target gets no other one before its answer, see `limit_unknown`
     bool unlimited{false};        ///< nothing limited the target's requests when this one was counted
     /// When it was counted against the limits of the target's requests.
     std::optional<time_point> counted_at;
@@ -114,6 +115,8 @@
     /// Counts the request against the limits on the target's requests, if any. Returns false when it must not
     /// be sent now.
     bool take_allowance(target_attempt& attempt, time_point now);
+    /// Lets the target get other requests if the attempt was its first one.
+    void end_first_request(target_attempt& attempt);
     /// The attempt no longer counts against limits of its target.
     void give_back_allowance(target_attempt& attempt);
     attempt_end exchange(target_attempt& attempt, http::yield_context in);
--- a/tests/gateway/fleet_state_test.cpp
+++ b/tests/gateway/fleet_state_test.cpp
@@ -229,6 +229,66 @@
     }
 }
 
+TEST_CASE("a daemon that has started learns from the others which targets state limits",
+          "[gateway][fleet_state]")
+{
+    // Guards against a daemon that takes a target for unlimited before the others can have told it.
+    fleet_state fleet(daemon_id("d0"));
+    const auto report_of = [](const std::string& daemon, std::uint64_t sequence, bool limits_known) {
+        auto out = report(daemon, sequence, true);
+        out.limits_known = limits_known;
+        return out;
+    };
+    CHECK_FALSE(fleet.knows_limits());
+
+    SECTION("the first daemon of a fleet has nobody to ask")
+    {
+        fleet.record_store_read();
+        CHECK(fleet.knows_limits());
+    }
+    SECTION("one that was restarted alone does not know what its previous life heard")
+    {
+        fleet.update_peer(daemon_id("d0"), daemon_entry{});
+        fleet.record_store_read();
+        CHECK_FALSE(fleet.knows_limits());
+    }
+    SECTION("others tell it")
+    {
+        for (const auto* name : {"d0", "d1", "d2"}) {
+            fleet.update_peer(daemon_id(name), daemon_entry{});
+        }
+        REQUIRE(fleet.accept_report(report_of("d1", 1, true), start));
+        fleet.record_store_read();
+        CHECK_FALSE(fleet.knows_limits());
+
+        SECTION("when all have reported")
+        {
+            REQUIRE(fleet.accept_report(report_of("d2", 1, true), start));
+            CHECK(fleet.knows_limits());
+        }
+        SECTION("but not one that has started at the same time")
+        {
+            REQUIRE(fleet.accept_report(report_of("d2", 1, false), start));
+            CHECK_FALSE(fleet.knows_limits());
+            REQUIRE(fleet.accept_report(report_of("d2", 2, true), start));
+            CHECK(fleet.knows_limits());
+        }
+        SECTION("or all that are still registered")
+        {
+            fleet.destroy_peer(daemon_id("d2"));
+            REQUIRE(fleet.accept_report(report_of("d1", 2, true), start));
+            CHECK(fleet.knows_limits());
+        }
+    }
+    SECTION("a daemon that has run for a while need not wait for one that is lost")
+    {
+        fleet.update_peer(daemon_id("d1"), daemon_entry{});
+        fleet.record_store_read();
+        fleet.peers_settled = true;
+        CHECK(fleet.knows_limits());
+    }
+}
+
 TEST_CASE("targets that the group manager ejects get no new requests", "[gateway][fleet_state]")
 {
     // Guards against requests to heads of lost groups between two reports of the manager, whose interval
--- a/tests/gateway/peer_report_test.cpp
+++ b/tests/gateway/peer_report_test.cpp
@@ -46,6 +46,7 @@
     out.ready = random.one_in(2);
     out.store_reachable = random.one_in(2);
     out.manages = random.one_in(2);
+    out.limits_known = random.one_in(2);
     out.requests_per_s = static_cast<double>(random.below(1000)) / 8;
     for (std::size_t i = random.below(20); i > 0; --i) {
         out.in_flight[instance_id("i" + std::to_string(i))] = static_cast<std::uint32_t>(random.below(1000));
@@ -75,7 +76,7 @@
     const bool held = rc::check("fields added since are missing", [] {
         random_source random;
         auto document = nlohmann::json::from_cbor(encode_report(sample(random)));
-        for (const char* added : {"a", "p", "m", "o", "q", "c", "y", "g", "h", "i", "v"}) {
+        for (const char* added : {"a", "p", "m", "o", "q", "c", "y", "g", "h", "i", "v", "k"}) {
             document.erase(added);
         }
         const auto bytes = nlohmann::json::to_cbor(document);
@@ -85,7 +86,7 @@
         RC_ASSERT(value(back).slow.empty());
         RC_ASSERT(value(back).crashes.empty());
         RC_ASSERT(value(back).departures.empty() && value(back).removals.empty());
-        RC_ASSERT(value(back).request_limits.empty());
+        RC_ASSERT(value(back).request_limits.empty() && !value(back).limits_known);
         RC_ASSERT(value(back).suspected == value(back).stalled);
         RC_ASSERT(value(back).manages == !value(back).ejected.empty());
     });
--- a/tests/gateway/request_limit_test.cpp
+++ b/tests/gateway/request_limit_test.cpp
@@ -95,6 +95,67 @@
     }
 }
 
+// Guards against a burst at a limited target after the restart of a daemon, which does not know the limit yet
+// and would fill all free slots before the first answer names it.
+TEST_CASE("a daemon that has just started sends a target one request until it knows about its limit",
+          "[gateway][request_limit]")
+{
+    forwarding_site site;
+    site.ticks = true;
+    constexpr int together = 4; // as many as the target has slots
+
+    SECTION("a target that states a limit gets one request of each life of a daemon")
+    {
+        constexpr int lives = 3;
+        auto target = sound_target(low_limit);
+        for (int life = 0; life < lives; ++life) {
+            forwarding_site restarted;
+            restarted.ticks = true;
+            restarted.add_target(limited.str(), target.address());
+            restarted.send_together("/stock/1", together);
+            CHECK(answered(restarted, "/stock/1") == 0); // the request that was sent counts
+        }
+        CHECK(target.requests() == lives);
+    }
+    SECTION("a target that states none gets all others after its first answer")
+    {
+        auto target = sound_target();
+        site.add_target(limited.str(), target.address());
+        CHECK(site.send("/stock/1", "first").answer.status == 200);
+        site.send_together("/stock/1", together);
+        CHECK(target.requests() == 1 + together);
+    }
+    SECTION("requests that wait for the first answer are served after it")
+    {
+        auto target = sound_target();
+        site.add_target(limited.str(), target.address());
+        site.send_together("/stock/1", together);
+        CHECK(target.requests() == together);
+    }
+    SECTION("a refusal, which need not name the limit, is no such answer, but lets the next request go")
+    {
+        answering_target refusing("503 Unavailable", "x-not-executed: 1\r\n");
+        site.add_target(limited.str(), refusing.address());
+        CHECK(answered(site, "/stock/1") == 0);
+        CHECK(refusing.requests() == requests_sent);
+        CHECK(site.fleet.limit_unknown(*site.fleet.find_target(limited)));
+    }
+    SECTION("a connection that cannot be opened lets the next request go")
+    {
+        site.add_target(limited.str(), {"127.0.0.1", 1});
+        CHECK(site.send("/stock/1", "first").answer.status == 503);
+        CHECK_FALSE(site.fleet.find_target(limited)->first_request_open);
+    }
+    SECTION("what another daemon says about the target ends this")
+    {
+        auto target = sound_target();
+        site.add_target(limited.str(), target.address());
+        site.fleet.record_request_limit(notice_of(std::nullopt, milliseconds(0)), steady_clock::now());
+        site.send_together("/stock/1", together);
+        CHECK(target.requests() == together);
+    }
+}
+
 // Guards against a limit that is dropped by an answer that need not name it, and against one that never ends.
 TEST_CASE("a stated limit ends when an answer to a request names none", "[gateway][request_limit]")
 {
@@ -161,6 +222,14 @@
         CHECK(answered(site, "/stock/1") == 0); // callers connect to the others, which share the limit
         CHECK(target.requests() == 0);
     }
+    SECTION("each daemon passes on what it heard itself, also when another one has heard later")
+    {
+        // Guards against two daemons that each leave it to the other one to tell a daemon that has started.
+        const auto entry = entry_of(limited.str(), target.address(), 1);
+        site.fleet.record_signals(entry, {false, std::nullopt, "0.1", true}, now);
+        site.fleet.record_request_limit(notice_of(low_rate, milliseconds(0)), now + milliseconds(10));
+        CHECK(site.fleet.request_limits(now + milliseconds(20)).size() == 1);
+    }
     SECTION("an older statement does not replace a newer one")
     {
         site.fleet.record_request_limit(notice_of(std::nullopt, milliseconds(300)), now);
