--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -121,7 +121,7 @@
     }
     const auto busy = this->fleet.in_flight.in_flight(state.entry.instance) +
                       this->fleet.others_in_flight(state.entry.instance, now);
-    return std::min<std::size_t>(slots, busy + state.limited_sends.available(allowances, now));
+    return std::min<std::size_t>(slots, busy + state.counted_sends.available(allowances, now));
 }
 
 template <class Visitor>
@@ -175,6 +175,7 @@
             candidate.slots = std::min(candidate.slots, candidate.others + *limit);
             candidate.reserved = 0;
         }
+        candidate.awaits_first_answer = state.first_request_open && this->fleet.limit_unknown(state);
         candidate.suspected = this->fleet.in_flight.silence(candidate.instance, now) >=
                               this->silence_limit(state, now) / stall_suspicion_divisor;
         out.push_back(std::move(candidate));
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -118,7 +118,7 @@
         return attempt_end::not_sent;
     }
     // The target may have stated a limit during the connecting.
-    if (!attempt.allowance_taken && !this->take_allowance(attempt, steady_clock::now())) {
+    if ((attempt.unlimited || !attempt.counted_at) && !this->take_allowance(attempt, steady_clock::now())) {
         this->owner.connections.give_back(target.address, std::move(bound));
         return attempt_end::not_sent;
     }
@@ -128,27 +128,53 @@
 
 bool request_run::take_allowance(target_attempt& attempt, time_point now)
 {
+    this->give_back_allowance(attempt);
     auto* state = this->owner.fleet.find_target(attempt.target.instance);
-    const auto allowances =
-        state != nullptr ? this->owner.fleet.allowances(*state, now) : std::vector<request_allowance>();
-    if (allowances.empty()) {
+    if (state == nullptr) {
         return true;
     }
-    attempt.allowance_taken = state->limited_sends.take(allowances, now);
-    attempt.withheld = !attempt.allowance_taken;
+    attempt.is_first = this->owner.fleet.limit_unknown(*state);
+    if (attempt.is_first && std::exchange(state->first_request_open, true)) {
+        attempt.is_first = false;
+        attempt.withheld = true;
+        attempt.reason = "the target has not answered its first request";
+        return false;
+    }
+    const auto allowances = this->owner.fleet.allowances(*state, now);
+    attempt.unlimited = allowances.empty();
+    attempt.withheld = !state->counted_sends.take(allowances, now);
     if (attempt.withheld) {
         attempt.reason = "request limit of the target reached";
+        this->end_first_request(attempt);
+        return false;
+    }
+    attempt.counted_at = now;
+    return true;
+}
+
+void request_run::end_first_request(target_attempt& attempt)
+{
+    auto* state = this->owner.fleet.find_target(attempt.target.instance);
+    if (std::exchange(attempt.is_first, false) && state != nullptr &&
+        state->entry.started_ms == attempt.target.started_ms) {
+        state->first_request_open = false;
+    }
+}
+
+void request_run::give_back_allowance(target_attempt& attempt)
+{
+    this->end_first_request(attempt);
+    auto* state = this->owner.fleet.find_target(attempt.target.instance);
+    if (attempt.counted_at && state != nullptr) {
+        state->counted_sends.give_back(*attempt.counted_at);
     }
-    return attempt.allowance_taken;
+    attempt.counted_at.reset();
 }
 
 request_run::attempt_end request_run::begin(target_attempt& attempt, http::yield_context in)
 {
     if (const auto end = this->connect(attempt, in); end) {
-        auto* state = this->owner.fleet.find_target(attempt.target.instance);
-        if (state != nullptr && std::exchange(attempt.allowance_taken, false)) {
-            state->limited_sends.give_back();
-        }
+        this->give_back_allowance(attempt);
         return *end;
     }
     const auto& target = attempt.target.instance;
@@ -169,6 +195,7 @@
         this->owner.report_scarce_slots(attempt.target.instance, steady_clock::now());
         this->record_crash_evidence(attempt, end, in);
     }
+    this->end_first_request(attempt);
     // A refusal may be written once more with the id of the next request, so its connection is not reused.
     if (end == attempt_end::answered) {
         this->owner.connections.give_back(attempt.target.address, std::move(attempt.bound));
@@ -287,6 +314,10 @@
     auto signals = read_signals(attempt.head, names);
     signals.ran_request = valid && !not_run;
     this->owner.fleet.record_signals(attempt.target, signals, steady_clock::now());
+    const auto* state = this->owner.fleet.find_target(attempt.target.instance);
+    if (attempt.unlimited && signals.ran_request && state != nullptr && !state->limit.latest()) {
+        this->give_back_allowance(attempt); // a limit that is stated later does not cover this request
+    }
     if (!valid) {
         return attempt_end::lost;
     }
