Read pauses and limits of targets with the same function

parse_pause and parse_request_rate each checked digits with an optional fraction themselves, with a copy of is_digit. split_decimal in base/decimal_text does so for both and returns the two parts. parse_request_rate takes the value by std::from_chars instead of its own loop; a value that is too large or too close to 0 for a double gives the bound on its side.

The comments of stated_rate_* in base/limits.hpp say what each time is for.

--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -111,12 +111,13 @@
 constexpr std::size_t departure_reports = 64; // in one report; about 2 KB
 
 // Targets that state how many requests they take.
-constexpr seconds stated_rate_window{4}; // the platform averages over 4 s
+constexpr seconds stated_rate_window{4}; // time over which targets average their requests
 // A target that takes none could not say that its limit has ended.
-constexpr double min_stated_rate = 0.1;   // requests per second
-constexpr double max_stated_rate = 1.0e6; // requests per second; above it a limit restricts nobody
-constexpr seconds stated_rate_patience{10};
-constexpr seconds stated_rate_report_time{10};  // the longest interval between the reports of two daemons
+constexpr double min_stated_rate = 0.1;     // requests per second
+constexpr double max_stated_rate = 1.0e6;   // requests per second; above it a limit restricts nobody
+constexpr seconds stated_rate_patience{10}; // time without an answer after which a limit grows by half
+// Time for which a daemon reports what it heard; equal to the longest interval between reports of a daemon.
+constexpr seconds stated_rate_report_time{10};
 constexpr std::size_t stated_rate_reports = 64; // in one report; about 3 KB
 
 // Targets.
--- a/src/decision/request_rate.cpp
+++ b/src/decision/request_rate.cpp
@@ -1,8 +1,10 @@
 #include "decision/request_rate.hpp"
 
+#include "base/decimal_text.hpp"
 #include "base/limits.hpp"
 
 #include <algorithm>
+#include <charconv>
 #include <cmath>
 #include <limits>
 
@@ -13,11 +15,6 @@
 /// Growth of a limit that no answer confirms.
 constexpr double unconfirmed_growth = 1.5;
 
-bool is_digit(char c)
-{
-    return c >= '0' && c <= '9';
-}
-
 } // namespace
 
 request_allowance divide_rate(double requests_per_s, duration window, const fleet_share& fleet)
@@ -84,21 +81,16 @@
 
 std::optional<double> parse_request_rate(std::string_view text)
 {
-    const auto point = text.find('.');
-    const auto whole = text.substr(0, point);
-    const auto fraction = point == std::string_view::npos ? std::string_view("0") : text.substr(point + 1);
-    if (whole.empty() || fraction.empty() || !std::all_of(whole.begin(), whole.end(), is_digit) ||
-        !std::all_of(fraction.begin(), fraction.end(), is_digit)) {
+    const auto parts = split_decimal(text);
+    if (!parts) {
         return std::nullopt;
     }
     double out = 0;
-    for (const char digit : whole) {
-        out = std::min(out * 10 + (digit - '0'), limits::max_stated_rate);
-    }
-    double place = 1;
-    for (const char digit : fraction) {
-        place /= 10;
-        out += place * (digit - '0');
+    const auto code =
+        std::from_chars(text.data(), text.data() + text.size(), out, std::chars_format::fixed).ec;
+    if (code == std::errc::result_out_of_range) { // also for a value too close to 0
+        const bool small = parts->whole.find_first_not_of('0') == std::string_view::npos;
+        out = small ? limits::min_stated_rate : limits::max_stated_rate;
     }
     return std::clamp(out, limits::min_stated_rate, limits::max_stated_rate);
 }
--- a/src/decision/target_pause.cpp
+++ b/src/decision/target_pause.cpp
@@ -1,5 +1,6 @@
 #include "decision/target_pause.hpp"
 
+#include "base/decimal_text.hpp"
 #include "base/limits.hpp"
 
 #include <algorithm>
@@ -17,28 +18,15 @@
 constexpr int milliseconds_per_second = 1000;
 constexpr std::size_t fraction_digits = 3; // milliseconds; further digits have no effect
 
-bool is_digit(char c)
-{
-    return c >= '0' && c <= '9';
-}
-
 } // namespace
 
 std::optional<milliseconds> parse_pause(std::string_view text)
 {
-    const auto end = std::find_if_not(text.begin(), text.end(), is_digit);
-    const auto whole = text.substr(0, static_cast<std::size_t>(end - text.begin()));
-    auto fraction = text.substr(whole.size());
-    if (whole.empty()) {
+    const auto parts = split_decimal(text);
+    if (!parts) {
         return std::nullopt;
     }
-    if (!fraction.empty()) {
-        fraction.remove_prefix(1);
-        if (text[whole.size()] != '.' || fraction.empty() ||
-            !std::all_of(fraction.begin(), fraction.end(), is_digit)) {
-            return std::nullopt;
-        }
-    }
+    const auto& [whole, fraction] = *parts;
     std::int64_t seconds_part = 0;
     const auto code = std::from_chars(whole.data(), whole.data() + whole.size(), seconds_part).ec;
     if (code != std::errc() || seconds_part >= seconds(limits::max_target_pause).count()) {
--- a/tests/decision/request_rate_test.cpp
+++ b/tests/decision/request_rate_test.cpp
@@ -153,6 +153,7 @@
     CHECK(parse_request_rate("12") == Approx(12));
     CHECK(parse_request_rate("0") == limits::min_stated_rate);
     CHECK(parse_request_rate("0.000001") == limits::min_stated_rate);
+    CHECK(parse_request_rate("0." + std::string(400, '0') + "1") == limits::min_stated_rate);
     CHECK(parse_request_rate(std::string(400, '9')) == limits::max_stated_rate);
     CHECK(parse_request_rate("1." + std::string(4000, '3')) == Approx(4.0 / 3));
     for (const auto* text :
