--- a/tests/gateway/warm_up_test.cpp
+++ b/tests/gateway/warm_up_test.cpp
@@ -115,7 +115,7 @@
     CHECK(first_violation(site).empty());
 }
 
-TEST_CASE("a warm-up that an engine carries out late does not take a member of a group that was left unfinished",
+TEST_CASE("a warm-up that is carried out late takes no member of an unfinished group",
           "[gateway][group_manager]")
 {
     constexpr milliseconds order_delay{1500};
