End a group whose head is gone before it accepted the fence

What callers would see: engines that serve nobody any more. The ending of a group never finished, and its members stayed busy.

Cause: a head that had left and was gone before it answered the order to join the fence got that order for ever. The way over another member, which stalls the group, was open only before the head had left.

Change: the way over a member is open until the group is released.

--- a/src/gateway/group_ending.cpp
+++ b/src/gateway/group_ending.cpp
@@ -156,12 +156,11 @@
         state.unanswered_orders = 0;
     }
     // When a member leaves, the group stalls, and its head stops serving after the stall time even if it
-    // cannot be reached. The head itself keeps receiving orders if it has left and only lacks its fence, or
-    // if no other member is reachable.
+    // cannot be reached. The head itself keeps receiving orders if no other member is reachable.
     const auto max_unanswered = head != nullptr ? max_unanswered_orders : 1;
     const bool head_unreachable =
         state.head.instance.empty() || this->is_lost(state.head) || state.unanswered_orders >= max_unanswered;
-    if (!state.head_left && !state.member_left && head_unreachable) {
+    if (!state.member_left && head_unreachable) {
         if (const auto* member = this->find_reachable_member(key, state); member != nullptr) {
             return this->order_member_to_leave(key, state, member->entry);
         }
--- /dev/null
+++ b/tests/gateway/late_order_test.cpp
@@ -0,0 +1,103 @@
+#include "gateway/managed_site.hpp"
+
+using namespace rml;
+using namespace rml::test;
+
+namespace {
+
+const instance_id e00("e00");
+const instance_id e01("e01");
+const instance_id e02("e02");
+const instance_id e03("e03");
+
+constexpr std::size_t plain_instances = 2; ///< targets of the site that are no engines
+
+site_standin::site_options one_fabric(std::uint32_t engines, std::uint32_t group_size = 2)
+{
+    site_standin::site_options options;
+    options.fabrics = 1;
+    options.engines_per_fabric = engines;
+    options.group_size = group_size;
+    return options;
+}
+
+/// Waits until the daemon knows that many engines.
+void await_engines(managed_site& site, std::size_t count)
+{
+    REQUIRE(site.run_until([&] { return site.fleet.targets().size() == count + plain_instances; }));
+}
+
+void unregister(managed_site& site, const instance_id& name)
+{
+    site.engine(name).faults.unregistered = true;
+    site.engine(name).update_entry();
+}
+
+void register_again(managed_site& site, const instance_id& name)
+{
+    site.engine(name).faults.unregistered = false;
+    site.engine(name).update_entry();
+}
+
+/// First violation of rule TWO; other rules may be broken by the late orders of the test itself.
+std::string first_join_of_two_groups(const managed_site& site)
+{
+    for (const auto& violation : site.site->fleet.violations) {
+        if (violation.rule == "two groups") {
+            return violation.what;
+        }
+    }
+    return "";
+}
+
+bool contains(const std::vector<instance_id>& list, const instance_id& name)
+{
+    return std::find(list.begin(), list.end(), name) != list.end();
+}
+
+/// Carries out second copies of the orders that formed the group, at its head, unless the head refuses them.
+void reopen_by_late_orders(managed_site& site, const instance_id& head,
+                           const std::vector<instance_id>& members, const group_key& group)
+{
+    if (deliver_order(site, head, gateway::group_action::join, members, group) ==
+        gateway::order_verdict::stale) {
+        return;
+    }
+    site.run_for(site.site->fleet.timing.load * 2);
+    deliver_order(site, head, gateway::group_action::open, {}, group);
+}
+
+/// Lets the manager form a group whose first order to join and first order to open at the head are lost.
+group_key form_with_lost_orders(managed_site& site, const instance_id& head, std::size_t count)
+{
+    site.lose_next_orders(head, 1);
+    site.take_over();
+    REQUIRE(site.run_until([&] { return site.orders_of(head, "join") == 1; }));
+    site.lose_next_orders(head, 1);
+    REQUIRE(site.run_until([&] { return site.group_count() == 1; }));
+    const auto& group = site.fleet.groups().front();
+    REQUIRE(group.head == head);
+    REQUIRE(group.members.size() == count);
+    return {group.group, group.epoch};
+}
+
+} // namespace
+
+TEST_CASE("an ending finishes when its head is gone before it accepted the fence", "[gateway][group_manager]")
+{
+    // Guards against members that stay busy for ever: the head left, and ended before it answered the fence.
+    managed_site site(one_fabric(3));
+    site.lease.held = false;
+    await_engines(site, 3);
+    unregister(site, e02);
+    await_engines(site, 2);
+    form_with_lost_orders(site, e00, 2);
+    site.lose_orders(e00, "join");
+    site.engine(e00).drain();
+    REQUIRE(site.run_until([&] { return site.orders_of(e00, "leave") == 1; }));
+    site.engine(e00).faults.unresponsive = true;
+    unregister(site, e00);
+    register_again(site, e02);
+    CHECK(site.run_until([&] { return site.group_count() == 1; }, milliseconds(25000)));
+    CHECK(first_violation(site) == "");
+}
