Fence groups of an earlier lease when they end

Cause: whether a group needs a fence is decided by the orders to it that were left unanswered, and a new lease, also of the same daemon, begins without that knowledge. A group that was open at the change ended without a fence, and late orders to join and open of the earlier lease opened its head again after it had been released.

Found by a review.

Change: a group with an epoch of an earlier lease ends with a fence. This covers groups left unfinished as well.

--- a/src/gateway/group_ending.cpp
+++ b/src/gateway/group_ending.cpp
@@ -36,7 +36,9 @@
             state.members.push_back(std::move(member));
         }
     }
-    state.needs_fence = this->unanswered_groups.count(key) != 0;
+    // Orders of an earlier lease may have been left unanswered, which is not known here.
+    const bool earlier_lease = key.second >> detail::epoch_counter_bits != this->lease_revision;
+    state.needs_fence = earlier_lease || this->unanswered_groups.count(key) != 0;
     this->endings.emplace(key, state);
     this->ended.add();
     log(log_level::info, "ending group",
--- a/src/gateway/group_manager.cpp
+++ b/src/gateway/group_manager.cpp
@@ -262,7 +262,6 @@
         }
         // The previous manager may have ordered members into later groups, and such orders may be carried out
         // late. Members of a group with an epoch of this manager refuse them.
-        this->unanswered_groups.insert(key);
         return this->end_group(key, *head, names, false, now, "left unfinished by a previous manager");
     }
     const auto* service = this->fleet.config()->find_service(head->service);
--- a/tests/gateway/late_order_test.cpp
+++ b/tests/gateway/late_order_test.cpp
@@ -101,3 +101,47 @@
     CHECK(site.run_until([&] { return site.group_count() == 1; }, milliseconds(25000)));
     CHECK(first_violation(site) == "");
 }
+
+TEST_CASE("the head of a group that an earlier manager opened refuses late orders after its end",
+          "[gateway][group_manager]")
+{
+    // Guards against a group of an earlier manager that ends without a fence: orders of that manager to join
+    // and to open are carried out after the head has left.
+    managed_site site(one_fabric(3));
+    site.lease.held = false;
+    await_engines(site, 3);
+    unregister(site, e02);
+    await_engines(site, 2);
+    const std::vector<instance_id> members{e00, e01};
+    form_group(site, members);
+    site.engine(e01).faults.unresponsive = true;
+    site.take_over();
+    REQUIRE(site.run_until([&] { return site.orders_of(e00, "leave") == 1; }));
+    site.run_for(milliseconds(700));
+    reopen_by_late_orders(site, e00, members, {group_id("g1"), 1});
+    register_again(site, e02);
+    site.run_for(milliseconds(2000));
+    CHECK(first_join_of_two_groups(site) == "");
+}
+
+TEST_CASE("a group of an earlier lease of the same daemon ends with a fence", "[gateway][group_manager]")
+{
+    // Guards against orders without an answer that are forgotten when the daemon acquires the lease anew.
+    managed_site site(one_fabric(3));
+    site.lease.held = false;
+    await_engines(site, 3);
+    unregister(site, e02);
+    await_engines(site, 2);
+    const std::vector<instance_id> members{e00, e01};
+    const auto group = form_with_lost_orders(site, e00, 2);
+    site.take_over();
+    site.run_for(milliseconds(600));
+    site.engine(e01).faults.unresponsive = true;
+    site.manager.on_suspect(e00);
+    REQUIRE(site.run_until([&] { return site.orders_of(e00, "leave") == 1; }));
+    site.run_for(milliseconds(700));
+    reopen_by_late_orders(site, e00, members, group);
+    register_again(site, e02);
+    site.run_for(milliseconds(2000));
+    CHECK(first_join_of_two_groups(site) == "");
+}
