Keep for which life of the head a group was released

Cause: a report of a head that says that it serves was dismissed if its group had been released with the head's own answer, because reports lag behind. A restart clears the fence; if late orders opened the group again, the report of the new life was dismissed by the release of the earlier one.

Change: a release names the life of the head that it is about, and a report of another life that says that it serves counts.

--- a/src/decision/group_assignments.cpp
+++ b/src/decision/group_assignments.cpp
@@ -114,9 +114,10 @@
     entry.previous.reset();
 }
 
-void group_assignments::release(const group_key& group, release_evidence evidence, time_point now)
+void group_assignments::release(const group_key& group, release_evidence evidence,
+                                std::int64_t head_started_ms, time_point now)
 {
-    this->releases[group] = {evidence, now};
+    this->releases[group] = {evidence, head_started_ms, now};
     for (auto& [instance, entry] : this->records) {
         if (entry.current && entry.current->group == group) {
             ++this->changes[instance];
@@ -168,6 +169,12 @@
     return found == this->releases.end() ? std::nullopt : std::optional(found->second.evidence);
 }
 
+std::int64_t group_assignments::released_life(const group_key& group) const
+{
+    const auto found = this->releases.find(group);
+    return found == this->releases.end() ? 0 : found->second.head_started_ms;
+}
+
 std::vector<instance_id> group_assignments::members_of(const group_key& group) const
 {
     std::vector<std::pair<std::uint32_t, instance_id>> ranked;
--- a/src/decision/group_assignments.hpp
+++ b/src/decision/group_assignments.hpp
@@ -103,8 +103,9 @@
     void forget(const instance_id& engine);
     /// Records that the engine has reported to be in no group that may serve.
     void record_free(const engine_life& engine);
-    /// Records that the group no longer serves and cannot serve again.
-    void release(const group_key& group, release_evidence evidence, time_point now);
+    /// Records that the group no longer serves and cannot serve again under that life of its head.
+    void release(const group_key& group, release_evidence evidence, std::int64_t head_started_ms,
+                 time_point now);
 
     /// Group that this life of the engine may belong to, or null if none is known.
     const membership* find(const engine_life& engine) const;
@@ -117,6 +118,8 @@
     std::string describe(const engine_life& engine) const;
     /// Evidence that the group does not serve; none if it may serve or its release was forgotten.
     std::optional<release_evidence> released(const group_key& group) const;
+    /// Start of the life of the head that the release is about; 0: not released, or no head was known.
+    std::int64_t released_life(const group_key& group) const;
     /// Engines that may belong to the group, by rank.
     std::vector<instance_id> members_of(const group_key& group) const;
 
@@ -137,6 +140,7 @@
     struct release_record
     {
         release_evidence evidence{release_evidence::head_left};
+        std::int64_t head_started_ms{0};
         time_point at{};
     };
 
--- a/src/gateway/group_ending.cpp
+++ b/src/gateway/group_ending.cpp
@@ -272,7 +272,7 @@
         });
     }
     state.released = evidence;
-    this->assignments.release(key, evidence, steady_clock::now());
+    this->assignments.release(key, evidence, state.head.started_ms, steady_clock::now());
     if (evidence == release_evidence::head_stalled) {
         this->assignments.forget(state.head.instance); // it may answer again and still serve
     }
--- a/src/gateway/group_formation.cpp
+++ b/src/gateway/group_formation.cpp
@@ -212,10 +212,11 @@
         released = end->second.released;
     }
     // Reports lag behind, so one that says that the head serves counts only against a release without the
-    // head's own answer.
+    // head's own answer, and against one that is about an earlier life of the head.
     const bool given_up =
         released == release_evidence::head_stalled || released == release_evidence::head_unknown;
-    const bool ended = released && !(serves && given_up);
+    const bool other_life = this->assignments.released_life(key) != engine.started_ms;
+    const bool ended = released && !(serves && (given_up || other_life));
     if (!in || is_fence_group(in->group) || ended) {
         this->assignments.record_free(life);
         return true;
--- a/tests/decision/group_assignments_test.cpp
+++ b/tests/decision/group_assignments_test.cpp
@@ -17,7 +17,7 @@
 
     SECTION("a release frees its members and names the evidence")
     {
-        assignments.release(first, release_evidence::head_left, time_point{});
+        assignments.release(first, release_evidence::head_left, engine.started_ms, time_point{});
         CHECK(assignments.find(engine) == nullptr);
         CHECK(assignments.knows(engine));
         CHECK(assignments.released(first) == release_evidence::head_left);
@@ -32,7 +32,7 @@
     }
     SECTION("the release of another group changes nothing")
     {
-        assignments.release(second, release_evidence::never_opened, time_point{});
+        assignments.release(second, release_evidence::never_opened, engine.started_ms, time_point{});
         CHECK(assignments.find(engine) != nullptr);
     }
     SECTION("a later group replaces the earlier one, but not the reverse")
@@ -63,7 +63,7 @@
         const engine_life unknown{instance_id("e2"), 100};
         CHECK_FALSE(assignments.permit_join(unknown, {second, 0}));
         CHECK_FALSE(assignments.permit_join(engine, {second, 0}));
-        assignments.release(first, release_evidence::head_left, time_point{});
+        assignments.release(first, release_evidence::head_left, engine.started_ms, time_point{});
         const auto permit = assignments.permit_join(engine, {second, 0});
         REQUIRE(permit);
         CHECK(permit->group() == second);
@@ -76,7 +76,7 @@
         }
         SECTION("and it ends with the group, or with the lease of the manager")
         {
-            assignments.release(second, release_evidence::never_opened, time_point{});
+            assignments.release(second, release_evidence::never_opened, engine.started_ms, time_point{});
             CHECK_FALSE(assignments.in_force(*permit));
             assignments.clear();
             CHECK_FALSE(assignments.permit_join(engine, {{group_id("g6"), 6}, 0}));
@@ -84,7 +84,7 @@
     }
     SECTION("a group that never serves gives way to a newer group, and to no older one")
     {
-        assignments.release(first, release_evidence::head_left, time_point{});
+        assignments.release(first, release_evidence::head_left, engine.started_ms, time_point{});
         const auto parked = assignments.permit_join(engine, {fence_group(6), 0});
         REQUIRE(parked);
         CHECK_FALSE(assignments.permit_join(engine, {{group_id("g8"), 8}, 0}));
--- a/tests/gateway/late_order_test.cpp
+++ b/tests/gateway/late_order_test.cpp
@@ -145,3 +145,51 @@
     site.run_for(milliseconds(2000));
     CHECK(first_join_of_two_groups(site) == "");
 }
+
+TEST_CASE("a head that restarted after its fence and was reopened is not ordered to join",
+          "[gateway][group_manager]")
+{
+    // Guards against a report of a new life that is taken for older than the end of its group. A restart
+    // clears the epoch of the fence, so that late orders open the group again.
+    managed_site site(one_fabric(3));
+    site.lease.held = false;
+    await_engines(site, 3);
+    unregister(site, e02);
+    await_engines(site, 2);
+    const std::vector<instance_id> members{e00, e01};
+    const auto group = form_with_lost_orders(site, e00, 2);
+    site.engine(e01).faults.unresponsive = true;
+    site.manager.on_suspect(e00);
+    REQUIRE(site.run_until([&] { return site.orders_of(e00, "join") == 2; })); // the fence
+    site.run_for(milliseconds(300));
+    site.engine(e00).restart();
+    site.run_for(milliseconds(300));
+    reopen_by_late_orders(site, e00, members, group);
+    register_again(site, e02);
+    site.run_for(milliseconds(3000));
+    CHECK(first_join_of_two_groups(site) == "");
+}
+
+TEST_CASE("a new life of a head is not taken for ended by the release of its earlier life",
+          "[gateway][group_manager]")
+{
+    // The same as review 2 after the ending has been forgotten; the head is cut off from the store.
+    managed_site site(one_fabric(3));
+    site.lease.held = false;
+    await_engines(site, 3);
+    unregister(site, e02);
+    await_engines(site, 2);
+    const std::vector<instance_id> members{e00, e01};
+    const auto group = form_with_lost_orders(site, e00, 2);
+    site.engine(e01).drain();
+    REQUIRE(site.run_until([&] { return site.orders_of(e00, "join") == 2; })); // the fence
+    REQUIRE(site.run_until([&] { return !site.fleet.find_target(e01)->entry.membership; }));
+    site.run_for(milliseconds(300));
+    site.engine(e00).restart();
+    site.engine(e00).faults.entry_frozen = true;
+    site.run_for(milliseconds(300));
+    reopen_by_late_orders(site, e00, members, group);
+    register_again(site, e02);
+    site.run_for(milliseconds(3000));
+    CHECK(first_join_of_two_groups(site) == "");
+}
