Keep the entry of a head's earlier life for the ending of its group

Cause: when the entry of a new life replaces that of a head, the group has no head in the registry, and the earlier entry was kept only if it had been removed. The ending had no head to order to leave, and released the group as "head unknown", although late orders may have opened it again under the new life.

Found by a review.

Change: a replaced entry with a membership is kept like a removed one.

--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -49,6 +49,9 @@
 {
     auto& state = this->all_targets[entry.instance];
     if (state.entry.started_ms != entry.started_ms || state.entry.address.port == 0) {
+        if (state.entry.membership) {
+            this->record_removed_entry(state.entry); // of the life before
+        }
         state = target_state{};
         this->newest = now;
     }
@@ -280,7 +283,12 @@
             this->absent[instance] = state.entry;
         }
     }
-    this->removed.push_back(state.entry);
+    this->record_removed_entry(state.entry);
+}
+
+void fleet_state::record_removed_entry(const target_entry& entry)
+{
+    this->removed.push_back(entry);
     if (this->removed.size() > max_removed_entries) {
         this->removed.pop_front();
     }
--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -218,6 +218,8 @@
     /// Subtracts the reports of daemons that are no longer live.
     void expire_reports(time_point now);
     void record_removal(const target_state& state);
+    /// Keeps the entry for `removed_head`.
+    void record_removed_entry(const target_entry& entry);
     void record_request_limit(target_state& state, const target_signals& signals, time_point now);
     /// Ends the time in which limits are unknown when all other daemons have reported those that they know.
     void learn_limits(time_point now);
--- a/tests/gateway/late_order_test.cpp
+++ b/tests/gateway/late_order_test.cpp
@@ -193,3 +193,36 @@
     site.run_for(milliseconds(3000));
     CHECK(first_join_of_two_groups(site) == "");
 }
+
+TEST_CASE("a head that restarts in an open group and is reopened by late orders is ended",
+          "[gateway][group_manager]")
+{
+    // Guards against an ending without a head although the engine that was the head is registered.
+    managed_site site(one_fabric(4, 3));
+    site.lease.held = false;
+    await_engines(site, 4);
+    unregister(site, e03);
+    await_engines(site, 3);
+    const std::vector<instance_id> members{e00, e01, e02};
+    const auto group = form_with_lost_orders(site, e00, 3);
+    REQUIRE(site.run_until([&] { return site.orders_of(e00, "open") == 1; }));
+    site.lose_orders(e02, "leave"); // a third of the orders may be unanswered
+    register_again(site, e03);
+    await_engines(site, 4);
+    site.engine(e00).restart();
+    REQUIRE(site.run_until([&] { return site.orders_of(e01, "leave") == 1; }, milliseconds(10000)));
+    SECTION("orders to leave are unanswered")
+    {
+        reopen_by_late_orders(site, e00, members, group);
+        site.engine(e00).drain(); // it is not wanted for the next group
+        site.lose_orders(e00, "leave");
+    }
+    SECTION("the head is cut off from the store after its restart")
+    {
+        site.engine(e00).drain();
+        site.engine(e00).faults.entry_frozen = true;
+        reopen_by_late_orders(site, e00, members, group);
+    }
+    site.run_for(milliseconds(3000));
+    CHECK(first_join_of_two_groups(site) == "");
+}
