Order a head that serves again to leave before its fence

Cause: when a released head reports that it serves, its ending begins again, but kept that the head had left.

Found by a review.

Change: the ending forgets what it knew of the head's answers.

--- a/src/gateway/group_formation.cpp
+++ b/src/gateway/group_formation.cpp
@@ -226,6 +226,9 @@
         if (serves && end->second.released) {
             end->second.released.reset();
             end->second.member_left = false;
+            end->second.head_left = false;
+            end->second.head_closed = false;
+            end->second.unanswered_orders = 0;
             end->second.head_broken_at.reset();
             end->second.head = engine;
         }
--- a/tests/gateway/late_order_test.cpp
+++ b/tests/gateway/late_order_test.cpp
@@ -226,3 +226,34 @@
     site.run_for(milliseconds(3000));
     CHECK(first_join_of_two_groups(site) == "");
 }
+
+TEST_CASE("a head that was given up after it left is ordered to leave again before its fence",
+          "[gateway][group_manager]")
+{
+    // Guards against a fence that takes an open head out of its group: the head left, was given up before it
+    // answered the fence, and late orders reopened it.
+    managed_site site(one_fabric(3));
+    site.lease.held = false;
+    await_engines(site, 3);
+    unregister(site, e02);
+    await_engines(site, 2);
+    const std::vector<instance_id> members{e00, e01};
+    const auto group = form_with_lost_orders(site, e00, 2);
+    auto& head = site.engine(e00);
+    head.faults.entry_frozen = true; // cut off from the store as well
+    head.faults.unresponsive = true;
+    site.manager.on_suspect(e00);
+    REQUIRE(site.run_until([&] { return site.orders_of(e01, "leave") == 1; }));
+    site.engine(e01).drain(); // no partner for another group
+    site.lose_orders(e00, "join");
+    head.faults.unresponsive = false;
+    site.run_until([&] { return site.orders_of(e00, "leave") == 1; }, milliseconds(1000));
+    head.faults.unresponsive = true;
+    site.run_for(milliseconds(3000)); // the group is released as stalled
+    head.faults.unresponsive = false;
+    head.faults.late_operation.clear();
+    reopen_by_late_orders(site, e00, members, group);
+    register_again(site, e02);
+    site.run_for(milliseconds(3000));
+    CHECK(first_join_of_two_groups(site) == "");
+}
