Ask all engines for their group while orders of an earlier lease may arrive

Cause: a new manager asks an engine once and then trusts its record. An order of the previous manager without an answer may be carried out up to 15 s later, and puts an engine that reported no group into one that is opened.

Found by a review.

Change: for 15 s after a new lease each engine is asked before each order to join. This costs one report per engine and formation in that time.

--- a/src/gateway/group_formation.cpp
+++ b/src/gateway/group_formation.cpp
@@ -161,7 +161,9 @@
         if (state == nullptr) {
             return false;
         }
-        if (!this->assignments.vacant({engine, state->entry.started_ms})) {
+        // Until then a late order of the previous manager may change what an engine has reported.
+        const bool late_orders = steady_clock::now() < this->active_from + detail::max_order_delay;
+        if (late_orders || !this->assignments.vacant({engine, state->entry.started_ms})) {
             questions.push_back({state->entry, failure{failure_kind::timeout, "no probe sent"},
                                  this->assignments.changes_of(engine)});
         }
--- a/src/gateway/group_manager.cpp
+++ b/src/gateway/group_manager.cpp
@@ -23,8 +23,6 @@
 constexpr milliseconds registration_settle_time{500};
 /// The platform loads weights faster by this factor until the site receives its first request.
 constexpr int first_start_load_divisor = 10;
-/// Engines may execute an unanswered order up to 12 s after its receipt; 3 s are added for the network.
-constexpr milliseconds max_order_delay{15000};
 /// One epoch for the group and the next one for its fence.
 constexpr std::uint64_t epochs_per_group = 2;
 /// Orders to stage that may be unanswered; each of them also makes the engine's entry change.
@@ -163,7 +161,7 @@
     this->remove_expired_probes(now);
     this->assignments.forget_if(
         [&](const instance_id& engine) { return this->fleet.find_entry(engine) == nullptr; });
-    this->assignments.forget_released_before(now - max_order_delay);
+    this->assignments.forget_released_before(now - detail::max_order_delay);
     for (auto entry = this->lost_engines.begin(); entry != this->lost_engines.end();) {
         const auto* engine = this->fleet.find_entry(entry->first);
         const bool other_life = engine == nullptr || engine->started_ms != entry->second.started_ms;
@@ -212,7 +210,7 @@
     }
     for (auto entry = this->endings.begin(); entry != this->endings.end();) {
         const auto& state = entry->second;
-        const bool past = state.released || now - state.since > max_order_delay;
+        const bool past = state.released || now - state.since > detail::max_order_delay;
         entry = by_group.count(entry->first) == 0 && !state.order_pending && past ? this->endings.erase(entry)
                                                                                   : std::next(entry);
     }
--- a/src/gateway/group_manager.hpp
+++ b/src/gateway/group_manager.hpp
@@ -44,6 +44,8 @@
 /// A group has lost a link between its members when all of them answer probes but no daemon receives output
 /// from it for this long. Five times the longest usual pass.
 constexpr milliseconds group_stall_limit{1500};
+/// Engines may execute an unanswered order up to 12 s after its receipt; 3 s are added for the network.
+constexpr milliseconds max_order_delay{15000};
 /// Bits of an epoch for the counter of one manager; a day of repairs needs some thousands of epochs.
 constexpr int epoch_counter_bits = 16;
 
@@ -194,8 +196,9 @@
     void retire(const planned_retirement& wanted, time_point now);
     void start_formation(const service& of, const planned_group& wanted, time_point now);
     void run_formation(formation plan, yield_context yield);
-    /// Asks engines that are not known to be vacant for their group. Returns false if one does not answer or
-    /// may be in a group that serves, or if the manager lease with that revision is lost meanwhile.
+    /// Asks engines that are not known to be vacant for their group, and all while late orders of the
+    /// previous manager are possible. Returns false if one does not answer or may be in a group that serves,
+    /// or if the manager lease with that revision is lost meanwhile.
     bool confirm_free(const std::vector<instance_id>& engines, std::uint64_t under_lease,
                       yield_context yield);
     /// Records the engine's own report. Returns whether it is in no group that may serve.
--- a/tests/gateway/late_order_test.cpp
+++ b/tests/gateway/late_order_test.cpp
@@ -257,3 +257,29 @@
     site.run_for(milliseconds(3000));
     CHECK(first_join_of_two_groups(site) == "");
 }
+
+TEST_CASE("an engine that a late order reopened after it was asked is asked again",
+          "[gateway][group_manager]")
+{
+    // Guards against a record of a new manager that is older than an order of the earlier one: the earlier
+    // manager ended the group, and was replaced before its head accepted the fence.
+    managed_site site(one_fabric(3));
+    site.lease.held = false;
+    await_engines(site, 3);
+    unregister(site, e02);
+    await_engines(site, 2);
+    const std::vector<instance_id> members{e00, e01};
+    form_group(site, members);
+    send_order(site, e00, gateway::group_action::leave);
+    send_order(site, e01, gateway::group_action::leave);
+    site.engine(e01).faults.unresponsive = true;
+    REQUIRE(site.run_until([&] { return !site.fleet.find_target(e00)->entry.membership; }));
+    REQUIRE(site.run_until([&] { return !site.fleet.find_target(e01)->entry.membership; }));
+    site.take_over();
+    REQUIRE(site.run_until([&] { return contains(site.manager.lost(), e01); })); // both were asked
+    site.engine(e00).faults.entry_frozen = true;
+    reopen_by_late_orders(site, e00, members, {group_id("g1"), 1});
+    register_again(site, e02);
+    site.run_for(milliseconds(3000));
+    CHECK(first_join_of_two_groups(site) == "");
+}
