Repeat the order to leave to a member whose answer was lost

What callers would see: engines that serve nobody any more. The ending of a group never finished.

Cause: the head of a group cannot be reached, and another member is ordered to leave. If that member left but its answer was lost, its entry shows no group, so it was not asked again, and no other member may be reachable.

Found by a review. Its test failed 3 of 3 before: no group within 25 s.

Change: a member that was ordered to leave stays a candidate until it answers.

--- a/src/gateway/group_ending.cpp
+++ b/src/gateway/group_ending.cpp
@@ -66,7 +66,8 @@
         if (candidate == nullptr || member == state.head.instance || this->is_lost(candidate->entry)) {
             continue;
         }
-        if (const auto in = this->membership_of(candidate->entry); in && in->group == key) {
+        const auto in = this->membership_of(candidate->entry);
+        if (in ? in->group == key : member == state.asked_member) {
             return candidate;
         }
     }
@@ -77,6 +78,7 @@
 {
     state.next_order = steady_clock::now() + ending_retry_delay;
     state.order_pending = true;
+    state.asked_member = member.instance;
     start_coroutine(this->context, [this, key, engine = member](yield_context yield) {
         const auto answer = this->order(engine, group_order::leave(key), yield);
         const auto found = this->endings.find(key);
--- a/src/gateway/group_manager.hpp
+++ b/src/gateway/group_manager.hpp
@@ -116,6 +116,7 @@
         target_entry head; ///< as last registered; no instance if it was never seen
         std::vector<instance_id> members;
         bool member_left{false};
+        instance_id asked_member; ///< was ordered to leave in place of the head; may have left unanswered
         /// Time by which a head with work has noticed that a member left, and has stopped serving.
         std::optional<time_point> head_broken_at;
     };
--- a/tests/gateway/late_order_test.cpp
+++ b/tests/gateway/late_order_test.cpp
@@ -283,3 +283,20 @@
     site.run_for(milliseconds(3000));
     CHECK(first_join_of_two_groups(site) == "");
 }
+
+TEST_CASE("members of an ended group are reused although one left without an answer",
+          "[gateway][group_manager]")
+{
+    // Guards against members that stay busy for ever: the head of a group of an earlier manager cannot be
+    // reached, and the answer of the member that left in its place is lost.
+    managed_site site(one_fabric(3));
+    site.lease.held = false;
+    await_engines(site, 3);
+    form_group(site, {e00, e01});
+    site.engine(e00).faults.unresponsive = true;
+    site.engine(e01).faults.unanswered_group = "g1";
+    site.take_over();
+    REQUIRE(site.run_until([&] { return site.orders_of(e01, "leave") == 1; }));
+    REQUIRE(site.run_until([&] { return site.group_count() == 0; }));
+    CHECK(site.run_until([&] { return site.group_count() == 1; }, milliseconds(25000)));
+}
