--- a/tests/gateway/late_order_test.cpp
+++ b/tests/gateway/late_order_test.cpp
@@ -300,3 +300,84 @@
     REQUIRE(site.run_until([&] { return site.group_count() == 0; }));
     CHECK(site.run_until([&] { return site.group_count() == 1; }, milliseconds(25000)));
 }
+
+TEST_CASE("a group does not open without a member that restarted while others were joining",
+          "[gateway][group_manager]")
+{
+    managed_site site(one_fabric(3, 3));
+    site.lease.held = false;
+    await_engines(site, 3);
+    for (const auto& name : {e01, e02}) {
+        send_order(site, name, gateway::group_action::stage);
+        REQUIRE(site.run_until([&] { return !site.fleet.find_target(name)->entry.staged.empty(); }));
+    }
+    site.site->fleet.timing.load = milliseconds(1500);
+    site.take_over();
+    const auto ready = [&](const instance_id& name) {
+        const auto& in = site.fleet.find_target(name)->entry.membership;
+        return in && in->phase == gateway::group_phase::ready;
+    };
+    REQUIRE(site.run_until([&] { return ready(e01) && ready(e02); }));
+    const auto member = site.fleet.find_target(e01)->entry.membership->rank == 0 ? e02 : e01;
+    site.run_for(milliseconds(200));
+    site.engine(member).restart();
+    site.run_for(milliseconds(5000));
+    CHECK(first_violation(site) == "");
+}
+
+TEST_CASE("a group that a late order of an earlier manager opens does not stay under its epoch",
+          "[gateway][group_manager]")
+{
+    // The new manager waits while members of an unfinished group join; a late order opens it, and another one
+    // takes a member to a later group of the earlier manager.
+    managed_site site(one_fabric(2));
+    site.site->fleet.timing.load = milliseconds(900);
+    site.lease.held = false;
+    await_engines(site, 2);
+    const std::vector<instance_id> members{e00, e01};
+    for (const auto& member : members) {
+        send_order(site, member, gateway::group_action::join, members);
+    }
+    site.run_for(milliseconds(300));
+    site.engine(e01).faults.entry_frozen = true; // its entry shows that it joins
+    site.run_for(milliseconds(900));
+    site.take_over();
+    site.run_for(milliseconds(600));
+    send_order(site, e00, gateway::group_action::open);
+    site.run_for(milliseconds(300));
+    site.engine(e01).faults.entry_frozen = false;
+    site.engine(e01).update_entry();
+    site.run_for(milliseconds(1000));
+    const auto late = deliver_order(site, e01, gateway::group_action::join, {e01}, {group_id("g3"), 3});
+    CHECK(late == gateway::order_verdict::stale);
+    CHECK(first_violation(site) == "");
+}
+
+TEST_CASE("a head whose entry never showed a model is fenced after unanswered orders",
+          "[gateway][group_manager]")
+{
+    // Guards against an ending that takes the model of the fence from an entry that is older than the first
+    // join of the engine, and leaves the fence out.
+    managed_site site(one_fabric(3));
+    site.lease.held = false;
+    await_engines(site, 3);
+    unregister(site, e02);
+    await_engines(site, 2);
+    const std::vector<instance_id> members{e00, e01};
+    site.engine(e00).faults.entry_frozen = true;
+    site.lose_next_orders(e00, 1);
+    site.take_over();
+    REQUIRE(site.run_until([&] { return site.orders_of(e00, "join") == 1; }));
+    const auto shown = [&] { return site.fleet.find_target(e01)->entry.membership; };
+    REQUIRE(site.run_until([&] { return shown().has_value(); }));
+    const group_key group{shown()->group, shown()->epoch};
+    site.lose_next_orders(e00, 1);
+    REQUIRE(site.run_until([&] { return site.orders_of(e00, "open") == 1; }));
+    site.engine(e01).drain();
+    REQUIRE(site.run_until([&] { return site.orders_of(e00, "leave") == 1; }));
+    site.run_for(milliseconds(700));
+    reopen_by_late_orders(site, e00, members, group);
+    register_again(site, e02);
+    site.run_for(milliseconds(2000));
+    CHECK(first_join_of_two_groups(site) == "");
+}
