--- a/tests/gateway/late_order_test.cpp
+++ b/tests/gateway/late_order_test.cpp
@@ -173,7 +173,7 @@
 TEST_CASE("a new life of a head is not taken for ended by the release of its earlier life",
           "[gateway][group_manager]")
 {
-    // The same as review 2 after the ending has been forgotten; the head is cut off from the store.
+    // Guards against the same after the ending has been forgotten; the head is cut off from the store.
     managed_site site(one_fabric(3));
     site.lease.held = false;
     await_engines(site, 3);
