Ask another target after a server error

Callers got the error of the first target, although the route allows a second attempt and most targets answer.

A request that may be executed twice is now sent to another target within the attempts of the route and the retry budget, if the time left allows a run twice as long. The error is kept, with its signature, and delivered when no other target answers. Requests that must run once keep the first answer.

--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -61,7 +61,7 @@
         this->owner.record_fault(*state, target_fault::refused, steady_clock::now());
     }
     const bool failed_there = end == attempt_end::lost || end == attempt_end::not_sent ||
-                              end == attempt_end::timed_out ||
+                              end == attempt_end::timed_out || end == attempt_end::target_error ||
                               (end == attempt_end::answered && this->final_status >= 500);
     state->failure_share += failure_smoothing * ((failed_there ? 1.0 : 0.0) - state->failure_share);
 }
@@ -197,7 +197,7 @@
     }
     this->end_first_request(attempt);
     // A refusal may be written once more with the id of the next request, so its connection is not reused.
-    if (end == attempt_end::answered) {
+    if (end == attempt_end::answered || end == attempt_end::target_error) {
         this->owner.connections.give_back(attempt.target.address, std::move(attempt.bound));
     }
     attempt.bound = {};
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -1,6 +1,7 @@
 #include "gateway/request_run.hpp"
 
 #include "base/log.hpp"
+#include "decision/error_retry.hpp"
 #include "http/pause.hpp"
 
 #include <algorithm>
@@ -485,6 +486,10 @@
 {
     auto end = this->begin(*this->primary, this->yield);
     while (true) {
+        if (end == attempt_end::begun && this->is_retryable_error(*this->primary)) {
+            end = attempt_end::target_error;
+            this->keep_error(*this->primary);
+        }
         if (end == attempt_end::begun) {
             end = this->relay();
         }
@@ -546,8 +551,52 @@
     return this->retry_reserved;
 }
 
+bool request_run::is_retryable_error(const target_attempt& attempt) const
+{
+    if (!attempt.complete || attempt.streamed || this->stopping) {
+        return false;
+    }
+    const auto now = steady_clock::now();
+    answered_attempt answer;
+    answer.status = attempt.head.status;
+    answer.idempotent = this->chosen_route->idempotent();
+    answer.answer_started = this->head_sent;
+    answer.sends = this->sends;
+    answer.max_attempts = this->chosen_route->max_attempts;
+    answer.took = now - attempt.sent_at;
+    answer.until_deadline = this->deadline - now;
+    return retries_after_error(answer);
+}
+
+void request_run::keep_error(target_attempt& attempt)
+{
+    attempt.reason = "target answered with " + std::to_string(attempt.head.status);
+    this->kept_error = std::move(attempt.head);
+    this->kept_error_bytes = std::move(attempt.buffered);
+}
+
+void request_run::send_kept_error()
+{
+    this->final_status = this->kept_error->status;
+    this->first_byte = this->since_arrival();
+    this->owner.first_byte.record(this->first_byte);
+    this->head_sent = true;
+    auto answer = this->caller_response(*this->kept_error);
+    answer.body = std::move(this->kept_error->body);
+    if (failed(this->writer.send(answer))) {
+        this->outcome = "caller disconnected";
+        this->owner.disconnected.add();
+        return;
+    }
+    this->outcome = "answered";
+    this->owner.answered.add();
+}
+
 void request_run::finish_unanswered()
 {
+    if (this->kept_error && !this->head_sent) {
+        return this->send_kept_error();
+    }
     if (this->head_sent) {
         // Aborts the connection, so that the caller cannot take the partial answer for a complete one.
         this->outcome = "aborted";
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -75,6 +75,7 @@
         not_sent,            ///< nothing was sent: no connection, or the target's limit is reached
         not_run,             ///< the target answered that it did not run the request
         lost,                ///< may have run; the connection broke, or the answer is not valid
+        target_error,        ///< the whole answer is a server error, which another target may not give
         superseded,          ///< ended by this daemon in favour of another attempt
         timed_out,           ///< the deadline of the request has passed; may have run
         caller_disconnected, ///< the caller closed its connection
@@ -130,6 +131,12 @@
     void end_attempt(target_attempt& attempt, attempt_end end, http::yield_context in);
     /// Reports the end of an attempt to the crash guard.
     void record_crash_evidence(const target_attempt& attempt, attempt_end end, http::yield_context in);
+    /// Whether the answer of the attempt is a server error after which another target is asked.
+    bool is_retryable_error(const target_attempt& attempt) const;
+    /// Keeps the error of the attempt for the case that no other target answers.
+    void keep_error(target_attempt& attempt);
+    /// Sends the error that was kept to the caller.
+    void send_kept_error();
     /// Runs an attempt and those that replace it.
     attempt_end run_primary();
 
@@ -196,6 +203,10 @@
     time_point next_standby{};                ///< earliest time to look for a target again
     boost::asio::steady_timer standby_change; ///< cancelled when run_standby() returns or the request ends
 
+    /// A target's answer with a server error, kept while other targets are asked, with the bytes of its body.
+    std::optional<http::response> kept_error;
+    std::unique_ptr<byte_budget::share> kept_error_bytes;
+
     std::vector<instance_id> tried;
     std::uint32_t sends{0};         ///< attempts in which the request was sent
     std::uint32_t possible_runs{0}; ///< those whose target has not stated that it did not run the request
