Name a model in the fence of a head whose entry shows none

A head that was cut off from the store before its first join left its group, was reopened by late orders to join and to open, and was then ordered to join another group.

Cause: the fence of an ended group is an order to join, which names a model. The ending took the model from the head's entry. An entry that is older than the first join shows none, and the ending then left the fence out and released the group as "head left", although orders without an answer were in flight.

Evidence: with the head's entry kept at its state before the first join and its orders to join and to open lost, the test failed in each run; the head accepted its leave and got no fence before it joined the next group.

Change: the model of a fence only has to be one that the engine can load, so its absence from one entry is no reason to leave the fence out. It is taken from the ending, a member, the weights staged at the head or the models of the service. Only a head of a service without models is released without a fence; no engine of such a service is ordered to join a group. No call is added to endings that had a fence or needed none.

--- a/src/gateway/group_ending.cpp
+++ b/src/gateway/group_ending.cpp
@@ -186,13 +186,33 @@
     });
 }
 
+model_id group_manager::fence_model(const ending& state) const
+{
+    if (!state.head.model.empty()) {
+        return state.head.model;
+    }
+    for (const auto& member : state.members) {
+        if (const auto* target = this->fleet.find_target(member);
+            target != nullptr && !target->entry.model.empty()) {
+            return target->entry.model;
+        }
+    }
+    if (!state.head.staged.empty()) {
+        return state.head.staged.front();
+    }
+    const auto* service = this->fleet.config()->find_service(state.head.service);
+    const bool has_models = service != nullptr && service->engines && !service->engines->models.empty();
+    return has_models ? service->engines->models.front().model : model_id();
+}
+
 group_order group_manager::next_end_order(const group_key& key, const ending& state, const target_state* head,
-                                          time_point now)
+                                          time_point now) const
 {
     if (state.head_left) {
         // An engine that joins a fence group has seen a newer epoch and refuses orders still in flight. An
         // engine that has joined a later group in the meantime refuses the fence.
-        auto model = head != nullptr && !head->entry.model.empty() ? head->entry.model : state.head.model;
+        auto model =
+            head != nullptr && !head->entry.model.empty() ? head->entry.model : this->fence_model(state);
         auto permit = group_assignments::permit_fence({state.head.instance, state.head.started_ms}, key);
         return group_order::join(std::move(permit), std::move(model), {state.head.instance});
     }
@@ -232,7 +252,7 @@
         state.next_order = state.head_left ? time_point{} : state.next_order;
         if (state.head_left && !accepted) {
             this->release(key, state, release_evidence::head_moved_on);
-        } else if (state.head_left && (!state.needs_fence || state.head.model.empty())) {
+        } else if (state.head_left && (!state.needs_fence || this->fence_model(state).empty())) {
             this->release(key, state, release_evidence::head_left);
         }
     } else {
--- a/src/gateway/group_manager.hpp
+++ b/src/gateway/group_manager.hpp
@@ -248,8 +248,12 @@
                     std::vector<std::function<void(yield_context)>>& tasks);
 
     /// The order to the head that advances the ending of its group: close, leave or join the fence group.
-    static group_order next_end_order(const group_key& key, const ending& state, const target_state* head,
-                                      time_point now);
+    group_order next_end_order(const group_key& key, const ending& state, const target_state* head,
+                               time_point now) const;
+    /// Model that the fence of the group names if the head's entry shows none: of the ending, of a member,
+    /// staged at the head, or any that its service serves. Empty only if the service has no models, so that
+    /// no engine of it joins another group. A fence with another model than that of the group costs a load.
+    model_id fence_model(const ending& state) const;
     /// Sends an order, after waiting for its turn, if this daemon still holds the manager lease under which
     /// the order was decided.
     result<order_verdict> order(const target_entry& engine, const group_order& what, yield_context yield,
