Open a group only on readiness of the present life of each member

A head was opened although a member had restarted and was in no group any more; the group ended 0.1 s later. Until then requests could begin to run in it.

Cause: while members joined, the manager collected the names of those that had been ready once. Readiness is evidence about one life of an engine in one membership, and the set had neither.

Evidence: with one member restarted after it was ready and before the head was, the test failed in each run with "incomplete group: ... opens without e02".

Change: readiness is kept with the life of the engine and with its source, and is compared with the registry in each check and before each order to open. If a member that was ready shows another life or has left the group, the formation is abandoned at once. Only the mirrored registry is read, so formations get no further calls or waits. A member that the registry does not show as restarted yet cannot be told from a ready one.

--- a/src/gateway/group_formation.cpp
+++ b/src/gateway/group_formation.cpp
@@ -42,6 +42,13 @@
     return out;
 }
 
+/// Whether a member that shows or reports this membership is ready in the group.
+bool is_ready_in(const group_key& group, const std::optional<group_membership>& found)
+{
+    return found && found->group == group.first && found->epoch == group.second &&
+           found->phase != group_phase::joining;
+}
+
 } // namespace
 
 void group_manager::start_formation(const service& of, const planned_group& wanted, time_point now)
@@ -327,40 +334,36 @@
     return false;
 }
 
-bool group_manager::wait_until_ready(const formation& plan, yield_context yield)
+bool group_manager::wait_until_ready(formation& plan, yield_context yield)
 {
     const auto expected = std::chrono::duration_cast<milliseconds>(plan.expected * formation_factor);
     const auto limit = plan.started + expected + detail::formation_slack;
     auto next_probe_at = steady_clock::now() + plan.expected + ready_slack;
-    std::set<instance_id> ready;
     std::map<instance_id, int> unanswered; ///< reports in a row
     while (steady_clock::now() < limit) {
         const auto now = steady_clock::now();
         const bool probe = now >= next_probe_at;
+        if (!this->update_readiness(plan)) {
+            return false;
+        }
         std::vector<std::function<void(yield_context)>> tasks;
         for (const auto& member : plan.members) {
             const auto* state = this->fleet.find_target(member);
             if (state == nullptr || this->is_lost(state->entry) || state->entry.draining) {
                 return false;
             }
-            const auto is_ready_member = [&plan](const std::optional<group_membership>& found) {
-                return found && found->group == plan.group && found->epoch == plan.epoch &&
-                       found->phase != group_phase::joining;
-            };
-            if (is_ready_member(state->entry.membership)) {
-                ready.insert(member);
-            } else if (probe && ready.count(member) == 0) {
-                tasks.emplace_back(
-                    [this, &ready, &unanswered, is_ready_member, entry = state->entry](yield_context inner) {
-                        this->probes_sent.add();
-                        const auto answer = this->ports.engines->report(
-                            entry, steady_clock::now() + detail::probe_timeout, inner);
-                        auto& missing = unanswered[entry.instance];
-                        missing = succeeded(answer) ? 0 : missing + 1;
-                        if (succeeded(answer) && is_ready_member(value(answer).membership)) {
-                            ready.insert(entry.instance);
-                        }
-                    });
+            if (probe && plan.ready.count(member) == 0) {
+                tasks.emplace_back([this, &plan, &unanswered, entry = state->entry](yield_context inner) {
+                    this->probes_sent.add();
+                    const auto answer = this->ports.engines->report(
+                        entry, steady_clock::now() + detail::probe_timeout, inner);
+                    auto& missing = unanswered[entry.instance];
+                    missing = succeeded(answer) ? 0 : missing + 1;
+                    if (succeeded(answer) &&
+                        is_ready_in({plan.group, plan.epoch}, value(answer).membership)) {
+                        plan.ready.emplace(entry.instance, readiness{entry.started_ms, false});
+                    }
+                });
             }
         }
         if (!tasks.empty()) {
@@ -373,7 +376,7 @@
                 }
             }
         }
-        if (ready.size() == plan.members.size()) {
+        if (plan.ready.size() == plan.members.size()) {
             return true;
         }
         http::pause(poll_interval, yield);
@@ -381,12 +384,33 @@
     return false;
 }
 
+bool group_manager::update_readiness(formation& plan) const
+{
+    for (const auto& member : plan.members) {
+        const auto* state = this->fleet.find_target(member);
+        if (state == nullptr) {
+            continue;
+        }
+        const auto& entry = state->entry;
+        const auto known = plan.ready.find(member);
+        if (is_ready_in({plan.group, plan.epoch}, entry.membership)) {
+            plan.ready[member] = {entry.started_ms, true};
+        } else if (known != plan.ready.end() &&
+                   (known->second.shown || known->second.started_ms != entry.started_ms)) {
+            log(log_level::info, "a member that was ready has restarted or left its group",
+                {{"engine", member.str()}, {"group", plan.group.str()}});
+            return false;
+        }
+    }
+    return true;
+}
+
 bool group_manager::open_head(formation& plan, yield_context yield)
 {
     const auto what = group_order::open({plan.group, plan.epoch});
     for (int attempt = 0; attempt < max_open_attempts && this->in_force(plan); ++attempt) {
         const auto* head = this->fleet.find_target(plan.members.front());
-        if (head == nullptr) {
+        if (head == nullptr || !this->update_readiness(plan)) {
             return false;
         }
         const auto entry = head->entry;
--- a/src/gateway/group_manager.hpp
+++ b/src/gateway/group_manager.hpp
@@ -79,6 +79,12 @@
     std::function<void()> on_ending;
 
 private:
+    /// Evidence that a member of a group being formed is ready.
+    struct readiness
+    {
+        std::int64_t started_ms{0}; ///< life of the engine that was ready
+        bool shown{false};          ///< by its registry entry; otherwise by its report, the entry being older
+    };
     struct formation
     {
         group_id group;
@@ -91,6 +97,7 @@
         std::uint32_t loads{0};
         time_point started{};
         target_entry head; ///< as registered when the formation began
+        std::map<instance_id, readiness> ready;
         bool open_sent{false};
         std::uint64_t lease_revision{0}; ///< of the manager lease under which it runs
     };
@@ -218,7 +225,10 @@
     void wait_until_shown(const formation& plan, yield_context yield);
     /// Ends a group of this manager with the address of its head as it was when the formation began.
     ending& end_formed_group(const formation& plan, bool graceful, const std::string& reason);
-    bool wait_until_ready(const formation& plan, yield_context yield);
+    bool wait_until_ready(formation& plan, yield_context yield);
+    /// Records the members whose entries show that they are ready. Returns false if one that was ready has
+    /// restarted or left since: its readiness was that of an earlier life or membership. Makes no call.
+    bool update_readiness(formation& plan) const;
     bool open_head(formation& plan, yield_context yield);
     void abandon(const formation& plan, const std::string& reason);
     /// Whether members of a group that a previous manager left unfinished still join it. Once they are ready,
