Keep requests and callers in their failure domain while it has room

Targets were chosen regardless of their failure domain, so at a site with three domains two thirds of the bytes crossed between them.

Callers that name their domain in the query for entry addresses get the entry daemons of that domain while at least two are ready there and can carry its demand.

--- a/src/decision/entry_choice.cpp
+++ b/src/decision/entry_choice.cpp
@@ -18,6 +18,14 @@
 /// With two daemons in each failure domain, callers still have one in their own domain after the loss of the
 /// other.
 constexpr std::size_t min_per_domain = 2;
+/// A domain's own daemons may be this busy before its callers are told the others too: below the 700 requests
+/// a second that a core can carry, and above the rate for which the entries are chosen, because the domain's
+/// demand may exceed its mean by half.
+constexpr double near_requests_per_core = 500;
+/// Callers return to their domain when its demand has fallen to this part of that rate.
+constexpr double return_share = 0.8;
+/// Then the demand of a domain whose callers are told all daemons is measured again.
+constexpr seconds shortage_lifetime{30};
 
 } // namespace
 
@@ -58,4 +66,26 @@
     return out;
 }
 
+bool near_entries::suffice(const failure_domain_id& domain, const domain_entries& entries, time_point now)
+{
+    if (entries.daemons < min_per_domain) {
+        return false;
+    }
+    const auto capacity_per_s =
+        static_cast<double>(entries.daemons) * entries.min_cores * near_requests_per_core;
+    if (const auto found = this->short_domains.find(domain); found != this->short_domains.end()) {
+        const auto demand_per_s = found->second.share * entries.all_requests_per_s;
+        if (demand_per_s > return_share * capacity_per_s && now < found->second.since + shortage_lifetime) {
+            return false;
+        }
+        this->short_domains.erase(found);
+        return true;
+    }
+    if (entries.requests_per_s <= capacity_per_s) {
+        return true;
+    }
+    this->short_domains[domain] = {entries.requests_per_s / entries.all_requests_per_s, now};
+    return false;
+}
+
 } // namespace rml
--- a/src/decision/target_choice.cpp
+++ b/src/decision/target_choice.cpp
@@ -28,6 +28,7 @@
 enum class preference
 {
     healthy,
+    elsewhere,         ///< outside the preferred failure domain
     near_tried_target, ///< in the fabric domain of a target that was tried
     suspected,
     ejected,
@@ -45,7 +46,10 @@
         !candidate.fabric.empty() && std::any_of(all.begin(), all.end(), [&](const auto& other) {
             return other.tried && other.fabric == candidate.fabric;
         });
-    return near ? preference::near_tried_target : preference::healthy;
+    if (near) {
+        return preference::near_tried_target;
+    }
+    return candidate.elsewhere ? preference::elsewhere : preference::healthy;
 }
 
 /// Indices of the candidates of the best preference that have a free slot.
--- a/src/decision/target_choice.hpp
+++ b/src/decision/target_choice.hpp
@@ -23,10 +23,13 @@
     fabric_domain_id fabric;         ///< empty: none
     std::uint32_t own{0};            ///< requests of this daemon in flight at the target
     std::uint32_t others{0};         ///< requests of other daemons, as last reported
+    std::uint32_t neighbours{0};     ///< those of them from daemons of the own failure domain
+    std::size_t domain{0};           ///< index of the failure domain; 0: of this daemon, or not known
     std::uint32_t slots{1};          ///< requests that the target runs concurrently
     std::uint32_t reserved{0};       ///< free slots that are reserved for other daemons
     double slowness{1};              ///< factor on the service time; above 1: slower than usual
     bool tried{false};               ///< this request was already sent to the target
+    bool elsewhere{false};           ///< outside the failure domain that the request should be served in
     bool awaits_first_answer{false}; ///< takes no other request before; its free slots count nevertheless
     bool suspected{false};           ///< silent for a while; chosen when no other target has a free slot
     bool ejected{false};             ///< presumed failed or closing; chosen when all untried targets are
--- a/src/gateway/daemon.cpp
+++ b/src/gateway/daemon.cpp
@@ -50,7 +50,8 @@
                    const std::function<result<gateway_settings>()>& read_settings)
         : configured(settings), reload(read_settings), started_ms(wall_clock_ms()),
           connections(this->context), ports(create_ports(this->connections, settings.store.address)),
-          fleet(settings.daemon), mirror(this->context, this->ports, this->fleet, this->configured),
+          fleet(settings.daemon, settings.failure_domain),
+          mirror(this->context, this->ports, this->fleet, this->configured),
           holder(this->context, this->ports, this->mirror, this->fleet, this->configured, this->started_ms),
           requests(this->context, this->ports, this->fleet, this->connections, this->configured,
                    this->metrics),
@@ -59,9 +60,12 @@
           exchange(this->context, this->fleet), readiness([this] { return this->ready(); }),
           entries(
               *this->ports.decoder,
-              [this] {
+              [this](const std::optional<failure_domain_id>& domain) {
+                  const auto now = steady_clock::now();
                   std::vector<endpoint> out;
-                  for (const auto& entry : entry_daemons(this->fleet, this->own(), steady_clock::now())) {
+                  for (const auto& entry :
+                       domain ? entry_daemons_near(*domain, this->near, this->fleet, this->own(), now)
+                              : entry_daemons(this->fleet, this->own(), now)) {
                       out.push_back(entry.caller);
                   }
                   return out;
@@ -408,6 +412,7 @@
     crash_archive archive;
     group_manager manager;
     peer_exchange exchange;
+    near_entries near;
     readiness_page readiness;
     entries_page entries;
     metrics_page metrics_text;
--- a/src/gateway/entry_list.cpp
+++ b/src/gateway/entry_list.cpp
@@ -10,6 +10,13 @@
 
 constexpr std::size_t max_listed_daemons = 64;
 
+/// Whether this incarnation of the daemon has reported recently.
+bool reports(const fleet_state& fleet, const peer_state& peer, time_point now)
+{
+    return fleet.live(peer, now) && peer.last_report.started_ms >= peer.entry.started_ms &&
+           peer.reported_at != time_point{};
+}
+
 } // namespace
 
 std::vector<listed_daemon> entry_daemons(const fleet_state& fleet, const own_state& own, time_point now)
@@ -20,7 +27,7 @@
     double requests_per_s = own.requests_per_s;
     const auto add = [&](const daemon_id& daemon, const daemon_entry& entry, bool store_reachable) {
         candidates.push_back({daemon, entry.failure_domain, entry.cores, store_reachable});
-        serving.push_back({daemon, entry.caller});
+        serving.push_back({daemon, entry.caller, entry.failure_domain, entry.cores, true});
     };
     if (own.ready) {
         add(fleet.self, own.entry, own.store_reachable);
@@ -31,13 +38,14 @@
         }
         const bool reported_in_this_incarnation =
             peer.last_report.started_ms >= peer.entry.started_ms && peer.reported_at != time_point{};
-        if (fleet.live(peer, now) && reported_in_this_incarnation) {
+        if (reports(fleet, peer, now)) {
             requests_per_s += peer.last_report.requests_per_s;
             if (peer.last_report.ready && !peer.last_report.leaving) {
                 add(daemon, peer.entry, peer.last_report.store_reachable);
             }
         } else if (peer.registered && !(reported_in_this_incarnation && peer.last_report.leaving)) {
-            unresponsive.push_back({daemon, peer.entry.caller});
+            unresponsive.push_back(
+                {daemon, peer.entry.caller, peer.entry.failure_domain, peer.entry.cores, false});
         }
     }
     std::vector<listed_daemon> out;
@@ -51,4 +59,34 @@
     return out;
 }
 
+std::vector<listed_daemon> entry_daemons_near(const failure_domain_id& domain, near_entries& decision,
+                                              const fleet_state& fleet, const own_state& own, time_point now)
+{
+    auto all = entry_daemons(fleet, own, now);
+    const auto& config = fleet.config();
+    if (!config || !config->delays().longest_from(domain)) {
+        return all;
+    }
+    domain_entries entries;
+    std::vector<listed_daemon> near;
+    for (const auto& entry : all) {
+        if (entry.failure_domain == domain && entry.ready) {
+            entries.min_cores = near.empty() ? entry.cores : std::min(entries.min_cores, entry.cores);
+            near.push_back(entry);
+        }
+    }
+    entries.daemons = near.size();
+    const auto add = [&](const failure_domain_id& of, double requests_per_s) {
+        entries.all_requests_per_s += requests_per_s;
+        entries.requests_per_s += of == domain ? requests_per_s : 0;
+    };
+    add(own.entry.failure_domain, own.requests_per_s);
+    for (const auto& [daemon, peer] : fleet.peers()) {
+        if (daemon != fleet.self && reports(fleet, peer, now)) {
+            add(peer.entry.failure_domain, peer.last_report.requests_per_s);
+        }
+    }
+    return decision.suffice(domain, entries, now) ? near : all;
+}
+
 } // namespace rml::gateway
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -32,7 +32,10 @@
 
 } // namespace
 
-fleet_state::fleet_state(daemon_id self) : suspicions(suspicion_lifetime), self(std::move(self)) {}
+fleet_state::fleet_state(daemon_id self, failure_domain_id domain)
+    : suspicions(suspicion_lifetime), self(std::move(self)), domain(std::move(domain))
+{
+}
 
 bool fleet_state::update_config(std::shared_ptr<const site_config> config)
 {
@@ -484,8 +487,11 @@
 void fleet_state::update_peer(const daemon_id& daemon, daemon_entry entry)
 {
     auto& state = this->all_peers[daemon];
+    const bool was_counted = state.counted;
+    this->count_report(state, false); // the entry may name another failure domain
     state.entry = std::move(entry);
     state.registered = true;
+    this->count_report(state, was_counted);
 }
 
 void fleet_state::destroy_peer(const daemon_id& daemon)
@@ -551,12 +557,18 @@
         return;
     }
     peer.counted = add;
-    for (const auto& [target, count] : peer.last_report.in_flight) {
-        auto& sum = this->others[target];
-        sum = add ? sum + count : sum - count;
-        if (sum == 0) {
-            this->others.erase(target);
+    const auto add_to = [&](auto& sums) {
+        for (const auto& [target, count] : peer.last_report.in_flight) {
+            auto& sum = sums[target];
+            sum = add ? sum + count : sum - count;
+            if (sum == 0) {
+                sums.erase(target);
+            }
         }
+    };
+    add_to(this->others);
+    if (peer.entry.failure_domain == this->domain) {
+        add_to(this->neighbours);
     }
 }
 
@@ -586,6 +598,13 @@
     return found == this->others.end() ? 0 : found->second;
 }
 
+std::uint32_t fleet_state::neighbours_in_flight(const instance_id& target, time_point now)
+{
+    this->expire_reports(now);
+    const auto found = this->neighbours.find(target);
+    return found == this->neighbours.end() ? 0 : found->second;
+}
+
 bool fleet_state::counts(const daemon_id& daemon, const peer_state& peer, time_point now) const
 {
     return daemon != this->self && (peer.registered || this->live(peer, now));
--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -95,7 +95,7 @@
 class fleet_state
 {
 public:
-    explicit fleet_state(daemon_id self);
+    explicit fleet_state(daemon_id self, failure_domain_id domain = {});
 
     // Configuration.
 
@@ -186,6 +186,8 @@
     const std::map<daemon_id, peer_state>& peers() const { return this->all_peers; }
     /// Requests that the other live daemons have in flight at the target, by their last reports.
     std::uint32_t others_in_flight(const instance_id& target, time_point now);
+    /// Those of the live daemons in the failure domain of this one.
+    std::uint32_t neighbours_in_flight(const instance_id& target, time_point now);
     /// Number of daemons, including this one, and the rank of this one among them for the target.
     fleet_share share_for(const instance_id& target, time_point now) const;
     /// Sets the daemons that callers connect to.
@@ -204,6 +206,7 @@
     bool peers_settled{false};
     fleet_stats stats;
     const daemon_id self;
+    const failure_domain_id domain; ///< of this daemon
 
 private:
     void changed() { this->groups_stale = true; }
@@ -248,6 +251,7 @@
     /// Requests in flight by target, summed over the reports of the live daemons: a choice among many targets
     /// would otherwise read the reports of all daemons for each of them.
     std::unordered_map<instance_id, std::uint32_t> others;
+    std::unordered_map<instance_id, std::uint32_t> neighbours; ///< of daemons in the own failure domain
     time_point next_report_expiry{time_point::max()};
 };
 
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -46,7 +46,7 @@
                      target::connection_pool& pool, const gateway_settings& settings,
                      metric_registry& registry)
     : context(owner), ports(platform), fleet(state), connections(pool), configured(settings),
-      guard(state, pool, registry), random(hash64(settings.daemon.str())),
+      guard(state, pool, registry), domains(state, registry), random(hash64(settings.daemon.str())),
       answered(registry.create_counter("rml_requests_answered_total", "Requests answered by a target")),
       refused(registry.create_counter("rml_requests_refused_total", "Requests refused that have not run")),
       failed_requests(
@@ -151,6 +151,7 @@
                                                     const std::vector<instance_id>& tried, time_point now)
 {
     std::vector<target_candidate> out;
+    auto* domain_of = this->domains.index_of(key.service);
     std::size_t index = 0;
     const auto add = [&](target_state& state, std::uint32_t slots) {
         const auto right = this->fleet.right_to_send(state, now);
@@ -167,6 +168,10 @@
         candidate.fabric = state.entry.fabric;
         candidate.own = this->fleet.in_flight.in_flight(candidate.instance);
         candidate.others = this->fleet.others_in_flight(candidate.instance, now);
+        if (domain_of != nullptr) {
+            candidate.domain = domain_of->find(state.entry.failure_domain);
+            candidate.neighbours = this->fleet.neighbours_in_flight(candidate.instance, now);
+        }
         candidate.slots = static_cast<std::uint32_t>(this->usable_slots(state, slots, allowances, now));
         candidate.slowness = state.slowness_at(now) * (1 + failure_slowdown * state.failure_share);
         candidate.tried = std::find(tried.begin(), tried.end(), candidate.instance) != tried.end();
@@ -184,6 +189,20 @@
     return out;
 }
 
+std::optional<routing_decision> forwarder::choose_domain(const pool_key& key,
+                                                         std::vector<target_candidate>& candidates)
+{
+    const auto* index = this->domains.index_of(key.service);
+    if (index == nullptr) {
+        return std::nullopt;
+    }
+    auto& pool = this->pools.at(key);
+    const auto decision =
+        pool.routing.decide(candidates, {index->delays(), pool.answer_time}, this->random());
+    mark_elsewhere(decision, candidates);
+    return decision;
+}
+
 std::optional<milliseconds> forwarder::pause_left(const pool_key& key, time_point now)
 {
     std::optional<time_point> first_end;
@@ -266,6 +285,8 @@
         for (auto& [key, state] : this->pools) {
             state.load_per_s += load_smoothing * (state.arrived_load / elapsed - state.load_per_s);
             state.arrived_load = 0;
+            this->domains.log_regime(key.service.str() + (key.model.empty() ? "" : "/" + key.model.str()),
+                                     state.routing);
         }
         const auto arrived = static_cast<double>(this->next_number - this->requests_counted);
         this->arriving_per_s += load_smoothing * (arrived / elapsed - this->arriving_per_s);
--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -11,6 +11,7 @@
 #include "decision/target_ejection.hpp"
 #include "gateway/admission_queue.hpp"
 #include "gateway/crash_guard.hpp"
+#include "gateway/domain_router.hpp"
 #include "gateway/fleet_state.hpp"
 #include "gateway/ports.hpp"
 #include "gateway/settings.hpp"
@@ -114,11 +115,16 @@
         double arrived_load{0};
         /// Arrival to the end of the answer, without the run time that the sizes of the requests imply.
         recent_maximum delay{longest_delay_period};
+        domain_routing routing;
+        duration answer_time{0}; ///< smoothed, of requests with one send; zero: not known yet
     };
 
     pool_state& pool(const pool_key& key, milliseconds objective);
     std::vector<target_candidate> candidates(const pool_key& key, const std::vector<instance_id>& tried,
                                              time_point now);
+    /// Chooses a failure domain and marks the candidates of the others. Nothing without stated delays.
+    std::optional<routing_decision> choose_domain(const pool_key& key,
+                                                  std::vector<target_candidate>& candidates);
     /// Calls `visit` with each target of the pool that serves, and its slots.
     template <class Visitor>
     void visit_targets(const pool_key& key, const Visitor& visit);
@@ -143,6 +149,7 @@
     target::connection_pool& connections;
     const gateway_settings& configured;
     crash_guard guard;
+    domain_router domains;
     std::map<pool_key, pool_state> pools;
     std::map<service_id, retry_budget> budgets;
     std::unordered_map<const detail::target_attempt*, active_attempt> attempts;
--- a/src/gateway/pages.cpp
+++ b/src/gateway/pages.cpp
@@ -25,11 +25,11 @@
     if (http::path_of(message.target) != "/resolve") {
         return send(writer, http::json_response(404, "{}"));
     }
-    const auto known = this->addresses();
+    const auto known = this->addresses(this->codec.caller_domain(message.target));
     if (known.empty()) {
         return send(writer, http::json_response(503, "{}"));
     }
-    send(writer, http::json_response(200, this->encoder.encode_entry_addresses(known, this->lifetime)));
+    send(writer, http::json_response(200, this->codec.encode_entry_addresses(known, this->lifetime)));
 }
 
 void metrics_page::handle(const http::request&, http::response_writer& writer, http::yield_context)
--- a/src/gateway/pages.hpp
+++ b/src/gateway/pages.hpp
@@ -6,6 +6,7 @@
 #include "http/server.hpp"
 
 #include <functional>
+#include <optional>
 #include <vector>
 
 namespace rml::gateway {
@@ -26,17 +27,19 @@
 class entries_page final : public http::handler
 {
 public:
-    entries_page(const site_decoder& encoder, std::function<std::vector<endpoint>()> addresses,
-                 milliseconds lifetime)
-        : encoder(encoder), addresses(std::move(addresses)), lifetime(lifetime)
+    /// `addresses` returns those for callers in the failure domain, if one is named.
+    using address_source = std::function<std::vector<endpoint>(const std::optional<failure_domain_id>&)>;
+
+    entries_page(const site_decoder& codec, address_source addresses, milliseconds lifetime)
+        : codec(codec), addresses(std::move(addresses)), lifetime(lifetime)
     {
     }
     void handle(const http::request& message, http::response_writer& writer,
                 http::yield_context yield) override;
 
 private:
-    const site_decoder& encoder;
-    std::function<std::vector<endpoint>()> addresses;
+    const site_decoder& codec;
+    address_source addresses;
     milliseconds lifetime;
 };
 
--- a/src/gateway/ports.hpp
+++ b/src/gateway/ports.hpp
@@ -144,6 +144,8 @@
     virtual result<std::shared_ptr<const site_config>> decode_config(std::string_view bytes) const = 0;
     /// `instance` is the key without the prefix. Fails with `malformed`.
     virtual result<target_entry> decode_target(std::string_view instance, std::string_view bytes) const = 0;
+    /// Failure domain of the caller, from the request target of a request for the entry addresses.
+    virtual std::optional<failure_domain_id> caller_domain(std::string_view request_target) const = 0;
     /// Returns the body of the answer that gives callers the entry addresses.
     virtual std::string encode_entry_addresses(const std::vector<endpoint>& addresses,
                                                milliseconds lifetime) const = 0;
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -47,6 +47,13 @@
     return type;
 }
 
+void count_answer_bytes(const target_attempt& attempt, const std::optional<std::string>& part)
+{
+    if (attempt.traffic != nullptr && part) {
+        attempt.traffic->bytes.add(part->size());
+    }
+}
+
 } // namespace
 
 void request_run::record_result(const target_attempt& attempt, attempt_end end)
@@ -211,6 +218,11 @@
     attempt.bound.connection->update_body_limit(limits::answer_bytes);
     ++this->sends;
     ++this->possible_runs;
+    attempt.traffic = this->owner.domains.traffic_to(attempt.target.failure_domain);
+    if (attempt.traffic != nullptr) {
+        attempt.traffic->requests.add();
+        attempt.traffic->bytes.add(this->message.body.size());
+    }
     attempt.sent_at = steady_clock::now();
     this->retry_reserved = false;
     if (const auto written =
@@ -362,6 +374,7 @@
             return attempt_end::superseded;
         }
         attempt.complete = !value(part);
+        count_answer_bytes(attempt, value(part));
         if (attempt.complete && attempt.events.partial()) {
             attempt.reason = "answer ended within an event";
             attempt.connection_broke = true;
@@ -411,6 +424,7 @@
             attempt.reason = "success without length and body";
             return attempt_end::lost;
         }
+        count_answer_bytes(attempt, value(part));
         if (!this->record_progress(attempt)) {
             return attempt_end::superseded;
         }
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -24,6 +24,8 @@
 constexpr milliseconds default_retry_after{500};
 /// Exceeds the timeout of any route. A caller may state any number of tokens.
 constexpr std::chrono::hours max_run_time{1};
+/// The smoothed answer time follows about this many answers.
+constexpr int answer_time_divisor = 16;
 /// Another daemon can take a request that a stopping one refuses.
 constexpr milliseconds stopping_retry_after{0};
 
@@ -270,7 +272,12 @@
         const auto now = steady_clock::now();
         pool.delay.record(std::max(duration::zero(), now - this->arrived - *run_time), now);
     }
-    pool.queue->finish(usual ? steady_clock::now() - started : duration::zero());
+    const auto took = steady_clock::now() - started;
+    if (usual) {
+        pool.answer_time +=
+            pool.answer_time == duration::zero() ? took : (took - pool.answer_time) / answer_time_divisor;
+    }
+    pool.queue->finish(usual ? took : duration::zero());
 }
 
 bool request_run::refuse_during_pause(const pool_key& key, milliseconds longest_wait)
@@ -405,9 +412,13 @@
         };
         candidates.erase(std::remove_if(candidates.begin(), candidates.end(), occupied), candidates.end());
     }
+    const auto domain = this->owner.choose_domain(this->pool_of(), candidates);
     const auto random = this->owner.random();
     const auto index =
         this->trial ? choose_least_loaded(candidates, random) : choose_target(candidates, random);
+    if (index && domain) {
+        this->owner.domains.record(*domain, candidates[*index]);
+    }
     return index ? std::optional(candidates[*index].instance) : std::nullopt;
 }
 
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -38,10 +38,11 @@
     bool unlimited{false};        ///< nothing limited the target's requests when this one was counted
     /// When it was counted against the limits of the target's requests.
     std::optional<time_point> counted_at;
-    time_point sent_at{};          ///< when the request was written
-    std::uint64_t crash_ticket{0}; ///< of the crash guard
-    int refusal_status{0};         ///< status of a target that did not run the request
-    std::string reason;            ///< why it ended
+    time_point sent_at{};             ///< when the request was written
+    std::uint64_t crash_ticket{0};    ///< of the crash guard
+    domain_traffic* traffic{nullptr}; ///< of the target's failure domain; null: not counted
+    int refusal_status{0};            ///< status of a target that did not run the request
+    std::string reason;               ///< why it ended
 
     http::response head;                          ///< of a plain answer also the body
     std::unique_ptr<byte_budget::share> buffered; ///< of a plain answer, the bytes of the body
--- a/src/gateway/site.cpp
+++ b/src/gateway/site.cpp
@@ -25,6 +25,9 @@
         });
     }
     for (auto& entry : services) {
+        if (this->stated_delays.empty()) {
+            this->stated_delays = entry.delays;
+        }
         this->by_service.emplace(entry.name, std::move(entry));
     }
 }
@@ -50,6 +53,11 @@
     return found == this->by_service.end() ? nullptr : &found->second;
 }
 
+const domain_delays& site_config::delays_of(const service& of) const
+{
+    return of.delays.empty() ? this->stated_delays : of.delays;
+}
+
 const client_account* site_config::find_account(const std::string& key) const
 {
     const auto found = this->by_key.find(key);
--- a/src/gateway/site.hpp
+++ b/src/gateway/site.hpp
@@ -5,6 +5,7 @@
 #include "base/endpoint.hpp"
 #include "base/ids.hpp"
 #include "base/time.hpp"
+#include "decision/domain_delays.hpp"
 
 #include <cstdint>
 #include <map>
@@ -90,6 +91,7 @@
     milliseconds cold_start{0};
     double cold_requests_per_s{0};         ///< per target while it is cold, over all callers; 0: no limit
     std::optional<engine_profile> engines; ///< absent for plain services
+    domain_delays delays;                  ///< empty: not stated by this service
 };
 
 /// Limits on the requests of callers.
@@ -120,6 +122,10 @@
     /// The route of that host with the longest prefix of the path, or null.
     const route* find_route(std::string_view host, std::string_view path) const;
     const service* find_service(const service_id& name) const;
+    /// Delays between failure domains that the service states, or else any other service.
+    const domain_delays& delays_of(const service& of) const;
+    /// Delays of the first service that states some; empty if none does.
+    const domain_delays& delays() const { return this->stated_delays; }
     const std::map<service_id, service>& services() const { return this->by_service; }
     /// The account that holds the key, or null.
     const client_account* find_account(const std::string& key) const;
@@ -132,6 +138,7 @@
     /// Indices into all_routes by host, longest prefix first.
     std::map<std::string, std::vector<std::size_t>, std::less<>> by_host;
     std::map<service_id, service> by_service;
+    domain_delays stated_delays;
     caller_limits bounds;
     std::unordered_map<std::string, client_account> by_key;
 };
--- a/tests/adapter/decode_test.cpp
+++ b/tests/adapter/decode_test.cpp
@@ -287,6 +287,14 @@
     }
 }
 
+TEST_CASE("a request for the entry addresses names the failure domain of its caller", "[adapter][decode]")
+{
+    const auto decoder = site_wire::create_decoder();
+    CHECK(decoder->caller_domain("/resolve?name=x&region=r&zone=a") == failure_domain_id("a"));
+    CHECK_FALSE(decoder->caller_domain("/resolve?name=x&zone="));
+    CHECK_FALSE(decoder->caller_domain("/resolve"));
+}
+
 TEST_CASE("a configuration is decoded into routes, services and accounts", "[adapter][decode]")
 {
     const auto decoder = site_wire::create_decoder();
@@ -317,6 +325,22 @@
         CHECK(pool->engines->find(model_id("m0"))->load == seconds(16));
         CHECK_FALSE(config.find_service(service_id("office"))->engines);
     }
+    SECTION("the delays that a service states hold for the others too")
+    {
+        auto stated = configuration();
+        stated["/services/0/engine/delays"_json_pointer] = {
+            {{"from", "a"}, {"targetVersion", "b"}, {"delay_ms", 3.5}}};
+        const auto with_delays = decoder->decode_config(stated.dump());
+        REQUIRE(succeeded(with_delays));
+        const failure_domain_id a("a");
+        const failure_domain_id b("b");
+        for (const auto& [name, service] : value(with_delays)->services()) {
+            CHECK(value(with_delays)->delays_of(service).between(b, a) == duration(microseconds(3500)));
+        }
+        CHECK(config.delays().empty());
+        stated["/services/0/engine/delays/0/delay_ms"_json_pointer] = -1;
+        CHECK(failed(decoder->decode_config(stated.dump())));
+    }
     SECTION("an API key identifies its account")
     {
         REQUIRE(config.find_account("k2") != nullptr);
--- a/tests/decision/entry_choice_test.cpp
+++ b/tests/decision/entry_choice_test.cpp
@@ -195,6 +195,49 @@
     }
 }
 
+TEST_CASE("callers are told the daemons of their own failure domain while these suffice", "[entry_choice]")
+{
+    near_entries decision;
+    const failure_domain_id domain("a");
+    const domain_entries calm{2, 0.25, 100, 300};
+    time_point now{};
+    CHECK(decision.suffice(domain, calm, now));
+
+    SECTION("one ready daemon is not enough")
+    {
+        // Guards against callers without a second address when their daemon is lost.
+        CHECK_FALSE(decision.suffice(domain, {1, 0.5, 100, 300}, now));
+        CHECK(decision.suffice(domain, calm, now));
+    }
+    SECTION("a domain with more demand than its daemons can carry is helped by the others")
+    {
+        CHECK_FALSE(decision.suffice(domain, {2, 0.25, 270, 540}, now));
+
+        SECTION("also when the arrivals are spread over all daemons")
+        {
+            // Guards against lists that swing: with the requests spread, the domain seems to have room.
+            for (int i = 0; i < 20; ++i) {
+                now += seconds(1);
+                CHECK_FALSE(decision.suffice(domain, {2, 0.25, 180, 540}, now));
+            }
+        }
+        SECTION("until the demand of all domains has fallen")
+        {
+            now += seconds(5);
+            CHECK(decision.suffice(domain, {2, 0.25, 130, 390}, now));
+        }
+        SECTION("or its demand has not been measured for long")
+        {
+            now += seconds(31);
+            CHECK(decision.suffice(domain, {2, 0.25, 180, 540}, now));
+        }
+        SECTION("while another domain keeps its callers")
+        {
+            CHECK(decision.suffice(failure_domain_id("b"), calm, now));
+        }
+    }
+}
+
 TEST_CASE("few daemons with frequent load reports fill the targets evenly", "[entry_choice]")
 {
     // Simulates 300 requests a second for 400 slots. Guards against targets with three times as many requests
--- a/tests/gateway/forwarding_site.hpp
+++ b/tests/gateway/forwarding_site.hpp
@@ -206,7 +206,7 @@
     std::function<void()> while_connecting;
     boost::asio::io_context context;
     gateway::platform_ports ports;
-    gateway::fleet_state fleet{daemon_id("d0")};
+    gateway::fleet_state fleet{daemon_id("d0"), failure_domain_id("a")};
     gateway::gateway_settings settings;
     target::connection_pool connections{context};
     metric_registry metrics;
