Divide the slots of targets between daemons that start at once

A daemon that does not know whether a target states a limit sent it one request at a time. After a restart of all daemons this lasted up to 3 s: half of the answers were late, and requests were refused beside idle engines. decision/start_allowance now tells a fleet that starts at once from the restart of one daemon, by the start times in entries and reports. A fleet divides the slots of each target until its first answer; a daemon that restarts alone sends one request, as before.

A request for which only targets remain that await their first answer waits for it within the usual longest wait of its pool; a repeat does so too.

One existing check of request_limit_test reads first_requests == 0 instead of first_request_open, which the counter replaces.

--- a/src/decision/target_choice.cpp
+++ b/src/decision/target_choice.cpp
@@ -119,6 +119,14 @@
     return least == found.end() ? std::nullopt : std::optional(*least);
 }
 
+bool any_awaits_first_answer(const std::vector<target_candidate>& candidates)
+{
+    return std::any_of(candidates.begin(), candidates.end(), [](const auto& candidate) {
+        return candidate.awaits_first_answer && !candidate.tried && !candidate.ejected &&
+               has_free_slot(candidate);
+    });
+}
+
 bool slots_scarce(const target_candidate& candidate)
 {
     return candidate.own + candidate.others >= scarce_share * candidate.slots;
--- a/src/decision/target_choice.hpp
+++ b/src/decision/target_choice.hpp
@@ -27,7 +27,7 @@
     std::uint32_t reserved{0};       ///< free slots that are reserved for other daemons
     double slowness{1};              ///< factor on the service time; above 1: slower than usual
     bool tried{false};               ///< this request was already sent to the target
-    bool awaits_first_answer{false}; ///< takes no other request before; its free slots count nevertheless
+    bool awaits_first_answer{false}; ///< see start_allowance; its free slots count nevertheless
     bool suspected{false};           ///< silent for a while; chosen when no other target has a free slot
     bool ejected{false};             ///< presumed failed or closing; chosen when all untried targets are
 };
@@ -53,6 +53,9 @@
 std::optional<std::size_t> choose_least_loaded(const std::vector<target_candidate>& candidates,
                                                std::uint64_t random);
 
+/// Whether a target that could be chosen later awaits its first answer.
+bool any_awaits_first_answer(const std::vector<target_candidate>& candidates);
+
 /// Whether so few slots are free that a change must be reported to the other daemons at once.
 bool slots_scarce(const target_candidate& candidate);
 
--- a/src/gateway/daemon.cpp
+++ b/src/gateway/daemon.cpp
@@ -90,6 +90,7 @@
             failed(started)) {
             return error(started);
         }
+        this->fleet.started_ms = this->started_ms;
         this->connect_callbacks();
         log(log_level::info, "started",
             {{"daemon", this->configured.daemon.str()},
@@ -276,6 +277,7 @@
         const auto now = steady_clock::now();
         this->fleet.expire_targets(now);
         this->fleet.peers_settled = now - this->started >= peers_settle_time;
+        this->fleet.update_start(now);
         this->requests.tick();
         if (now >= this->entries_updated + entries_interval) {
             this->entries_updated = now;
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -3,6 +3,7 @@
 #include "base/hash.hpp"
 #include "base/limits.hpp"
 #include "base/log.hpp"
+#include "decision/start_allowance.hpp"
 
 #include <algorithm>
 #include <limits>
@@ -513,6 +514,7 @@
     this->count_report(peer, true);
     this->next_report_expiry = std::min(this->next_report_expiry, now + report_lifetime(peer));
     this->learn_limits(now);
+    this->update_start(now);
     return true;
 }
 
@@ -533,6 +535,45 @@
     });
 }
 
+void fleet_state::update_start(time_point now)
+{
+    if (this->knows_limits() || !this->store_read) {
+        return;
+    }
+    this->store_read_at = this->store_read_at.value_or(now);
+    std::vector<start_peer> others;
+    for (const auto& [daemon, peer] : this->all_peers) {
+        if (this->counts(daemon, peer, now)) {
+            const auto reported = peer.last_report.started_ms;
+            others.push_back({std::max(peer.entry.started_ms, reported),
+                              peer.reported_at != time_point{} && reported >= peer.entry.started_ms});
+        }
+    }
+    const bool starts = fleet_starts(this->started_ms, others, now - *this->store_read_at);
+    if (std::exchange(this->fleet_starting, starts) != starts) {
+        log(log_level::info,
+            starts ? "all daemons start at once; they divide the slots of targets"
+                   : "other daemons have run before; one request per target until its first answer",
+            {{"others", static_cast<std::int64_t>(others.size())},
+             {"entries", static_cast<std::int64_t>(this->entries.size())}});
+    }
+}
+
+std::uint32_t fleet_state::start_allowance(std::uint32_t slots) const
+{
+    // Before the first list of the daemons that callers connect to, every known daemon may be one of them.
+    const auto entry_count = this->entries.empty() ? 1 + this->all_peers.size() : this->entries.size();
+    return rml::start_allowance(this->fleet_starting, slots, entry_count);
+}
+
+bool fleet_state::awaits_first_answer(const target_state& target) const
+{
+    const auto* service =
+        this->current_config ? this->current_config->find_service(target.entry.service) : nullptr;
+    const bool engine = service != nullptr && service->engines;
+    return this->awaits_first_answer(target, engine ? service->engines->batch_slots : target.entry.slots);
+}
+
 bool fleet_state::live(const peer_state& peer, time_point now) const
 {
     return peer.reported_at != time_point{} && now - peer.reported_at < report_lifetime(peer);
--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -39,7 +39,7 @@
     stated_rate limit;       ///< requests per second that the target takes from all daemons together
     stated_rate heard_limit; ///< what answers to this daemon say about it
     bool limit_known{false}; ///< an answer or another daemon has told whether the target states a limit
-    bool first_request_open{false}; ///< a request was sent while `limit_unknown`, and has no answer yet
+    std::uint32_t first_requests{0}; ///< sent while `limit_unknown`, and not answered yet
     bool unreadable_limit_logged{false};
     double failure_share{0}; ///< smoothed share of failed requests, 0 to 1
     double slowness{1};      ///< factor on its service time, as last reported
@@ -124,11 +124,21 @@
     /// Allowances for new requests of this daemon at the target; none if nothing limits them.
     std::vector<request_allowance> allowances(const target_state& target, time_point now) const;
     /// Whether this daemon has just started and does not know yet whether the target states a limit. Until
-    /// then it sends the target one request at a time: its previous life may have used its part of the limit.
+    /// then `start_allowance` limits its requests there.
     bool limit_unknown(const target_state& target) const
     {
         return !target.limit_known && !this->knows_limits();
     }
+    /// Whether the target gets no further request of this daemon before it has answered one.
+    bool awaits_first_answer(const target_state& target, std::uint32_t slots) const
+    {
+        return target.first_requests > 0 && this->limit_unknown(target) &&
+               target.first_requests >= this->start_allowance(slots);
+    }
+    /// The same for a target whose slots the configuration or its entry states.
+    bool awaits_first_answer(const target_state& target) const;
+    /// Finds out whether the other daemons have started together with this one.
+    void update_start(time_point now);
     /// Whether this daemon has heard, from all other daemons, the limits that targets stated before it
     /// started, or has run for long enough.
     bool knows_limits() const { return this->peers_settled || this->limits_learnt; }
@@ -202,6 +212,7 @@
     suspicion_votes suspicions;
     /// False after the start, while other daemons may not be registered yet.
     bool peers_settled{false};
+    std::int64_t started_ms{0}; ///< start of this daemon, Unix ms
     fleet_stats stats;
     const daemon_id self;
 
@@ -226,6 +237,8 @@
     /// Returns whether a limit begins or ends.
     static bool update_request_limit(target_state& state, const std::optional<double>& rate, time_point heard,
                                      const char* source);
+    /// Requests that this daemon may have at a target with that many slots before its first answer.
+    std::uint32_t start_allowance(std::uint32_t slots) const;
     void rebuild_groups();
     /// Removes absent members whose group no longer serves.
     void prune_absent_members();
@@ -238,7 +251,9 @@
     departed_targets departed;
     std::map<instance_id, target_entry> absent;
     bool store_read{false};
-    bool limits_learnt{false}; ///< from reports of all other daemons, or there was no other daemon
+    std::optional<time_point> store_read_at;
+    bool limits_learnt{false};  ///< from reports of all other daemons, or there was no other daemon
+    bool fleet_starting{false}; ///< the other daemons have started together with this one
     time_point newest{};
     std::set<failure_domain_id> drained;
     std::vector<served_group> served;
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -53,6 +53,8 @@
           registry.create_counter("rml_requests_failed_total", "Requests that ended in a failure")),
       resumed(registry.create_counter("rml_requests_moved_total", "Requests sent to another target")),
       disconnected(registry.create_counter("rml_callers_left_total", "Callers that left before the answer")),
+      first_answer_waits(registry.create_counter("rml_first_answer_waits_total",
+                                                 "Requests that waited for the first answer of a target")),
       first_byte(registry.create_histogram("rml_first_byte_seconds", "Arrival to first byte of the answer")),
       total(registry.create_histogram("rml_request_seconds", "Arrival to the end of the answer"))
 {
@@ -175,7 +177,7 @@
             candidate.slots = std::min(candidate.slots, candidate.others + *limit);
             candidate.reserved = 0;
         }
-        candidate.awaits_first_answer = state.first_request_open && this->fleet.limit_unknown(state);
+        candidate.awaits_first_answer = this->fleet.awaits_first_answer(state, slots);
         candidate.suspected = this->fleet.in_flight.silence(candidate.instance, now) >=
                               this->silence_limit(state, now) / stall_suspicion_divisor;
         out.push_back(std::move(candidate));
--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -161,6 +161,7 @@
     counter& failed_requests;
     counter& resumed;
     counter& disconnected;
+    counter& first_answer_waits;
     latency_histogram& first_byte;
     latency_histogram& total;
 };
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -133,13 +133,13 @@
     if (state == nullptr) {
         return true;
     }
-    attempt.is_first = this->owner.fleet.limit_unknown(*state);
-    if (attempt.is_first && std::exchange(state->first_request_open, true)) {
-        attempt.is_first = false;
+    if (this->owner.fleet.awaits_first_answer(*state)) {
         attempt.withheld = true;
-        attempt.reason = "the target has not answered its first request";
+        attempt.reason = "the target has not answered its first requests";
         return false;
     }
+    attempt.is_first = this->owner.fleet.limit_unknown(*state);
+    state->first_requests += attempt.is_first ? 1 : 0;
     const auto allowances = this->owner.fleet.allowances(*state, now);
     attempt.unlimited = allowances.empty();
     attempt.withheld = !state->counted_sends.take(allowances, now);
@@ -156,8 +156,8 @@
 {
     auto* state = this->owner.fleet.find_target(attempt.target.instance);
     if (std::exchange(attempt.is_first, false) && state != nullptr &&
-        state->entry.started_ms == attempt.target.started_ms) {
-        state->first_request_open = false;
+        state->entry.started_ms == attempt.target.started_ms && state->first_requests > 0) {
+        --state->first_requests; // 0 if the entry was removed and registered again meanwhile
     }
 }
 
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -405,22 +405,36 @@
         };
         candidates.erase(std::remove_if(candidates.begin(), candidates.end(), occupied), candidates.end());
     }
+    this->awaits_first_answer = any_awaits_first_answer(candidates);
     const auto random = this->owner.random();
     const auto index =
         this->trial ? choose_least_loaded(candidates, random) : choose_target(candidates, random);
     return index ? std::optional(candidates[*index].instance) : std::nullopt;
 }
 
-std::optional<instance_id> request_run::choose_or_wait()
+time_point request_run::choice_limit() const
 {
     // The queue's count of free slots is some ten milliseconds old: a target may since be full or stalled.
-    // A repeat waits only for the trials of other requests.
+    // A repeat waits only for the first answer of a target.
+    const auto limit = this->sends == 0 ? this->arrived + this->chosen_route->objective / 2 : time_point{};
+    if (!this->awaits_first_answer) {
+        return limit;
+    }
+    const auto longest = this->arrived + this->owner.pools.at(this->pool_of()).longest_wait;
+    return std::min(this->deadline, std::max(limit, longest));
+}
+
+std::optional<instance_id> request_run::choose_or_wait()
+{
+    // A repeat that is a trial waits for the trials of other requests.
     const bool repeated_trial = this->trial && this->sends > 0;
-    const auto limit = repeated_trial ? steady_clock::now() + repeat_permission_wait
-                                      : this->arrived + this->chosen_route->objective / 2;
+    const auto trial_limit = steady_clock::now() + repeat_permission_wait;
     auto found = this->choose();
-    while (!found && (this->sends == 0 || repeated_trial) && !this->caller_disconnected && !this->stopping &&
-           steady_clock::now() < limit) {
+    if (!found && this->awaits_first_answer) {
+        this->owner.first_answer_waits.add();
+    }
+    while (!found && !this->caller_disconnected && !this->stopping &&
+           steady_clock::now() < (repeated_trial ? trial_limit : this->choice_limit())) {
         http::pause(slot_retry_interval, this->yield);
         found = this->choose();
     }
@@ -450,8 +464,9 @@
             return this->finish_unanswered();
         }
         if (state == nullptr) {
-            this->reason =
-                this->tried.empty() ? "no target has a free slot" : this->reason + "; no other target";
+            const auto* none =
+                this->awaits_first_answer ? "no target has answered yet" : "no target has a free slot";
+            this->reason = this->tried.empty() ? none : this->reason + "; no other target";
             return this->finish_unanswered();
         }
         this->tried.push_back(*target);
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -34,7 +34,7 @@
     bool answer_begun{false};     ///< a part of the body was received
     bool connection_broke{false}; ///< ended with a broken connection to the target
     bool withheld{false};         ///< not sent because the target takes no requests, or no more now
-    bool is_first{false};         ///< the target gets no other one before its answer, see `limit_unknown`
+    bool is_first{false};         ///< sent before an answer of the target, see `limit_unknown`
     bool unlimited{false};        ///< nothing limited the target's requests when this one was counted
     /// When it was counted against the limits of the target's requests.
     std::optional<time_point> counted_at;
@@ -107,6 +107,8 @@
     bool wait_for_permission();
     std::optional<instance_id> choose();
     std::optional<instance_id> choose_or_wait();
+    /// Latest time at which `choose_or_wait` looks for a target again.
+    time_point choice_limit() const;
     std::shared_ptr<target_attempt> create_attempt(const target_state& state) const;
     /// Sends the request and reads the answer up to the first part that can be sent to the caller.
     attempt_end begin(target_attempt& attempt, http::yield_context in);
@@ -115,7 +117,7 @@
     /// Counts the request against the limits on the target's requests, if any. Returns false when it must not
     /// be sent now.
     bool take_allowance(target_attempt& attempt, time_point now);
-    /// Lets the target get other requests if the attempt was its first one.
+    /// Lets the target get another request if the attempt was one of its first ones.
     void end_first_request(target_attempt& attempt);
     /// The attempt no longer counts against limits of its target.
     void give_back_allowance(target_attempt& attempt);
@@ -184,9 +186,10 @@
 
     admission_queue* queued_in{nullptr};
     bool caller_disconnected{false};
-    bool stopping{false};    ///< the process stops: no further attempt
-    crash_features features; ///< what the request is recognised by when it crashes targets
-    bool trial{false};       ///< the next send is a trial of a suspected prompt part
+    bool stopping{false};            ///< the process stops: no further attempt
+    crash_features features;         ///< what the request is recognised by when it crashes targets
+    bool trial{false};               ///< the next send is a trial of a suspected prompt part
+    bool awaits_first_answer{false}; ///< a target that the request has not tried awaits its first answer
 
     std::shared_ptr<target_attempt> primary; ///< the latest attempt whose answer is relayed
     std::shared_ptr<target_attempt> standby;
--- a/tests/gateway/fleet_state_test.cpp
+++ b/tests/gateway/fleet_state_test.cpp
@@ -289,6 +289,63 @@
     }
 }
 
+TEST_CASE("daemons that start at once divide the slots of a target until its first answer",
+          "[gateway][fleet_state]")
+{
+    // Guards against a fleet that uses one slot of each target after all of its daemons have restarted.
+    constexpr std::int64_t started_ms = 1'000'000;
+    fleet_state fleet(daemon_id("d0"));
+    fleet.started_ms = started_ms;
+    fleet.update_config(config(3));
+    fleet.update_target(engine("e0", 0, group_phase::open), start);
+    daemon_entry before;
+    before.started_ms = 1;
+    for (const auto* name : {"d0", "d1", "d2", "d3"}) {
+        fleet.update_peer(daemon_id(name), before); // of the lives that have ended
+    }
+    fleet.update_entries({daemon_id("d0"), daemon_id("d1")});
+    fleet.record_store_read();
+    fleet.update_start(start);
+    auto& target = *fleet.find_target(instance_id("e0"));
+    const auto may_get = [&] {
+        target.first_requests = 0;
+        while (!fleet.awaits_first_answer(target) && target.first_requests < 100) {
+            ++target.first_requests;
+        }
+        return target.first_requests;
+    };
+    const auto hear = [&](const std::string& daemon, std::int64_t started) {
+        auto out = report(daemon, 1, true);
+        out.started_ms = started;
+        REQUIRE(fleet.accept_report(out, start));
+    };
+    CHECK(may_get() == 1);
+    hear("d1", started_ms + 400);
+    CHECK(may_get() == 1); // d2 and d3 may have run on
+
+    SECTION("which reports of new lives show")
+    {
+        hear("d2", started_ms - 300);
+        CHECK(may_get() == 4);
+
+        SECTION("unless one daemon has run on, which knows the limits")
+        {
+            hear("d3", before.started_ms);
+            CHECK(may_get() == 1);
+        }
+        SECTION("and they use all of them after the answer")
+        {
+            target.limit_known = true;
+            CHECK(may_get() == 100);
+        }
+    }
+    SECTION("or the silence of the others")
+    {
+        fleet.update_start(start + seconds(1));
+        CHECK(may_get() == 4);
+    }
+}
+
 TEST_CASE("targets that the group manager ejects get no new requests", "[gateway][fleet_state]")
 {
     // Guards against requests to heads of lost groups between two reports of the manager, whose interval
--- a/tests/gateway/forwarding_site.hpp
+++ b/tests/gateway/forwarding_site.hpp
@@ -6,6 +6,7 @@
 #include "http/pause.hpp"
 #include "target/raw_server.hpp"
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/post.hpp>
 #include <boost/asio/spawn.hpp>
@@ -175,6 +176,13 @@
         }
         this->run_requests();
     }
+    /// Number of requests so far that were refused.
+    std::size_t refused() const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(this->answers.begin(), this->answers.end(),
+                          [](const auto& answer) { return answer->answer.status == 503; }));
+    }
     void add_target(const std::string& name, const endpoint& address)
     {
         this->fleet.update_target(entry_of(name, address, 1), steady_clock::now());
--- a/tests/gateway/request_limit_test.cpp
+++ b/tests/gateway/request_limit_test.cpp
@@ -132,6 +132,20 @@
         site.send_together("/stock/1", together);
         CHECK(target.requests() == together);
     }
+    SECTION("a repeat waits for the first answer when no other target is left")
+    {
+        // Guards against refusals beside targets that are idle but for their first requests.
+        answering_target refusing("503 Unavailable", "x-not-executed: 1\r\n");
+        raw_server slow([](const http::request& message, raw_connection& connection) {
+            std::this_thread::sleep_for(milliseconds(150));
+            connection.send(real_answer(run_record::id_of(message)));
+            return true;
+        });
+        site.add_target("refusing", refusing.address());
+        site.add_target(limited.str(), slow.address());
+        site.send_together("/stock/1", together);
+        CHECK(site.refused() == 0);
+    }
     SECTION("a refusal, which need not name the limit, is no such answer, but lets the next request go")
     {
         answering_target refusing("503 Unavailable", "x-not-executed: 1\r\n");
@@ -144,7 +158,7 @@
     {
         site.add_target(limited.str(), {"127.0.0.1", 1});
         CHECK(site.send("/stock/1", "first").answer.status == 503);
-        CHECK_FALSE(site.fleet.find_target(limited)->first_request_open);
+        CHECK(site.fleet.find_target(limited)->first_requests == 0);
     }
     SECTION("what another daemon says about the target ends this")
     {
