--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -35,6 +35,14 @@
     out = std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>(found));
 }
 
+void read_machine_limit(object_reader& reader, const char* name, const field_rule& rule,
+                        std::optional<std::uint64_t>& out)
+{
+    if (reader.has(name)) {
+        reader.required(name, out.emplace(), rule);
+    }
+}
+
 void read_bounds(object_reader reader, service_bounds& out)
 {
     reader.optional("drain_ms", out.drain);
@@ -60,6 +68,8 @@
         read_store(reader.child("store"), out.store);
         reader.optional("registry_heartbeat_ms", out.registry_heartbeat);
         reader.optional("cpu_share", out.cpu_share, positive);
+        read_machine_limit(reader, "memory_mb", {48, 1e6}, out.memory_mb);
+        read_machine_limit(reader, "max_fds", {128, 1e6}, out.max_fds);
         read_bounds(reader.child("bounds", false), out.bounds);
         read_log_settings(reader.child("log", false), out.log);
     });
--- a/src/gateway/settings.hpp
+++ b/src/gateway/settings.hpp
@@ -8,6 +8,7 @@
 #include "objects/settings.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace rml::gateway {
@@ -49,8 +50,10 @@
     failure_domain_id failure_domain;
     listen_addresses listen;
     store_settings store;
-    milliseconds registry_heartbeat{1200}; ///< interval in which targets renew their entries
-    double cpu_share{1};                   ///< of a core
+    milliseconds registry_heartbeat{1200};  ///< interval in which targets renew their entries
+    double cpu_share{1};                    ///< of a core
+    std::optional<std::uint64_t> memory_mb; ///< of the machine; without it, clients are not limited by memory
+    std::optional<std::uint64_t> max_fds;   ///< descriptors that the process may have open
     service_bounds bounds;
     log_settings log; ///< without a file: standard output
 };
--- a/tests/process/child_process.hpp
+++ b/tests/process/child_process.hpp
@@ -34,6 +34,7 @@
     /// Waits for the end of the process; the exit code, or -1 when it still runs after `limit`.
     int wait_exit(milliseconds limit);
     bool running();
+    pid_t id() const { return this->pid; }
 
 private:
     void read_lines(int pipe, std::size_t lines);
--- a/tests/process/gateway_site.hpp
+++ b/tests/process/gateway_site.hpp
@@ -49,7 +49,8 @@
 class gateway_site
 {
 public:
-    explicit gateway_site(std::uint32_t daemon_count = 2)
+    /// `own_settings` is merged into the settings of each daemon.
+    explicit gateway_site(std::uint32_t daemon_count = 2, const json& own_settings = json::object())
         : work(this->context.get_executor()),
           directory(std::filesystem::temp_directory_path() / ("rml-gateway-" + std::to_string(::getpid())))
     {
@@ -61,6 +62,7 @@
             this->settings.push_back(json::parse(this->site->daemon_settings(i)));
             this->settings.back()["bounds"]["stop_grace_s"] = 5.5; // ends a planned stop soon
             this->settings.back()["log"] = {{"file", this->file("daemon-" + std::to_string(i) + ".log")}};
+            this->settings.back().merge_patch(own_settings);
             std::ofstream(this->file("daemon-" + std::to_string(i) + ".json"))
                 << this->settings.back().dump();
         }
