Bound what the clients of a daemon hold together

Cause: a daemon limited each request and the number of connections, but not the bytes of all requests together. The pages stored bodies that they never use, freed memory stayed with the allocator, and 4,096 connections per address exceed the descriptors of a machine.

Change: decision/client_limits owns the bytes and connections of all clients of a daemon and decides who is turned away first; http/server reports to it and ends the connections that it names. The bounds follow from the new settings memory_mb and max_fds; without them the bounds are as before. The pages discard request bodies. The memory of a body follows the bytes that arrive and not the stated length; the body is moved to the handler, and an answer is written without a copy. With memory_mb, freed memory is returned. Refusals with 503 by the server now have Retry-After. New metrics and a log line say what was turned away.

--- a/src/gateway/daemon.cpp
+++ b/src/gateway/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.hpp"
 #include "base/metrics.hpp"
+#include "gateway/client_report.hpp"
 #include "gateway/coroutine.hpp"
 #include "gateway/crash_archive.hpp"
 #include "gateway/entry_list.hpp"
@@ -18,6 +19,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
+#include <malloc.h>
 
 namespace rml::gateway {
 
@@ -43,12 +45,38 @@
         .count();
 }
 
+machine_limits machine_of(const gateway_settings& configured)
+{
+    constexpr std::uint64_t bytes_per_mb = 1024 * 1024;
+    machine_limits out;
+    if (configured.memory_mb) {
+        out.memory_bytes = *configured.memory_mb * bytes_per_mb;
+    }
+    out.descriptors = configured.max_fds;
+    return out;
+}
+
+/// Large blocks are mapped one by one, so that the memory of a body returns to the system with its end.
+/// Without a fixed threshold, the first freed body makes the allocator keep blocks of its size.
+void keep_freed_memory_small()
+{
+    constexpr int mapped_bytes = 256 * 1024;
+    ::mallopt(M_MMAP_THRESHOLD, mapped_bytes);
+    ::mallopt(M_TRIM_THRESHOLD, mapped_bytes);
+}
+
+void return_freed_memory()
+{
+    ::malloc_trim(0);
+}
+
 class gateway_daemon
 {
 public:
     gateway_daemon(const gateway_settings& settings, const port_factory& create_ports,
                    const std::function<result<gateway_settings>()>& read_settings)
         : configured(settings), reload(read_settings), started_ms(wall_clock_ms()),
+          clients(bounds_for(machine_of(settings))), clients_report(this->clients, this->metrics),
           connections(this->context), ports(create_ports(this->connections, settings.store.address)),
           fleet(settings.daemon), mirror(this->context, this->ports, this->fleet, this->configured),
           holder(this->context, this->ports, this->mirror, this->fleet, this->configured, this->started_ms),
@@ -73,17 +101,31 @@
 
     status run()
     {
-        for (const auto& [address, handler, server] :
-             {std::tuple<endpoint, http::handler*, std::unique_ptr<http::server>*>{
-                  this->configured.listen.caller, &this->requests, &this->caller_server},
-              {this->configured.listen.readiness, &this->readiness, &this->readiness_server},
-              {this->configured.listen.entries, &this->entries, &this->entries_server},
-              {this->configured.listen.metrics, &this->metrics_text, &this->metrics_server}}) {
-            auto created = http::server::create(this->context, address, *handler);
+        if (this->configured.memory_mb) {
+            keep_freed_memory_small();
+        }
+        const auto listen = [this](const endpoint& address, http::handler& handler, client_address kind,
+                                   std::unique_ptr<http::server>& server) {
+            http::client_policy policy;
+            policy.limits = &this->clients;
+            policy.address = kind;
+            policy.discards_bodies = kind != client_address::caller;
+            auto created = http::server::create(this->context, address, handler, {}, policy);
             if (failed(created)) {
-                return error(created);
+                return status(error(created));
+            }
+            server = value(std::move(created));
+            return success();
+        };
+        const auto& own = this->configured.listen;
+        for (const auto& listening :
+             {listen(own.caller, this->requests, client_address::caller, this->caller_server),
+              listen(own.readiness, this->readiness, client_address::readiness, this->readiness_server),
+              listen(own.entries, this->entries, client_address::entries, this->entries_server),
+              listen(own.metrics, this->metrics_text, client_address::metrics, this->metrics_server)}) {
+            if (failed(listening)) {
+                return listening;
             }
-            *server = value(std::move(created));
         }
         if (const auto started = this->exchange.start(
                 this->configured.listen.peer, [this](bool to_all) { return this->compose_report(to_all); });
@@ -277,6 +319,10 @@
         this->fleet.expire_targets(now);
         this->fleet.peers_settled = now - this->started >= peers_settle_time;
         this->requests.tick();
+        this->clients_report.tick(now);
+        if (this->configured.memory_mb && this->clients.returns_memory()) {
+            return_freed_memory();
+        }
         if (now >= this->entries_updated + entries_interval) {
             this->entries_updated = now;
             std::set<daemon_id> entry_ids;
@@ -397,8 +443,11 @@
     const std::function<result<gateway_settings>()>& reload;
     std::int64_t started_ms;
     time_point started{steady_clock::now()};
+    /// Outlives the context, whose end unwinds the coroutines of open connections.
+    client_limits clients;
     boost::asio::io_context context{1};
     metric_registry metrics;
+    client_report clients_report;
     target::connection_pool connections;
     platform_ports ports;
     fleet_state fleet;
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -68,7 +68,7 @@
         read_store(reader.child("store"), out.store);
         reader.optional("registry_heartbeat_ms", out.registry_heartbeat);
         reader.optional("cpu_share", out.cpu_share, positive);
-        read_machine_limit(reader, "memory_mb", {48, 1e6}, out.memory_mb);
+        read_machine_limit(reader, "memory_mb", {64, 1e6}, out.memory_mb);
         read_machine_limit(reader, "max_fds", {128, 1e6}, out.max_fds);
         read_bounds(reader.child("bounds", false), out.bounds);
         read_log_settings(reader.child("log", false), out.log);
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -26,9 +26,84 @@
 namespace bhttp = boost::beast::http;
 using tcp = asio::ip::tcp;
 
+/// Body of a request. Its memory follows the bytes that arrive and not the length that the client states, and
+/// a discarded body takes none.
+struct request_body
+{
+    struct value_type
+    {
+        std::string text;
+        bool discarded{false};
+    };
+
+    class reader
+    {
+    public:
+        template <bool IsRequest, class Fields>
+        reader(bhttp::header<IsRequest, Fields>&, value_type& target) : target(target)
+        {
+        }
+        void init(const boost::optional<std::uint64_t>& length, boost::system::error_code& code)
+        {
+            constexpr std::uint64_t reserved_bytes = 64 * 1024;
+            if (length && !this->target.discarded) {
+                this->target.text.reserve(static_cast<std::size_t>(std::min(*length, reserved_bytes)));
+            }
+            code = {};
+        }
+        template <class Buffers>
+        std::size_t put(const Buffers& buffers, boost::system::error_code& code)
+        {
+            code = {};
+            for (const auto part : beast::buffers_range_ref(buffers)) {
+                if (!this->target.discarded) {
+                    this->target.text.append(static_cast<const char*>(part.data()), part.size());
+                }
+            }
+            return beast::buffer_bytes(buffers);
+        }
+        void finish(boost::system::error_code& code) { code = {}; }
+
+    private:
+        value_type& target;
+    };
+};
+
+using request_parser = bhttp::request_parser<request_body>;
+
 /// Share of the connections, as a divisor, that may be closing in stages at the same time.
 constexpr std::size_t closing_connections_divisor = 4;
 
+response error_response(int status)
+{
+    const char* kind = status == 408   ? "timeout"
+                       : status == 503 ? "unavailable"
+                       : status == 400 ? "malformed"
+                                       : "too_large";
+    auto answer = json_response(status, std::string(R"({"error":{"kind":")") + kind +
+                                            R"(","message":"request not accepted","outcome":"not-run"}})");
+    answer.headers.push_back({"x-rml-outcome", "not-run"});
+    if (status == 503) {
+        answer.headers.push_back(
+            {"retry-after", "1"}); // stalled clients are turned away within about a second
+    }
+    return answer;
+}
+
+/// Sends 503 without waiting. What the socket does not take is lost.
+void send_refusal(tcp::socket& socket)
+{
+    static const std::string answer = [] {
+        const auto refusal = error_response(503);
+        std::string out = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n";
+        for (const auto& entry : refusal.headers) {
+            out += entry.name + ": " + entry.value + "\r\n";
+        }
+        return out + "Content-Length: " + std::to_string(refusal.body.size()) + "\r\n\r\n" + refusal.body;
+    }();
+    ::send(socket.native_handle(), answer.data(), answer.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+}
+
 } // namespace
 
 namespace detail {
@@ -45,9 +120,14 @@
 class connection
 {
 public:
-    explicit connection(tcp::socket socket)
+    connection(tcp::socket socket, const client_policy& policy)
         : stream(std::move(socket)), limit(std::make_shared<read_limit>(this->stream.get_executor()))
     {
+        if (policy.limits != nullptr) {
+            this->share.emplace(
+                *policy.limits, policy.address, [this](turn_away_reason reason) { this->turn_away(reason); },
+                steady_clock::now());
+        }
     }
 
     /// Appends bytes to the buffer. Returns `beast::error::timeout` when none have arrived at the deadline;
@@ -58,6 +138,9 @@
     beast::flat_buffer buffer;
     connection_phase phase{connection_phase::idle};
     bool refuse{false}; ///< the request that is being read is to be refused
+    std::optional<client_limits::share> share;
+
+    bool turned_away() const { return this->share && this->share->turned_away(); }
 
 private:
     /// Outlives the connection in the handler of its timer.
@@ -71,9 +154,25 @@
         bool expired{false};    ///< the latest read was cancelled at its deadline
     };
 
+    void turn_away(turn_away_reason reason);
+
     std::shared_ptr<read_limit> limit;
 };
 
+/// Ends what the connection's coroutine waits for. A connection that gives way to a new one is closed at
+/// once, because the new one takes its descriptor.
+void connection::turn_away(turn_away_reason reason)
+{
+    if (this->phase == connection_phase::reading && reason == turn_away_reason::memory) {
+        this->stream.cancel();
+        return;
+    }
+    if (this->phase == connection_phase::reading) {
+        send_refusal(this->stream.socket());
+    }
+    this->stream.close();
+}
+
 boost::system::error_code connection::read_some(time_point deadline, yield_context yield)
 {
     constexpr std::size_t least_bytes = 1024;
@@ -96,6 +195,12 @@
         this->buffer.commit(count);
         this->limit->pending = false;
         this->limit->timer.cancel();
+        if (this->share) {
+            this->share->record_progress(count, steady_clock::now());
+        }
+        if (this->turned_away()) {
+            return asio::error::operation_aborted;
+        }
         if (!code || !this->limit->expired) {
             return code;
         }
@@ -108,15 +213,17 @@
 
 struct server::state
 {
-    state(asio::io_context& context, handler& request_handler, server_options options)
+    state(asio::io_context& context, handler& request_handler, server_options options,
+          const client_policy& policy)
         : context(context), acceptor(asio::make_strand(context)), request_handler(request_handler),
-          options(options)
+          policy(policy), options(options)
     {
     }
 
     asio::io_context& context;
     tcp::acceptor acceptor;
     handler& request_handler;
+    const client_policy policy;
     server_options options;
     mutable std::mutex options_mutex;
     std::atomic<bool> draining{false};
@@ -147,21 +254,27 @@
 class stream_writer final : public response_writer
 {
 public:
-    stream_writer(beast::tcp_stream& stream, milliseconds timeout, bool keep_alive, yield_context yield)
-        : stream(stream), timeout(timeout), keep_alive(keep_alive), yield(yield)
+    stream_writer(detail::connection& link, milliseconds timeout, bool keep_alive, yield_context yield)
+        : stream(link.stream), share(link.share ? &*link.share : nullptr), timeout(timeout),
+          keep_alive(keep_alive), yield(yield)
     {
     }
 
     status send(const response& whole) override
     {
         this->head_sent = true;
-        bhttp::response<bhttp::string_body> out;
+        bhttp::response<bhttp::span_body<const char>> out;
         this->fill(out, whole);
-        out.body() = whole.body;
+        out.body() = {whole.body.data(), whole.body.size()};
         out.prepare_payload();
+        bhttp::response_serializer<bhttp::span_body<const char>> serializer(out);
         boost::system::error_code code;
+        const answer_guard waiting(this->share, whole.body.size());
         this->stream.expires_after(this->timeout);
-        bhttp::async_write(this->stream, out, this->yield[code]);
+        do {
+            const auto count = bhttp::async_write_some(this->stream, serializer, this->yield[code]);
+            waiting.record_progress(count);
+        } while (!code && !serializer.is_done());
         this->ended = !code;
         return this->checked(code);
     }
@@ -185,6 +298,7 @@
             return success();
         }
         boost::system::error_code code;
+        const answer_guard waiting(this->share, chunk.size());
         this->stream.expires_after(this->timeout);
         asio::async_write(this->stream, bhttp::make_chunk(asio::const_buffer(chunk.data(), chunk.size())),
                           this->yield[code]);
@@ -246,6 +360,36 @@
     bool complete() const { return this->ended; }
 
 private:
+    /// Bytes of an answer that wait for the client, for the lifetime of the object.
+    class answer_guard
+    {
+    public:
+        answer_guard(client_limits::share* share, std::size_t bytes) : share(share)
+        {
+            if (this->share != nullptr) {
+                this->share->begin_answer(bytes, steady_clock::now());
+            }
+        }
+        ~answer_guard()
+        {
+            if (this->share != nullptr) {
+                this->share->end_answer();
+            }
+        }
+        answer_guard(const answer_guard&) = delete;
+        answer_guard& operator=(const answer_guard&) = delete;
+
+        void record_progress(std::size_t bytes) const
+        {
+            if (this->share != nullptr) {
+                this->share->record_progress(bytes, steady_clock::now());
+            }
+        }
+
+    private:
+        client_limits::share* share;
+    };
+
     struct disconnect_watch
     {
         std::function<void()> callback;
@@ -273,6 +417,7 @@
     }
 
     beast::tcp_stream& stream;
+    client_limits::share* share;
     milliseconds timeout;
     bool keep_alive;
     yield_context yield;
@@ -303,6 +448,7 @@
     case unserved_reason::too_large:
         return code == bhttp::error::header_limit ? 431 : 413;
     case unserved_reason::stopping:
+    case unserved_reason::crowded:
         return 503;
     default:
         return 400;
@@ -322,19 +468,8 @@
     return closed ? unserved_reason::peer_closed : unserved_reason::malformed;
 }
 
-response error_response(int status)
-{
-    const char* kind = status == 408   ? "timeout"
-                       : status == 503 ? "unavailable"
-                       : status == 400 ? "malformed"
-                                       : "too_large";
-    auto answer = json_response(status, std::string(R"({"error":{"kind":")") + kind +
-                                            R"(","message":"request not accepted","outcome":"not-run"}})");
-    answer.headers.push_back({"x-rml-outcome", "not-run"});
-    return answer;
-}
-
-request from_beast(const bhttp::request<bhttp::string_body>& message)
+/// Takes the fields and the body out of the message.
+request from_beast(bhttp::request<request_body>& message)
 {
     request out;
     out.method = std::string(message.method_string());
@@ -342,7 +477,8 @@
     for (const auto& field : message) {
         out.headers.push_back({std::string(field.name_string()), std::string(field.value())});
     }
-    out.body = message.body();
+    message.base().clear();
+    out.body = std::move(message.body().text);
     return out;
 }
 
@@ -374,10 +510,18 @@
     std::uint64_t number{0};
 };
 
+/// Memory of a request that has been read in part or completely.
+inline std::size_t request_bytes(const connection& link, const request_parser& parser)
+{
+    const auto& message = parser.get();
+    const auto fields = static_cast<std::size_t>(std::distance(message.begin(), message.end()));
+    return fields * client_limits::field_bytes + message.body().text.capacity() + link.buffer.capacity();
+}
+
 /// Reads until `done` returns true for the parser.
 template <class Condition>
-boost::system::error_code read_until(connection& link, bhttp::request_parser<bhttp::string_body>& parser,
-                                     time_point deadline, Condition done, yield_context yield)
+boost::system::error_code read_until(connection& link, request_parser& parser, time_point deadline,
+                                     Condition done, yield_context yield)
 {
     bool more = link.buffer.size() == 0;
     while (!done(parser)) {
@@ -392,22 +536,23 @@
         if (code && code != bhttp::error::need_more) {
             return code;
         }
+        if (link.share && !link.share->hold(request_bytes(link, parser), steady_clock::now())) {
+            return asio::error::operation_aborted;
+        }
         more = code == bhttp::error::need_more || link.buffer.size() == 0;
     }
     return {};
 }
 
 /// Reads one request, of which the buffer may hold a part. Returns the error code of the read that failed.
-inline boost::system::error_code read_request(connection& link,
-                                              bhttp::request_parser<bhttp::string_body>& parser,
+inline boost::system::error_code read_request(connection& link, request_parser& parser,
                                               const server_options& options, yield_context yield)
 {
-    using parser_type = bhttp::request_parser<bhttp::string_body>;
     parser.header_limit(static_cast<std::uint32_t>(options.header_bytes));
     parser.body_limit(options.body_bytes);
     if (const auto code = read_until(
             link, parser, steady_clock::now() + options.head_timeout,
-            [](const parser_type& head) { return head.is_header_done(); }, yield)) {
+            [](const request_parser& head) { return head.is_header_done(); }, yield)) {
         return code;
     }
     if (const auto coding = parser.get()[bhttp::field::transfer_encoding];
@@ -428,7 +573,7 @@
     parser.eager(true);
     return read_until(
         link, parser, steady_clock::now() + options.body_timeout,
-        [](const parser_type& whole) { return whole.is_done(); }, yield);
+        [](const request_parser& whole) { return whole.is_done(); }, yield);
 }
 
 /// Waits for the first bytes of a request. Returns false when the connection is to be closed.
@@ -440,7 +585,8 @@
     const auto idle_end = [&] { return idle_since + shared.current_options().idle_timeout; };
     boost::system::error_code code;
     // A request that arrived before the server stopped is still served.
-    while (link.buffer.size() == 0 && (!shared.stopped || link.stream.socket().available(code) > 0)) {
+    while (link.buffer.size() == 0 && !link.turned_away() &&
+           (!shared.stopped || link.stream.socket().available(code) > 0)) {
         code = link.read_some(idle_end(), yield);
         // The idle time may have been extended meanwhile.
         const bool extended = code == beast::error::timeout && steady_clock::now() < idle_end();
@@ -449,21 +595,26 @@
         }
     }
     link.phase = connection_phase::reading;
-    return link.buffer.size() != 0;
+    return link.buffer.size() != 0 && !link.turned_away();
 }
 
 /// Answers a request that was not read completely, and reports it. Returns true when the answer was written.
 template <class State>
-bool refuse_unread(State& shared, connection& link, const bhttp::request_parser<bhttp::string_body>& parser,
+bool refuse_unread(State& shared, connection& link, const request_parser& parser,
                    const boost::system::error_code& code, yield_context yield)
 {
     ++shared.malformed;
     link.phase = connection_phase::handling;
     const bool head_read = parser.is_header_done();
-    const auto reason = link.refuse ? unserved_reason::stopping : reason_of(code, head_read);
+    const auto reason = link.turned_away() ? unserved_reason::crowded
+                        : link.refuse      ? unserved_reason::stopping
+                                           : reason_of(code, head_read);
     const auto status = status_of(reason, code);
-    stream_writer writer(link.stream, shared.current_options().write_timeout, false, yield);
+    stream_writer writer(link, shared.current_options().write_timeout, false, yield);
     writer.send(error_response(status));
+    if (reason == unserved_reason::crowded) {
+        return writer.complete(); // counted and logged by the owner of the limits
+    }
     shared.request_handler.on_unserved({reason, writer.complete() ? status : 0,
                                         head_read ? std::string(parser.get().target()) : std::string(),
                                         link.buffer.size()});
@@ -472,12 +623,12 @@
 
 /// Hands a request to the handler. Returns true when it was answered completely.
 template <class State>
-bool handle_request(State& shared, connection& link, const bhttp::request<bhttp::string_body>& message,
-                    bool keep_alive, yield_context yield)
+bool handle_request(State& shared, connection& link, bhttp::request<request_body>& message, bool keep_alive,
+                    yield_context yield)
 {
     link.phase = connection_phase::handling;
     const counter_guard in_flight_guard(shared.in_flight);
-    stream_writer writer(link.stream, shared.current_options().write_timeout, keep_alive, yield);
+    stream_writer writer(link, shared.current_options().write_timeout, keep_alive, yield);
     link.stream.expires_never();
     shared.request_handler.handle(from_beast(message), writer, yield);
     if (!writer.complete()) {
@@ -511,7 +662,7 @@
 void serve_connection(const std::shared_ptr<State>& shared, tcp::socket socket, yield_context yield)
 {
     const counter_guard open_guard(shared->open);
-    connection link(std::move(socket));
+    connection link(std::move(socket), shared->policy);
     const connection_entry<State> entry(*shared, link);
     bool answered = true;
     bool keep_alive = true;
@@ -520,17 +671,31 @@
             answered = false;
             break;
         }
-        bhttp::request_parser<bhttp::string_body> parser;
+        request_parser parser;
+        parser.get().body().discarded = shared->policy.discards_bodies;
         {
             const counter_guard reading_guard(shared->reading);
             const auto options = shared->current_options();
-            if (const auto code = read_request(link, parser, options, yield)) {
+            auto code = read_request(link, parser, options, yield);
+            // While the request is handled, its body is copied for the target.
+            if (!code && link.share &&
+                !link.share->admit(request_bytes(link, parser) + parser.get().body().text.capacity(),
+                                   steady_clock::now())) {
+                code = asio::error::operation_aborted;
+            }
+            if (code) {
                 answered = refuse_unread(*shared, link, parser, code, yield);
                 break;
             }
         }
         keep_alive = parser.get().keep_alive() && !shared->draining;
         answered = handle_request(*shared, link, parser.get(), keep_alive, yield);
+        if (link.share) {
+            link.share->end_request(steady_clock::now());
+        }
+    }
+    if (link.share) {
+        link.share->end_request(steady_clock::now());
     }
     if (answered) {
         close_in_stages(*shared, link, yield);
@@ -561,18 +726,12 @@
 void refuse_connection(const std::shared_ptr<State>& shared, tcp::socket socket)
 {
     ++shared->refused;
-    static const std::string answer = [] {
-        const auto refusal = error_response(503);
-        std::string out = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n";
-        for (const auto& entry : refusal.headers) {
-            out += entry.name + ": " + entry.value + "\r\n";
-        }
-        return out + "Content-Length: " + std::to_string(refusal.body.size()) + "\r\n\r\n" + refusal.body;
-    }();
     boost::system::error_code code;
-    ::send(socket.native_handle(), answer.data(), answer.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    send_refusal(socket);
     socket.shutdown(tcp::socket::shutdown_send, code);
-    if (shared->refusing >= limits::http_refused_connections) {
+    const auto* const clients = shared->policy.limits;
+    if (clients != nullptr ? !clients->keeps_refused(shared->refusing)
+                           : shared->refusing >= limits::http_refused_connections) {
         return;
     }
     const auto timer = std::make_shared<asio::steady_timer>(socket.get_executor(), limits::http_closing_time);
@@ -601,7 +760,9 @@
             pause(limits::http_accept_pause, yield);
             continue;
         }
-        if (shared->open >= shared->current_options().connections) {
+        auto* const clients = shared->policy.limits;
+        const bool full = shared->open >= shared->current_options().connections;
+        if (full || (clients != nullptr && !clients->accept(shared->policy.address, steady_clock::now()))) {
             refuse_connection(shared, std::move(socket));
             continue;
         }
@@ -634,6 +795,8 @@
         return "peer closed";
     case unserved_reason::stopping:
         return "stopping";
+    case unserved_reason::crowded:
+        return "crowded";
     case unserved_reason::no_answer:
         return "no answer";
     }
@@ -658,9 +821,10 @@
 }
 
 result<std::unique_ptr<server>> server::create(asio::io_context& context, const endpoint& listen,
-                                               handler& request_handler, const server_options& options)
+                                               handler& request_handler, const server_options& options,
+                                               const client_policy& policy)
 {
-    auto created = std::make_shared<state>(context, request_handler, options);
+    auto created = std::make_shared<state>(context, request_handler, options, policy);
     boost::system::error_code code;
     const auto address = asio::ip::make_address(listen.address, code);
     const tcp::endpoint local(address, listen.port);
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -4,6 +4,7 @@
 #include "base/failure.hpp"
 #include "base/limits.hpp"
 #include "base/time.hpp"
+#include "decision/client_limits.hpp"
 #include "http/message.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -55,6 +56,7 @@
     too_large,
     peer_closed,
     stopping,
+    crowded,   ///< gave way to other clients
     no_answer, ///< the handler returned before the answer was complete
 };
 
@@ -95,6 +97,15 @@
     milliseconds write_timeout{limits::http_write_timeout};
 };
 
+/// How a server treats its clients beyond the limits of one request.
+struct client_policy
+{
+    client_limits* limits{
+        nullptr}; ///< only of a context that one thread runs; outlives the context's handlers
+    client_address address{client_address::caller};
+    bool discards_bodies{false}; ///< the handler gets requests without their bodies
+};
+
 struct server_stats
 {
     std::uint64_t accepted{0};
@@ -114,7 +125,8 @@
     /// Binds and listens. Fails with `unavailable` when the address cannot be bound.
     static result<std::unique_ptr<server>> create(boost::asio::io_context& context, const endpoint& listen,
                                                   handler& request_handler,
-                                                  const server_options& options = {});
+                                                  const server_options& options = {},
+                                                  const client_policy& policy = {});
     ~server();
     server(const server&) = delete;
     server& operator=(const server&) = delete;
--- a/tests/gateway/settings_test.cpp
+++ b/tests/gateway/settings_test.cpp
@@ -37,6 +37,19 @@
         CHECK(value(read).bounds.stop_grace == milliseconds(2500));
         CHECK(value(read).listen.peer.port == 5);
     }
+    SECTION("the limits of the machine are optional")
+    {
+        CHECK_FALSE(value(gateway::parse_gateway_settings(complete().dump())).memory_mb);
+        auto document = complete();
+        document["memory_mb"] = 160;
+        document["max_fds"] = 4100;
+        const auto read = gateway::parse_gateway_settings(document.dump());
+        REQUIRE(succeeded(read));
+        CHECK(value(read).memory_mb == 160);
+        CHECK(value(read).max_fds == 4100);
+        document["max_fds"] = 3;
+        CHECK(failed(gateway::parse_gateway_settings(document.dump())));
+    }
     SECTION("the error names a misspelt field")
     {
         auto document = complete();
