--- a/src/decision/target_choice.cpp
+++ b/src/decision/target_choice.cpp
@@ -34,7 +34,19 @@
     ejected,
 };
 
-preference preference_of(const target_candidate& candidate, const std::vector<target_candidate>& all)
+/// Fabric domains of the targets that were tried: at most a few, unlike the candidates.
+std::vector<const fabric_domain_id*> tried_fabrics(const std::vector<target_candidate>& candidates)
+{
+    std::vector<const fabric_domain_id*> out;
+    for (const auto& candidate : candidates) {
+        if (candidate.tried && !candidate.fabric.empty()) {
+            out.push_back(&candidate.fabric);
+        }
+    }
+    return out;
+}
+
+preference preference_of(const target_candidate& candidate, const std::vector<const fabric_domain_id*>& tried)
 {
     if (candidate.ejected) {
         return preference::ejected;
@@ -42,11 +54,8 @@
     if (candidate.suspected) {
         return preference::suspected;
     }
-    const bool near =
-        !candidate.fabric.empty() && std::any_of(all.begin(), all.end(), [&](const auto& other) {
-            return other.tried && other.fabric == candidate.fabric;
-        });
-    if (near) {
+    if (std::any_of(tried.begin(), tried.end(),
+                    [&](const auto* fabric) { return *fabric == candidate.fabric; })) {
         return preference::near_tried_target;
     }
     return candidate.elsewhere ? preference::elsewhere : preference::healthy;
@@ -59,6 +68,7 @@
     const bool any_usable = std::any_of(candidates.begin(), candidates.end(), [](const auto& candidate) {
         return !candidate.tried && !candidate.ejected;
     });
+    const auto tried = tried_fabrics(candidates);
     auto best = preference::ejected;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const bool excluded = candidates[i].ejected && any_usable;
@@ -66,7 +76,7 @@
             !has_free_slot(candidates[i])) {
             continue;
         }
-        const auto found = preference_of(candidates[i], candidates);
+        const auto found = preference_of(candidates[i], tried);
         if (found < best) {
             best = found;
             out.clear();
