--- a/src/gateway/daemon.cpp
+++ b/src/gateway/daemon.cpp
@@ -63,9 +63,8 @@
               [this](const std::optional<failure_domain_id>& domain) {
                   const auto now = steady_clock::now();
                   std::vector<endpoint> out;
-                  for (const auto& entry :
-                       domain ? entry_daemons_near(*domain, this->near, this->fleet, this->own(), now)
-                              : entry_daemons(this->fleet, this->own(), now)) {
+                  for (const auto& entry : domain ? this->near.select(*domain, this->fleet, this->own(), now)
+                                                  : entry_daemons(this->fleet, this->own(), now)) {
                       out.push_back(entry.caller);
                   }
                   return out;
@@ -412,7 +411,7 @@
     crash_archive archive;
     group_manager manager;
     peer_exchange exchange;
-    near_entries near;
+    near_entry_list near{this->metrics};
     readiness_page readiness;
     entries_page entries;
     metrics_page metrics_text;
--- a/src/gateway/entry_list.cpp
+++ b/src/gateway/entry_list.cpp
@@ -1,8 +1,10 @@
 #include "gateway/entry_list.hpp"
 
+#include "base/log.hpp"
 #include "decision/entry_choice.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace rml::gateway {
 
@@ -59,8 +61,8 @@
     return out;
 }
 
-std::vector<listed_daemon> entry_daemons_near(const failure_domain_id& domain, near_entries& decision,
-                                              const fleet_state& fleet, const own_state& own, time_point now)
+std::vector<listed_daemon> near_entry_list::select(const failure_domain_id& domain, const fleet_state& fleet,
+                                                   const own_state& own, time_point now)
 {
     auto all = entry_daemons(fleet, own, now);
     const auto& config = fleet.config();
@@ -86,7 +88,21 @@
             add(peer.entry.failure_domain, peer.last_report.requests_per_s);
         }
     }
-    return decision.suffice(domain, entries, now) ? near : all;
+    const bool suffice = this->decision.suffice(domain, entries, now);
+    this->metrics
+        .create_counter("rml_entry_lists_total", "Entry lists for callers that name their failure domain",
+                        {{"domains", suffice ? "own" : "all"}})
+        .add();
+    if (const auto [before, first] = this->sufficed.try_emplace(domain, true);
+        std::exchange(before->second, suffice) != suffice) {
+        log(log_level::info,
+            suffice ? "entry daemons of the failure domain suffice"
+                    : "entry daemons of the failure domain do not suffice",
+            {{"failure_domain", domain.str()},
+             {"ready", static_cast<std::int64_t>(entries.daemons)},
+             {"requests_per_s", static_cast<std::int64_t>(entries.requests_per_s)}});
+    }
+    return suffice ? near : all;
 }
 
 } // namespace rml::gateway
--- a/src/gateway/entry_list.hpp
+++ b/src/gateway/entry_list.hpp
@@ -1,9 +1,11 @@
 /// Selects the daemons whose addresses are given to callers.
 #pragma once
 
+#include "base/metrics.hpp"
 #include "decision/entry_choice.hpp"
 #include "gateway/fleet_state.hpp"
 
+#include <map>
 #include <vector>
 
 namespace rml::gateway {
@@ -30,9 +32,20 @@
 /// recent reports are returned only when no other daemon is left.
 std::vector<listed_daemon> entry_daemons(const fleet_state& fleet, const own_state& own, time_point now);
 
-/// Those of the entry daemons that a caller in the failure domain is given: the ones in its domain if the
-/// configuration states the delays of the domain and they suffice, otherwise all.
-std::vector<listed_daemon> entry_daemons_near(const failure_domain_id& domain, near_entries& decision,
-                                              const fleet_state& fleet, const own_state& own, time_point now);
+/// Selects the entry daemons for callers that name their failure domain: the ones of that domain if the
+/// configuration states its delays and they suffice, otherwise all.
+class near_entry_list
+{
+public:
+    explicit near_entry_list(metric_registry& metrics) : metrics(metrics) {}
+
+    std::vector<listed_daemon> select(const failure_domain_id& domain, const fleet_state& fleet,
+                                      const own_state& own, time_point now);
+
+private:
+    metric_registry& metrics;
+    near_entries decision;
+    std::map<failure_domain_id, bool> sufficed; ///< at the last query of a caller in the domain
+};
 
 } // namespace rml::gateway
--- a/tests/gateway/domain_routing_test.cpp
+++ b/tests/gateway/domain_routing_test.cpp
@@ -123,10 +123,11 @@
     add_daemon(site.fleet, "d1", "a");
     add_daemon(site.fleet, "d2", "b");
     add_daemon(site.fleet, "d3", "b");
-    near_entries decision;
+    gateway::near_entry_list list(site.metrics);
     const auto listed = [&](const std::string& domain, double requests_per_s = 10) {
-        return entry_daemons_near(failure_domain_id(domain), decision, site.fleet,
-                                  {entry, true, true, requests_per_s}, steady_clock::now())
+        return list
+            .select(failure_domain_id(domain), site.fleet, {entry, true, true, requests_per_s},
+                    steady_clock::now())
             .size();
     };
     CHECK(listed("a") == 4); // no delays are stated
