End a group of an earlier lease that is opened after the takeover

A manager ended while its orders to open a group and to join a later one were both unanswered. Its successor waited for the members to become ready, the late order opened the group, and the successor kept it. The late order to join then took a member out of the open group.

Cause: an open group was kept whatever its history. An open group of an earlier lease is safe only if that manager saw it open, as it then moved no member to another group before the head had left. A group that opens after the takeover opens by an order that its manager had given up or never knew to be carried out.

Change: the manager records at the takeover which group each registered engine shows as its open head. A group of an earlier lease whose head was registered then and showed no such group is ended, without waiting for its requests, and fenced. Groups of heads that were not registered at the takeover are kept, as entries may be missing from the store for other reasons. Calls are made only for a group that is ended; groups of the present lease are not concerned.

A group that opened properly but whose entry did not show it yet at a change of the manager is formed anew. The late order to join is refused only once the member has joined a later group; between the opening and the leave of the head (milliseconds while the head answers) the rule can still be broken.

--- a/src/gateway/group_manager.cpp
+++ b/src/gateway/group_manager.cpp
@@ -88,6 +88,7 @@
                 return entry.second.entry.membership || !entry.second.entry.model.empty();
             });
         this->log_takeover();
+        this->record_open_groups();
         this->probe_all_groups(now);
     }
     return true;
@@ -107,6 +108,24 @@
          {"first_start", this->first_start}});
 }
 
+void group_manager::record_open_groups()
+{
+    this->open_at_takeover.clear();
+    for (const auto& [instance, state] : this->fleet.targets()) {
+        const auto& shown = state.entry.membership;
+        const bool open = shown && shown->rank == 0 && shown->phase == group_phase::open;
+        this->open_at_takeover[instance] =
+            open ? std::optional(group_key(shown->group, shown->epoch)) : std::nullopt;
+    }
+}
+
+bool group_manager::opened_after_takeover(const group_key& key, const target_entry& head) const
+{
+    const auto found = this->open_at_takeover.find(head.instance);
+    const bool earlier_lease = key.second >> detail::epoch_counter_bits != this->lease_revision;
+    return earlier_lease && found != this->open_at_takeover.end() && found->second != key;
+}
+
 bool group_manager::may_send_orders(time_point now)
 {
     return this->check_manager_lease(now) && now >= this->active_from;
@@ -262,6 +281,9 @@
         // late. Members of a group with an epoch of this manager refuse them.
         return this->end_group(key, *head, names, false, now, "left unfinished by a previous manager");
     }
+    if (this->opened_after_takeover(key, *head)) {
+        return this->end_group(key, *head, names, false, now, "opened by a late order of a previous manager");
+    }
     const auto* service = this->fleet.config()->find_service(head->service);
     const auto* model =
         service != nullptr && service->engines ? service->engines->find(head->model) : nullptr;
--- a/src/gateway/group_manager.hpp
+++ b/src/gateway/group_manager.hpp
@@ -168,6 +168,7 @@
     bool may_send_orders(time_point now);
     void reset();
     void log_takeover() const;
+    void record_open_groups();
     /// Reviews the groups and plans, at a rate that leaves time for orders and store changes.
     void run_pass(time_point now);
     void review_groups(time_point now);
@@ -175,6 +176,9 @@
     void end_group(const group_key& key, const target_entry& head, std::vector<instance_id> members,
                    bool graceful, time_point now, const std::string& reason);
     void end_group(const served_group& group, bool graceful, time_point now, const std::string& reason);
+    /// Whether a late order opened the group of an earlier lease: its head was registered when this lease was
+    /// acquired and did not show the group as open. That manager may have ordered members into later groups.
+    bool opened_after_takeover(const group_key& key, const target_entry& head) const;
     /// Records that the group cannot serve any more, and orders its members to leave.
     void release(const group_key& key, ending& state, release_evidence evidence);
     /// A member other than the head that still reports the group and is not lost, or null.
@@ -287,6 +291,8 @@
     /// manager_revision() of the lease under which the state below was built.
     std::uint64_t lease_revision{0};
     time_point active_from{}; ///< the orders of the previous manager have arrived by then
+    /// The group, if any, that each engine showed as its open head when the lease was acquired.
+    std::map<instance_id, std::optional<group_key>> open_at_takeover;
     std::uint64_t epoch_counter{0};
     /// No engine has been in a group and no request has arrived: loads are short and unlimited.
     bool first_start{false};
