Send no order to join to an engine that has restarted since it was asked

An order to join was left unanswered; the engine restarted, late orders of an earlier manager opened its new life, and the repeated order took it out of the open group.

Cause: an order names the instance only, and its permit rests on a report of the earlier life. A restart clears the epoch that makes an engine refuse late orders.

Change: directly before an order to join, the life of the permit is compared with the registry. The order is not sent if they differ, the formation is abandoned, and the new life is asked before it joins a group. This needs no call. The formation also stops ordering the other members once one order was not sent.

--- a/src/gateway/group_formation.cpp
+++ b/src/gateway/group_formation.cpp
@@ -305,6 +305,7 @@
                 return false;
             }
         } else if (error(answer).kind == failure_kind::lapsed) {
+            given_up = true;
             return false;
         } else if (!alive) {
             // An engine may leave an order unanswered and execute it late, but then it still reports.
--- a/src/gateway/group_manager.cpp
+++ b/src/gateway/group_manager.cpp
@@ -497,9 +497,16 @@
     if (!this->lease.manages(now) || decided_under != this->lease.manager_revision()) {
         return failure{failure_kind::lapsed, "order not sent: this daemon does not hold the manager lease"};
     }
-    if (const auto& permit = what.permit();
-        permit && (permit->engine().instance != engine.instance || !this->assignments.in_force(*permit))) {
-        return failure{failure_kind::lapsed, "order not sent: the engine is no longer assigned to the group"};
+    if (const auto& permit = what.permit()) {
+        if (permit->engine().instance != engine.instance || !this->assignments.in_force(*permit)) {
+            return failure{failure_kind::lapsed,
+                           "order not sent: the engine is no longer assigned to the group"};
+        }
+        // An order names the instance only, and the evidence of the permit is about one life of it.
+        const auto* registered = this->fleet.find_entry(engine.instance);
+        if (registered != nullptr && registered->started_ms != permit->engine().started_ms) {
+            return failure{failure_kind::lapsed, "order not sent: the engine has restarted"};
+        }
     }
     this->orders.add();
     auto answer = this->ports.engines->order(engine, what, now + order_timeout, yield);
--- a/tests/gateway/late_order_test.cpp
+++ b/tests/gateway/late_order_test.cpp
@@ -358,3 +358,24 @@
     site.run_for(milliseconds(2000));
     CHECK(first_join_of_two_groups(site) == "");
 }
+
+TEST_CASE("an order to join is not repeated at an engine that has restarted since it was asked",
+          "[gateway][group_manager]")
+{
+    // Guards against evidence of an earlier life: the engine reported that it is free and restarted, and late
+    // orders of an earlier manager opened its new life before the order to join was repeated.
+    one_group_site site;
+    site.site->fleet.timing.load = milliseconds(5);
+    site.lose_next_orders(e00, 1);
+    site.take_over();
+    REQUIRE(site.run_until([&] { return site.orders_of(e01, "join") == 1; }));
+    REQUIRE(site.run_until([&] { return site.engine(e00).faults.late_orders == 0; }));
+    site.engine(e00).restart();
+    site.engine(e00).faults.entry_frozen = true; // its entry shows the new life, but no group
+    reopen_by_late_orders(site, e00, {e00}, {group_id("g1"), 1});
+    CHECK(site.orders_of(e00, "join") == 1); // the late one
+    CHECK(site.orders_of(e00, "open") == 1);
+    site.run_for(milliseconds(2000));
+    CHECK(first_join_of_two_groups(site) == "");
+    CHECK(site.orders_of(e00, "leave") > 0);
+}
