Give positions in the store's whole history instead of revisions

Cause: a store that returns from an older copy gives out its revisions again. Comparisons of revisions then take old news for new, and epochs, which are built from revisions, repeat.

Change: the store client returns positions (era and revision in one number, src/gateway/store_position.hpp) for reads, watches and commits, and reports the era of each answer, refusals included. A watch or condition of an earlier era fails instead of being compared with revisions of the present one; a late answer of an earlier era says nothing. An era or revision out of range is a typed failure and logged. The stand-in store saves a copy, returns to it and raises its era; it answers 410 for revisions that it does not have.

A store without eras has plain revisions as before.

--- a/src/gateway/ports.hpp
+++ b/src/gateway/ports.hpp
@@ -93,7 +93,10 @@
     std::vector<std::string> removals;
 };
 
-/// The platform's store. Failures of reads: `timeout`, `connection_refused`, `connection_broken`,
+/// The platform's store. Revisions are positions in its whole history (`store_position.hpp`), which rise also
+/// when the store returns from an older copy. An answer of an earlier era than one that arrived before fails
+/// a read with `stale` and a write with `outcome_unknown`: it says nothing about the present content.
+/// Failures of reads: `timeout`, `connection_refused`, `connection_broken`,
 /// `malformed`, `unavailable`, `rate_limited`. Failures of writes: `conflict`, `lapsed` (no such lease),
 /// `unavailable`, `rate_limited` and `connection_refused` (the write had no effect), `outcome_unknown` (the
 /// write may take effect, possibly later).
@@ -110,10 +113,10 @@
     virtual result<store_snapshot> read(const std::string& prefix, time_point deadline,
                                         yield_context yield) = 0;
     /// Returns changes after a revision as soon as there are any, or none when `wait` has passed. Fails with
-    /// `stale` when the store no longer has that history.
+    /// `stale` when the store no longer has that history, also because the revision is of an earlier era.
     virtual result<store_changes> watch(const std::string& prefix, std::uint64_t after, milliseconds wait,
                                         time_point deadline, yield_context yield) = 0;
-    /// Returns the revision of the change.
+    /// Returns the revision of the change. An expected revision of an earlier era is a `conflict`.
     virtual result<std::uint64_t> commit(const store_commit& change, time_point deadline,
                                          yield_context yield) = 0;
     virtual result<lease_handle> create_lease(milliseconds lifetime, time_point deadline,
@@ -124,6 +127,10 @@
 
     /// Number of calls since the start, including refused ones.
     virtual std::uint64_t calls() const = 0;
+
+    /// Called for each answer, refusals included, before the call returns, with the position at which the era
+    /// of the answer began (`store_position.hpp`).
+    std::function<void(std::uint64_t era_start)> on_era;
 };
 
 /// Decodes what the platform and its operators write to the store, and encodes the answer to callers.
--- a/tests/adapter/store_client_test.cpp
+++ b/tests/adapter/store_client_test.cpp
@@ -1,8 +1,10 @@
 #include "clients.hpp"
+#include "gateway/store_position.hpp"
 #include "standin/store_server.hpp"
 #include "target/raw_server.hpp"
 
 #include <boost/asio/spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/coroutine/attributes.hpp>
 #include <catch2/catch.hpp>
 
@@ -145,6 +147,187 @@
     }
 }
 
+TEST_CASE("positions rise when the store returns from an older copy",
+          "[adapter][store_client][store_position]")
+{
+    running_store store;
+    std::vector<std::uint64_t> eras;
+    store.client->on_era = [&](std::uint64_t start) { eras.push_back(start); };
+    const auto write = [&](yield_context yield, const std::string& key, std::uint64_t expected = 0) {
+        gateway::store_commit change;
+        if (expected != 0) {
+            change.expected.push_back({key, expected});
+        }
+        change.puts.push_back({key, "1", 0});
+        return store.client->commit(change, store.deadline(), yield);
+    };
+
+    SECTION("a store without eras has plain revisions")
+    {
+        // Guards against epochs that change for deployments whose store does not announce eras.
+        store.run([&](yield_context yield) {
+            const auto at = store.server->put("a", "1");
+            const auto read = store.client->read("", store.deadline(), yield);
+            REQUIRE(succeeded(read));
+            CHECK(value(read).revision == at);
+            CHECK(eras == std::vector<std::uint64_t>{0});
+        });
+    }
+    SECTION("later writes are gone, and all revisions of the new era are higher")
+    {
+        store.run([&](yield_context yield) {
+            store.server->put("a", "1");
+            store.server->save_copy();
+            const auto before = write(yield, "own/b");
+            REQUIRE(succeeded(before));
+            REQUIRE(succeeded(write(yield, "own/c")));
+            store.server->return_to_copy();
+            const auto read = store.client->read("", store.deadline(), yield);
+            REQUIRE(succeeded(read));
+            CHECK(value(read).items.size() == 1);
+            CHECK(value(read).items[0].revision > value(before));
+            const auto after = write(yield, "own/d");
+            REQUIRE(succeeded(after));
+            CHECK(value(after) > value(read).revision);
+            CHECK(eras.back() == gateway::era_start(value(after)));
+        });
+    }
+    SECTION("a watch from the old era does not continue in the new one")
+    {
+        // Guards against changes that are missed because the store has given out the revision again.
+        store.run([&](yield_context yield) {
+            store.server->save_copy();
+            const auto seen = write(yield, "own/a");
+            REQUIRE(succeeded(seen));
+            store.server->return_to_copy();
+            const auto gone = store.client->watch("", value(seen), milliseconds(50), store.deadline(), yield);
+            REQUIRE(failed(gone));
+            CHECK(error(gone).kind == failure_kind::stale);
+            CHECK(eras.back() != 0);
+            store.server->put("x", "1");
+            store.server->put("y", "1");
+            const auto again =
+                store.client->watch("", value(seen), milliseconds(50), store.deadline(), yield);
+            REQUIRE(failed(again));
+            CHECK(error(again).kind == failure_kind::stale);
+        });
+    }
+    SECTION("a watch whose first answer is of the new era is stale")
+    {
+        store.run([&](yield_context yield) {
+            store.server->save_copy();
+            const auto seen = write(yield, "own/a");
+            REQUIRE(succeeded(seen));
+            store.server->return_to_copy();
+            store.server->put("x", "1");
+            store.server->put("y", "1");
+            const auto gone = store.client->watch("", value(seen), milliseconds(50), store.deadline(), yield);
+            REQUIRE(failed(gone));
+            CHECK(error(gone).kind == failure_kind::stale);
+        });
+    }
+    SECTION("a condition on a revision of the old era does not hold")
+    {
+        store.run([&](yield_context yield) {
+            store.server->save_copy();
+            const auto old = write(yield, "own/a");
+            REQUIRE(succeeded(old));
+            store.server->return_to_copy();
+            const auto other = store.server->put("own/a", "of another writer"); // gets the same revision
+            CHECK(gateway::unpack_position(value(old)).revision == other);
+
+            SECTION("it is not sent once the era is known")
+            {
+                REQUIRE(succeeded(store.client->read("", store.deadline(), yield)));
+                const auto calls = store.client->calls();
+                const auto written = write(yield, "own/a", value(old));
+                REQUIRE(failed(written));
+                CHECK(error(written).kind == failure_kind::conflict);
+                CHECK(store.client->calls() == calls);
+                CHECK(store.server->find("own/a") == "of another writer");
+            }
+            SECTION("before, its outcome is unknown")
+            {
+                const auto written = write(yield, "own/a", value(old));
+                REQUIRE(failed(written));
+                CHECK(error(written).kind == failure_kind::outcome_unknown);
+            }
+        });
+    }
+    SECTION("a late answer of the old era says nothing")
+    {
+        // Guards against a manager that takes a lost write for its lease.
+        store.run([&](yield_context yield) {
+            store.server->save_copy();
+            store.server->faults.late_replies = 1;
+            store.server->faults.reply_delay = milliseconds(200);
+            std::optional<result<std::uint64_t>> late;
+            boost::asio::spawn(
+                store.context, [&](yield_context other) { late = write(other, "own/a"); },
+                boost::coroutines::attributes(256 * 1024));
+            boost::asio::steady_timer timer(store.context, milliseconds(50));
+            timer.async_wait(yield);
+            store.server->return_to_copy();
+            REQUIRE(succeeded(store.client->read("", store.deadline(), yield)));
+            timer.expires_after(milliseconds(400));
+            timer.async_wait(yield);
+            REQUIRE(late.has_value());
+            REQUIRE(failed(*late));
+            CHECK(error(*late).kind == failure_kind::outcome_unknown);
+        });
+    }
+    SECTION("refusals and lease calls announce the era as well")
+    {
+        store.run([&](yield_context yield) {
+            store.server->save_copy();
+            const auto lease = store.client->create_lease(milliseconds(1000), store.deadline(), yield);
+            REQUIRE(succeeded(lease));
+            store.server->return_to_copy();
+
+            SECTION("a renewal of a lease that is gone")
+            {
+                const auto renewed = store.client->renew_lease(value(lease).id, store.deadline(), yield);
+                REQUIRE(failed(renewed));
+                CHECK(error(renewed).kind == failure_kind::lapsed);
+            }
+            SECTION("an answer of a store that is down")
+            {
+                store.server->faults.down = true;
+                CHECK(failed(store.client->read("", store.deadline(), yield)));
+            }
+            CHECK(eras.back() != 0);
+        });
+    }
+    SECTION("an era out of range is a failure and never a lower position")
+    {
+        store.run([&](yield_context yield) {
+            const auto at = write(yield, "own/a");
+            REQUIRE(succeeded(at));
+            store.server->era = gateway::detail::max_position_era + 1;
+            const auto read = store.client->read("", store.deadline(), yield);
+            REQUIRE(failed(read));
+            CHECK(error(read).kind == failure_kind::too_large);
+            const auto written = write(yield, "own/a");
+            REQUIRE(failed(written));
+            CHECK(error(written).kind == failure_kind::outcome_unknown);
+            CHECK(eras.back() == 0);
+        });
+    }
+}
+
+TEST_CASE("a revision out of range is a failure", "[adapter][store_client][store_position]")
+{
+    // Guards against a revision that overflows into the era and makes all later ones seem old.
+    const std::uint64_t largest = gateway::detail::max_position_revision;
+    CHECK(succeeded(gateway::pack_position({gateway::detail::max_position_era, largest})));
+    const auto beyond = gateway::pack_position({0, largest + 1});
+    REQUIRE(failed(beyond));
+    CHECK(error(beyond).kind == failure_kind::too_large);
+    CHECK(value(gateway::pack_position({1, 0})) > value(gateway::pack_position({0, largest})));
+    const auto last = value(gateway::pack_position({gateway::detail::max_position_era, largest}));
+    CHECK((last << 16U) >> 16U == last); // an epoch holds it
+}
+
 TEST_CASE("one timeout discards all idle connections to the store", "[adapter][store_client]")
 {
     // Guards against a daemon that learns too late that targets are draining: all open connections to the
