Follow the store into a new era without giving up newer state

Cause: after a return of the store from an older copy, the mirror ignored reads and changes because their revisions were lower, or applied the copy as if it were new. The holder of the manager lease went on although the store had forgotten the lease, and all daemons would have registered again at the same moment.

Change: a newer era in any answer of the store makes the mirror read the whole store; a notice of a newer era makes it read the store itself first. For a grace time (decision/removal_grace), known targets and drained domains stay as they were until they are written again; targets of which only the copy knows are held back until the entries of lost ones have lapsed. The registration gives up both leases at once, registers again in its turn (decision/spread_delay, sized by the daemons and the store's writes per second) and acquires the manager lease only after the lifetime of an earlier one. The crash archive writes its records again. Metrics: rml_store_era, rml_store_era_reads_total.

--- a/src/gateway/crash_archive.hpp
+++ b/src/gateway/crash_archive.hpp
@@ -22,6 +22,8 @@
 
     /// Applies a record of the store. No value: the record was removed.
     void on_stored(const std::string& key, const std::optional<std::string>& value, time_point now);
+    /// The store returned from an older copy: what it contained is unknown until it is read again.
+    void on_new_era() { this->stored.clear(); }
     /// To be called by the manager, every 50 ms: writes established records that the store does not have, and
     /// removes others, at most once per `write_interval`.
     void tick(time_point now);
--- a/src/gateway/daemon.cpp
+++ b/src/gateway/daemon.cpp
@@ -12,6 +12,7 @@
 #include "gateway/peer_exchange.hpp"
 #include "gateway/registration.hpp"
 #include "gateway/store_mirror.hpp"
+#include "gateway/store_position.hpp"
 #include "http/server.hpp"
 
 #include <algorithm>
@@ -121,6 +122,10 @@
             this->manager.tick();
         };
         this->mirror.on_store_return = [this] { this->holder.on_store_return(); };
+        this->mirror.on_new_era = [this] {
+            this->holder.on_new_era();
+            this->archive.on_new_era();
+        };
         this->mirror.on_crash_record = [this](const std::string& key,
                                               const std::optional<std::string>& value) {
             this->archive.on_stored(key, value, steady_clock::now());
@@ -275,6 +280,8 @@
     {
         const auto now = steady_clock::now();
         this->fleet.expire_targets(now);
+        this->store_era.update(era_number(this->mirror.era()));
+        this->era_reads.add(this->mirror.era_reads() - this->era_reads.value());
         this->fleet.peers_settled = now - this->started >= peers_settle_time;
         this->requests.tick();
         if (now >= this->entries_updated + entries_interval) {
@@ -399,6 +406,9 @@
     time_point started{steady_clock::now()};
     boost::asio::io_context context{1};
     metric_registry metrics;
+    gauge& store_era{this->metrics.create_gauge("rml_store_era", "Era of the store's newest answer")};
+    counter& era_reads{this->metrics.create_counter("rml_store_era_reads_total",
+                                                    "Reads of the whole store because of a new era")};
     target::connection_pool connections;
     platform_ports ports;
     fleet_state fleet;
--- a/src/gateway/registration.cpp
+++ b/src/gateway/registration.cpp
@@ -2,6 +2,7 @@
 
 #include "base/hash.hpp"
 #include "base/log.hpp"
+#include "decision/spread_delay.hpp"
 #include "gateway/coroutine.hpp"
 
 #include <algorithm>
@@ -31,6 +32,11 @@
 /// writes the manager key.
 constexpr milliseconds candidate_step{120};
 constexpr std::size_t max_candidate_rank = 24;
+/// Writes of a daemon that registers: its lease and its entry.
+constexpr double writes_per_registration = 2;
+/// Part of the store's writes per second that registrations may take after its return from an older copy; the
+/// renewals of leases and the manager need the rest.
+constexpr double registration_write_share = 0.5;
 
 } // namespace
 
@@ -93,6 +99,32 @@
     this->entry_timer.cancel();
 }
 
+void registration::on_new_era()
+{
+    const auto now = steady_clock::now();
+    const auto& store = this->configured.store;
+    const auto delay = spread_delay(this->configured.daemon.str(), this->fleet.daemons(now),
+                                    writes_per_registration, store.writes_per_s * registration_write_share);
+    this->era_seen = now;
+    this->register_from = now + delay;
+    if (this->acquired_revision != 0) {
+        log(log_level::warning, "manager lease lost",
+            {{"holder", "unknown: the store returned from an older copy"}});
+    }
+    log(log_level::info, "registering again in the new era of the store", {{"delay_ms", delay.count()}});
+    // The ids may belong to leases of other daemons now, so the leases are neither renewed nor ended.
+    this->clear_manager_lease();
+    this->entry_lease = {};
+    this->entry_written = false;
+    this->entry_timer.cancel();
+    this->manager_timer.cancel();
+}
+
+milliseconds registration::manager_lifetime() const
+{
+    return std::max(manager_lease_lifetime, this->configured.store.shortest_lease);
+}
+
 milliseconds registration::candidate_delay() const
 {
     return candidate_step * static_cast<int>(std::min(this->candidate_rank(), max_candidate_rank));
@@ -151,6 +183,12 @@
 {
     auto retry = retry_delay;
     while (!this->leaving) {
+        if (steady_clock::now() < this->register_from) {
+            this->entry_timer.expires_at(this->register_from);
+            boost::system::error_code ignored;
+            this->entry_timer.async_wait(yield[ignored]);
+            continue;
+        }
         this->store_returned = false;
         const bool good = this->mirror.complete() && this->register_daemon(yield);
         // An incomplete mirror is no failure: the first read of the store is still in progress.
@@ -168,6 +206,9 @@
         return true;
     }
     if (this->entry_lease.id == 0) {
+        if (steady_clock::now() < this->register_from) {
+            return false; // the store returned from an older copy during the renewal
+        }
         const auto created = this->create_lease(entry_lifetime, yield);
         if (failed(created)) {
             return false;
@@ -182,10 +223,14 @@
 {
     const daemon_entry own{this->configured.listen.caller, this->configured.listen.peer, this->started_ms,
                            this->configured.failure_domain, this->configured.cpu_share};
+    const auto lease = this->entry_lease.id;
     store_commit change;
-    change.puts.push_back({own_keys::daemons_prefix + this->configured.daemon.str(), encode_daemon_entry(own),
-                           this->entry_lease.id});
+    change.puts.push_back(
+        {own_keys::daemons_prefix + this->configured.daemon.str(), encode_daemon_entry(own), lease});
     const auto written = this->ports.store->commit(change, steady_clock::now() + store_timeout, yield);
+    if (this->entry_lease.id != lease) {
+        return false; // the lease was released during the call
+    }
     if (failed(written)) {
         log(log_level::info, "daemon entry not written; retrying", {context_field(error(written))});
         if (error(written).kind == failure_kind::lapsed) {
@@ -221,7 +266,11 @@
             }
             wake = now + (renewed ? this->manager_key_lease.lifetime / renewals_per_lease : retry_delay);
         } else if (this->vacant_since && this->mirror.complete()) {
-            wake = *this->vacant_since + this->candidate_delay();
+            const auto free_from =
+                this->era_seen == time_point{}
+                    ? *this->vacant_since
+                    : std::max(*this->vacant_since, this->era_seen + this->manager_lifetime());
+            wake = free_from + this->candidate_delay();
             if (now >= wake) {
                 if (this->acquire_manager_lease(yield)) {
                     continue;
@@ -247,11 +296,21 @@
         }
         this->manager_key_lease = value(created);
     }
+    // The call that created the lease may have shown a new era, and the store may grant longer leases than it
+    // is asked for.
+    if (this->era_seen != time_point{} &&
+        steady_clock::now() <
+            this->era_seen + std::max(this->manager_lifetime(), this->manager_key_lease.lifetime)) {
+        return false;
+    }
+    const auto lease = this->manager_key_lease.id;
     store_commit change;
     change.expected.push_back({own_keys::manager, 0});
-    change.puts.push_back(
-        {own_keys::manager, this->manager_key_value(this->manager_key_lease.id), this->manager_key_lease.id});
+    change.puts.push_back({own_keys::manager, this->manager_key_value(lease), lease});
     const auto written = this->ports.store->commit(change, steady_clock::now() + store_timeout, yield);
+    if (this->manager_key_lease.id != lease && !this->leaving) {
+        return false; // the lease was given up during the call
+    }
     if (failed(written)) {
         // After a lost answer the mirror shows whether the commit took effect.
         log(log_level::info, "manager key not written", {context_field(error(written))});
--- a/src/gateway/registration.hpp
+++ b/src/gateway/registration.hpp
@@ -33,6 +33,11 @@
     /// that has started meanwhile does not know this one.
     void on_store_return();
 
+    /// An answer of the store shows a newer era: the store returned from an older copy, which may lack the
+    /// leases of this daemon and of the manager. Gives up both leases at once. Registers anew in its turn,
+    /// and waits before it may become the manager until the previous one can no longer act.
+    void on_new_era();
+
     /// Whether this daemon is among the first that try to become the manager.
     bool is_first_candidate() const { return this->candidate_rank() < first_candidates; }
 
@@ -63,6 +68,7 @@
     static constexpr std::size_t first_candidates = 4;
     std::size_t candidate_rank() const;
     milliseconds candidate_delay() const;
+    milliseconds manager_lifetime() const;
 
     boost::asio::io_context& context;
     const platform_ports& ports;
@@ -79,6 +85,8 @@
     held_lease manager_key_lease;
     std::uint64_t acquired_revision{0}; ///< 0: this daemon is not the manager
     std::optional<time_point> vacant_since;
+    time_point era_seen{};      ///< first answer of the present era, unless it is the store's first
+    time_point register_from{}; ///< turn of this daemon to register in the present era
     bool leaving{false};
 };
 
--- a/src/gateway/store_mirror.cpp
+++ b/src/gateway/store_mirror.cpp
@@ -2,8 +2,10 @@
 
 #include "base/json_reader.hpp"
 #include "base/log.hpp"
+#include "decision/spread_delay.hpp"
 #include "decision/watch_delay.hpp"
 #include "gateway/coroutine.hpp"
+#include "gateway/store_position.hpp"
 #include "http/pause.hpp"
 
 #include <algorithm>
@@ -39,6 +41,10 @@
 constexpr milliseconds unreachable_timeout{2200};
 /// Highest age of the store contact behind a notice: the wait of one watch and a lost packet.
 constexpr milliseconds max_notice_age{1200};
+/// Shortest time between two reads because another daemon tells of an era that the store does not show here.
+constexpr milliseconds second_hand_interval{1000};
+/// Items on a page of the store, as the platform states.
+constexpr std::size_t items_per_page = 500;
 constexpr milliseconds hang_detection =
     watch_wait + watch_response_margin + min_retry_pause + usual_read_time;
 
@@ -87,15 +93,58 @@
 store_mirror::store_mirror(boost::asio::io_context& owner, const platform_ports& platform, fleet_state& state,
                            const gateway_settings& settings)
     : context(owner), ports(platform), fleet(state), configured(settings), feed_timer(owner),
-      removals(settings.registry_heartbeat)
+      deferred_timer(owner), removals(settings.registry_heartbeat)
 {
 }
 
 void store_mirror::start()
 {
+    this->ports.store->on_era = [this](std::uint64_t era_start) { this->observe_era(era_start); };
     start_coroutine(this->context, [this](yield_context yield) { this->run(yield); });
 }
 
+void store_mirror::stop()
+{
+    this->stopped = true;
+    this->deferred_timer.cancel();
+}
+
+void store_mirror::observe_era(std::uint64_t era_start)
+{
+    if (era_start <= this->present_era) {
+        return;
+    }
+    this->present_era = era_start;
+    this->copy_revision = 0;
+    this->deferred.clear(); // what is known is compared with the new copy
+    this->deferred_timer.cancel();
+    this->second_hand = false;
+    this->history_known = false;
+    log(this->has_read ? log_level::warning : log_level::info,
+        this->has_read ? "store returned from an older copy; reading the whole store"
+                       : "store has returned from an older copy before",
+        {{"era", era_number(era_start)}, {"revision", static_cast<std::int64_t>(this->seen_revision)}});
+    this->feed_expires = {};
+    this->feed_timer.cancel();
+    if (this->on_new_era) {
+        this->on_new_era();
+    }
+}
+
+void store_mirror::wait_for_turn(yield_context yield)
+{
+    if (!std::exchange(this->second_hand, false)) {
+        return;
+    }
+    const auto items = this->fleet.targets().size() + this->fleet.peers().size();
+    const auto pages = 1 + items / items_per_page;
+    const auto delay = spread_delay(this->fleet.self.str(), this->fleet.daemons(steady_clock::now()),
+                                    static_cast<double>(pages), this->configured.store.reads_per_s);
+    if (delay > milliseconds(0)) {
+        http::pause(delay, yield);
+    }
+}
+
 bool store_mirror::reachable(time_point now) const
 {
     return this->has_read && now - this->contact < unreachable_timeout;
@@ -115,6 +164,7 @@
             this->wait_for_feed_change(yield);
             continue;
         }
+        this->wait_for_turn(yield);
         // After a failed watch the next one continues where it ended. Reading the whole store instead would
         // let all daemons of a large fleet do so at the same moment, after each interruption.
         if (this->history_known ? this->watch_once(yield) : this->read_all(yield)) {
@@ -141,7 +191,8 @@
 std::optional<change_notice> store_mirror::compose_notice(time_point now) const
 {
     const auto age = std::chrono::duration_cast<milliseconds>(now - this->contact);
-    if (!this->has_read || age > max_notice_age) {
+    const bool earlier_era = era_start(this->seen_revision) != this->present_era;
+    if (!this->has_read || age > max_notice_age || earlier_era) {
         return std::nullopt;
     }
     return change_notice{this->fleet.self, this->seen_revision, this->seen_revision, age, {}};
@@ -153,6 +204,18 @@
     if (!this->has_read || notice.revision < this->seen_revision || notice.age > max_notice_age) {
         return;
     }
+    if (const auto era = era_start(notice.revision); era != this->present_era) {
+        if (era > this->present_era && this->history_known && now >= this->next_second_hand) {
+            log(log_level::info, "another daemon tells of a newer era of the store; reading the whole store",
+                {{"daemon", notice.daemon.str()}, {"era", era_number(era)}});
+            this->next_second_hand = now + second_hand_interval;
+            this->second_hand = true;
+            this->history_known = false;
+            this->feed_expires = {};
+            this->feed_timer.cancel();
+        }
+        return;
+    }
     if (notice.after > this->seen_revision) {
         // A notice was lost, or a change was too large for a notice.
         this->feed_expires = {};
@@ -195,10 +258,37 @@
     if (this->has_read && value(snapshot).revision < this->seen_revision) {
         return true; // notices have meanwhile brought later changes
     }
+    if (this->copy_revision == 0 && this->present_era != 0) {
+        this->copy_revision = value(snapshot).revision;
+        if (this->has_read) {
+            ++this->reads_for_era;
+            this->removals.on_older_copy(now);
+        }
+    }
+    this->apply_snapshot(value(snapshot), now);
+    this->seen_revision = value(snapshot).revision;
+    if (!std::exchange(this->has_read, true)) {
+        log(log_level::info, "store read",
+            {{"targets", static_cast<std::int64_t>(this->fleet.targets().size())},
+             {"daemons", static_cast<std::int64_t>(this->fleet.peers().size())},
+             {"revision", static_cast<std::int64_t>(this->seen_revision)}});
+    }
+    if (this->on_change) {
+        this->on_change();
+    }
+    return true;
+}
+
+void store_mirror::apply_snapshot(const store_snapshot& snapshot, time_point now)
+{
+    this->deferred.clear();
     std::set<std::string> present;
-    for (const auto& item : value(snapshot).items) {
+    for (const auto& item : snapshot.items) {
         present.insert(item.key);
-        this->apply({item.key, item.value, item.revision}, now);
+        const store_event event{item.key, item.value, item.revision};
+        if (!this->defer(event, now)) {
+            this->apply(event, now);
+        }
     }
     // Keys that are known but not in the snapshot were removed while this daemon did not watch.
     std::vector<std::string> known_keys;
@@ -212,28 +302,88 @@
     known_keys.insert(known_keys.end(), this->crash_records.begin(), this->crash_records.end());
     for (const auto& key : known_keys) {
         if (present.count(key) == 0) {
-            this->apply({key, std::nullopt, value(snapshot).revision}, now);
+            this->apply({key, std::nullopt, snapshot.revision}, now);
         }
     }
-    std::set<failure_domain_id> drained;
+    std::set<std::string> drained;
     const auto drained_prefix = this->ports.decoder->drained_domains_prefix();
     for (const auto& key : present) {
-        if (starts_with(key, drained_prefix)) {
-            drained.emplace(key.substr(drained_prefix.size()));
+        if (starts_with(key, drained_prefix) && this->deferred.count(key) == 0) {
+            drained.insert(key);
         }
     }
-    this->fleet.update_drained_domains(std::move(drained));
-    this->seen_revision = value(snapshot).revision;
-    if (!std::exchange(this->has_read, true)) {
-        log(log_level::info, "store read",
-            {{"targets", static_cast<std::int64_t>(this->fleet.targets().size())},
-             {"daemons", static_cast<std::int64_t>(this->fleet.peers().size())},
-             {"revision", static_cast<std::int64_t>(this->seen_revision)}});
+    for (const auto& key : this->drained_keys) {
+        if (present.count(key) == 0 && this->defer({key, std::nullopt, this->copy_revision}, now)) {
+            drained.insert(key);
+        }
     }
-    if (this->on_change) {
-        this->on_change();
+    std::set<failure_domain_id> domains;
+    for (const auto& key : drained) {
+        domains.emplace(key.substr(drained_prefix.size()));
     }
-    return true;
+    this->drained_keys = std::move(drained);
+    this->fleet.update_drained_domains(std::move(domains));
+    this->schedule_deferred();
+}
+
+bool store_mirror::defer(const store_event& event, time_point now)
+{
+    if (!this->has_read || event.revision > this->copy_revision) {
+        return false;
+    }
+    const auto& decoder = *this->ports.decoder;
+    std::optional<time_point> until;
+    if (starts_with(event.key, decoder.targets_prefix())) {
+        const instance_id id(event.key.substr(decoder.targets_prefix().size()));
+        until = this->fleet.find_target(id) != nullptr ? this->removals.keep_until(now)
+                                                       : this->removals.hold_until(now);
+    } else if (starts_with(event.key, decoder.drained_domains_prefix())) {
+        const bool known = this->drained_keys.count(event.key) != 0;
+        until = known == event.value.has_value() ? std::nullopt : this->removals.keep_until(now);
+    }
+    if (until) {
+        this->deferred[event.key] = {event, *until};
+    }
+    return until.has_value();
+}
+
+void store_mirror::apply_deferred()
+{
+    const auto now = steady_clock::now();
+    std::vector<store_event> due;
+    for (const auto& [key, change] : this->deferred) {
+        if (now >= change.until) {
+            due.push_back(change.event);
+        }
+    }
+    for (const auto& event : due) {
+        this->apply(event, now);
+    }
+    if (!due.empty()) {
+        log(log_level::info, "content of the store's copy that nobody wrote again is in force",
+            {{"entries", static_cast<std::int64_t>(due.size())}, {"era", era_number(this->present_era)}});
+        if (this->on_change) {
+            this->on_change();
+        }
+    }
+    this->schedule_deferred();
+}
+
+void store_mirror::schedule_deferred()
+{
+    auto next = time_point::max();
+    for (const auto& [key, change] : this->deferred) {
+        next = std::min(next, change.until);
+    }
+    if (this->stopped || next == time_point::max()) {
+        return;
+    }
+    this->deferred_timer.expires_at(next);
+    this->deferred_timer.async_wait([this](const boost::system::error_code& code) {
+        if (!code) {
+            this->apply_deferred();
+        }
+    });
 }
 
 bool store_mirror::watch_once(yield_context yield)
@@ -278,9 +428,11 @@
 {
     if (reason.kind == failure_kind::stale) {
         // The store answers, but has compacted its history. Target entries may have expired in the gap.
-        this->history_known = false;
-        log(log_level::info, "store no longer has the history since the last watch; reading the whole store",
-            {context_field(reason)});
+        if (std::exchange(this->history_known, false)) {
+            log(log_level::info,
+                "store no longer has the history since the last watch; reading the whole store",
+                {context_field(reason)});
+        }
         return;
     }
     if (this->was_reachable) {
@@ -305,6 +457,7 @@
 
 void store_mirror::apply(const store_event& event, time_point now)
 {
+    this->deferred.erase(event.key);
     const auto& decoder = *this->ports.decoder;
     if (event.key == decoder.config_key()) {
         this->apply_config(event);
@@ -313,6 +466,11 @@
     } else if (starts_with(event.key, decoder.drained_domains_prefix())) {
         const failure_domain_id domain(event.key.substr(decoder.drained_domains_prefix().size()));
         this->fleet.update_drained_domain(domain, event.value.has_value());
+        if (event.value) {
+            this->drained_keys.insert(event.key);
+        } else {
+            this->drained_keys.erase(event.key);
+        }
         log(log_level::info, event.value ? "failure domain drained" : "failure domain in service",
             {{"failure_domain", domain.str()}, {"revision", static_cast<std::int64_t>(event.revision)}});
     } else if (starts_with(event.key, own_keys::daemons_prefix)) {
--- a/src/gateway/store_mirror.hpp
+++ b/src/gateway/store_mirror.hpp
@@ -13,6 +13,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -47,7 +48,7 @@
 
     /// Starts watching; runs until stop().
     void start();
-    void stop() { this->stopped = true; }
+    void stop();
 
     /// True once the whole store has been read.
     bool complete() const { return this->has_read; }
@@ -56,6 +57,10 @@
     bool reachable(time_point now) const;
     /// Store revision up to which all changes are known.
     std::uint64_t revision() const { return this->seen_revision; }
+    /// Position at which the present era of the store began.
+    std::uint64_t era() const { return this->present_era; }
+    /// Number of reads of the whole store because of a new era.
+    std::uint64_t era_reads() const { return this->reads_for_era; }
     const std::optional<manager_record>& manager() const { return this->current_manager; }
 
     /// Applies changes that another daemon forwards. While notices arrive without a gap, this daemon does not
@@ -78,6 +83,8 @@
     std::function<void(const std::string& key, const std::optional<std::string>& value)> on_crash_record;
     /// Called when the store answers again after it could not be reached.
     std::function<void()> on_store_return;
+    /// Called once for each newer era that an answer of the store shows, before the store is read again.
+    std::function<void()> on_new_era;
     /// Called after each batch of changes.
     std::function<void()> on_change;
 
@@ -86,7 +93,17 @@
     /// Whether another daemon forwards all changes and this one need not watch the store.
     bool feed_active(time_point now) const;
     void wait_for_feed_change(yield_context yield);
+    /// Spreads the reads of daemons that learned of a new era from the same notice.
+    void wait_for_turn(yield_context yield);
+    /// An answer of the store shows the era that began at this position.
+    void observe_era(std::uint64_t era_start);
     bool read_all(yield_context yield);
+    void apply_snapshot(const store_snapshot& snapshot, time_point now);
+    /// Whether the item waits because it may be no newer than what is known; remembers it in that case.
+    bool defer(const store_event& event, time_point now);
+    /// Applies what has waited long enough.
+    void apply_deferred();
+    void schedule_deferred();
     bool watch_once(yield_context yield);
     void apply(const store_event& event, time_point now);
     void apply_config(const store_event& event);
@@ -105,14 +122,28 @@
     bool history_known{false}; ///< all changes up to `seen_revision` are known, so that a watch can follow
     std::uint32_t read_failures{0}; ///< in a row
     std::uint64_t seen_revision{0};
+    std::uint64_t present_era{0};   ///< of the newest answer of the store
+    std::uint64_t copy_revision{0}; ///< of the first read of the present era; what is newer is no copy
+    std::uint64_t reads_for_era{0};
+    bool second_hand{false}; ///< only another daemon has told of a newer era so far
+    time_point next_second_hand{};
     time_point contact{};
     bool was_reachable{true};
     time_point feed_expires{}; ///< end of the time that the last notice covers
     bool feed_was_active{false};
     boost::asio::steady_timer feed_timer;
+    boost::asio::steady_timer deferred_timer;
+    /// Content of a copy that does not replace what is known yet, by key.
+    struct deferred_change
+    {
+        store_event event;
+        time_point until{};
+    };
+    std::map<std::string, deferred_change> deferred;
     removal_grace removals;
     std::optional<manager_record> current_manager;
     std::set<std::string> crash_records; ///< keys
+    std::set<std::string> drained_keys;  ///< of the failure domains that are out of service
 };
 
 } // namespace rml::gateway
--- a/src/gateway/store_position.hpp
+++ b/src/gateway/store_position.hpp
@@ -50,4 +50,10 @@
     return packed & ~detail::max_position_revision;
 }
 
+/// Number of the era of a position, for logs and metrics.
+inline std::int64_t era_number(std::uint64_t packed)
+{
+    return static_cast<std::int64_t>(unpack_position(packed).era);
+}
+
 } // namespace rml::gateway
--- a/tests/decision/removal_grace_test.cpp
+++ b/tests/decision/removal_grace_test.cpp
@@ -35,3 +35,31 @@
         }
     }
 }
+
+TEST_CASE("after a return of the store from an older copy its entries wait",
+          "[removal_grace][store_position]")
+{
+    const time_point start{seconds(100)};
+    removal_grace grace{milliseconds(1200)};
+    CHECK(!grace.hold_until(start));
+    grace.on_older_copy(start);
+
+    SECTION("known entries are kept until live targets have written again")
+    {
+        REQUIRE(grace.keep_until(start));
+        CHECK(*grace.keep_until(start) >= start + milliseconds(2000));
+        CHECK(!grace.keep_until(start + milliseconds(3000)));
+    }
+    SECTION("entries of which only the copy knows are held until those of lost targets have lapsed")
+    {
+        // Guards against requests to a target that left after the copy was made.
+        REQUIRE(grace.hold_until(start));
+        CHECK(*grace.hold_until(start) >= start + milliseconds(3600));
+        CHECK(!grace.hold_until(start + milliseconds(5000)));
+    }
+    SECTION("a second return begins the times anew")
+    {
+        grace.on_older_copy(start + milliseconds(2000));
+        CHECK(grace.keep_until(start + milliseconds(3000)));
+    }
+}
--- a/tests/gateway/store_mirror_test.cpp
+++ b/tests/gateway/store_mirror_test.cpp
@@ -1,4 +1,5 @@
 #include "gateway/managed_site.hpp"
+#include "gateway/store_position.hpp"
 
 #include <algorithm>
 
@@ -130,6 +131,74 @@
     }
 }
 
+TEST_CASE("a daemon that receives store changes follows the store into a new era",
+          "[gateway][store_mirror][store_position]")
+{
+    managed_site site;
+    site.lease.held = false;
+    fed_daemon other(site);
+    auto& store = *site.site->store;
+    REQUIRE(other.run_until([&] { return other.mirror.complete() && other.fleet.targets().size() == 10; }));
+    store.save_copy();
+    store.put("x/1", "1");
+    const auto last = store.put("x/2", "2");
+    REQUIRE(other.run_until([&] { return other.mirror.revision() >= last; }));
+    other.run_for(milliseconds(1500)); // the open watch ends
+    const instance_id victim("e00");
+    const auto removal_at = [&](std::uint64_t revision) {
+        change_notice out{daemon_id("d1"), 0, revision, milliseconds(0), {}};
+        out.events.push_back({other.ports.decoder->targets_prefix() + victim.str(), std::nullopt, revision});
+        return out;
+    };
+
+    SECTION("second-hand news make it read the store itself, and are not applied")
+    {
+        // Guards against changes of a notice that are applied to content of another era.
+        other.cut = true; // only the notice below arrives
+        const auto old = other.mirror.revision();
+        store.return_to_copy();
+        const auto calls = other.ports.store->calls();
+        other.mirror.accept_notice(removal_at(value(gateway::pack_position({1, old + 100}))));
+        CHECK(other.knows(victim));
+        REQUIRE(other.run_until([&] { return other.mirror.era() != 0 && other.mirror.revision() > old; },
+                                milliseconds(600)));
+        CHECK(other.ports.store->calls() > calls);
+        CHECK(other.mirror.era_reads() == 1);
+        CHECK(other.knows(victim));
+
+        SECTION("late notices of the old era change nothing")
+        {
+            const auto now_at = other.mirror.revision();
+            other.mirror.accept_notice(removal_at(old + 1000));
+            CHECK(other.knows(victim));
+            CHECK(other.mirror.revision() == now_at);
+        }
+    }
+    SECTION("news of an era that the store does not show change nothing")
+    {
+        other.mirror.accept_notice(removal_at(value(gateway::pack_position({1, 1000}))));
+        other.run_for(milliseconds(500));
+        CHECK(other.mirror.era() == 0);
+        CHECK(other.knows(victim));
+        store.remove(site.ports.decoder->targets_prefix() + victim.str());
+        REQUIRE(other.run_until([&] { return !other.knows(victim); }));
+    }
+    SECTION("a daemon that was cut off throughout the return finds the new era by itself")
+    {
+        auto& faults = store.faults;
+        other.cut = true;
+        faults.down = true;
+        other.run_for(milliseconds(1000));
+        store.return_to_copy();
+        for (int i = 0; i < 5; ++i) {
+            store.put("x/1", "1"); // beyond the revision that this daemon knows
+        }
+        faults.down = false;
+        REQUIRE(other.run_until([&] { return other.mirror.era_reads() == 1; }));
+        CHECK(other.fleet.targets().size() == 10);
+    }
+}
+
 TEST_CASE("odd entries of another writer do not end or stop the reading of the others",
           "[gateway][store_mirror]")
 {
