--- a/src/gateway/registration.cpp
+++ b/src/gateway/registration.cpp
@@ -69,6 +69,28 @@
            std::to_string(lease);
 }
 
+bool registration::has_orphaned_key(time_point now) const
+{
+    const auto& holder = this->mirror.manager();
+    const auto own = this->manager_key_value(0);
+    const auto prefix = own.substr(0, own.rfind('/') + 1);
+    return this->era_seen != time_point{} && now >= this->era_seen + this->manager_lifetime() && holder &&
+           holder->holder.compare(0, prefix.size(), prefix) == 0 && this->manager_key_lease.id == 0;
+}
+
+void registration::remove_orphaned_key(yield_context yield)
+{
+    const auto& holder = this->mirror.manager();
+    store_commit change;
+    change.expected.push_back({own_keys::manager, holder->revision});
+    change.removals.emplace_back(own_keys::manager);
+    log(log_level::warning, "removing the manager key of an earlier era", {{"holder", holder->holder}});
+    const auto removed = this->ports.store->commit(change, steady_clock::now() + store_timeout, yield);
+    if (failed(removed)) {
+        log(log_level::info, "manager key not removed", {context_field(error(removed))});
+    }
+}
+
 void registration::notify()
 {
     const auto& holder = this->mirror.manager();
@@ -278,6 +300,12 @@
                 wake = steady_clock::now() + retry_delay;
             }
         }
+        if (this->acquired_revision == 0 && !this->vacant_since && this->era_seen != time_point{}) {
+            if (this->has_orphaned_key(now)) {
+                this->remove_orphaned_key(yield);
+            }
+            wake = steady_clock::now() + this->manager_lifetime();
+        }
         this->manager_timer.expires_at(wake);
         boost::system::error_code ignored;
         this->manager_timer.async_wait(yield[ignored]);
--- a/src/gateway/registration.hpp
+++ b/src/gateway/registration.hpp
@@ -65,6 +65,11 @@
     void end(held_lease& lease, yield_context yield);
     /// Value of the manager key while this daemon holds it under that lease.
     std::string manager_key_value(std::uint64_t lease) const;
+    /// Whether the manager key was written by this daemon under a lease that it does not hold. A write that
+    /// was on its way while the store returned from an older copy may have used a lease that belongs to
+    /// another daemon since, so the key would not end.
+    bool has_orphaned_key(time_point now) const;
+    void remove_orphaned_key(yield_context yield);
     static constexpr std::size_t first_candidates = 4;
     std::size_t candidate_rank() const;
     milliseconds candidate_delay() const;
--- a/src/gateway/store_mirror.cpp
+++ b/src/gateway/store_mirror.cpp
@@ -106,6 +106,7 @@
 void store_mirror::stop()
 {
     this->stopped = true;
+    this->ports.store->on_era = nullptr; // the store client may outlive this object
     this->deferred_timer.cancel();
 }
 
--- a/tests/gateway/crash_archive_test.cpp
+++ b/tests/gateway/crash_archive_test.cpp
@@ -116,6 +116,15 @@
         manager.learn(recent);
         CHECK_FALSE(run_until(stored, milliseconds(700)));
     }
+    SECTION("losses that an older copy of the store lacks are written again")
+    {
+        store.save_copy();
+        site.mirror.on_new_era = [&] { manager.archive.on_new_era(); };
+        manager.learn(notice_of(whole, 3));
+        REQUIRE(run_until(stored));
+        store.return_to_copy();
+        CHECK(run_until([&] { return site.mirror.era() != 0 && stored(); }));
+    }
     SECTION("three losses are written")
     {
         manager.learn(notice_of(whole, 3));
--- a/tests/gateway/store_return_test.cpp
+++ b/tests/gateway/store_return_test.cpp
@@ -237,6 +237,19 @@
         CHECK(steady_clock::now() - seen >= milliseconds(1500));
         CHECK(holder.manager_revision() > revision);
     }
+    SECTION("its key under a lease that is another daemon's now does not stay")
+    {
+        // Guards against a fleet without a manager: a write that was on its way during the return took effect
+        // with the id of a lease that the store has given out again.
+        const auto key = site.store().find(gateway::own_keys::manager);
+        site.store().return_to_copy();
+        REQUIRE(key);
+        site.store().put(gateway::own_keys::manager, *key); // never expires
+        REQUIRE(site.run_until([&] { return site.mirror.era() != 0; }));
+        CHECK_FALSE(manages());
+        REQUIRE(site.run_until(manages));
+        CHECK(steady_clock::now() - seen >= milliseconds(1500));
+    }
     SECTION("a write whose answer of the old era arrives late gives no lease")
     {
         const auto held = site.store().find(gateway::own_keys::manager);
