--- a/src/gateway/registration.hpp
+++ b/src/gateway/registration.hpp
@@ -33,6 +33,11 @@
     /// that has started meanwhile does not know this one.
     void on_store_return();
 
+    /// An answer of the store shows a newer era: the store returned from an older copy, which may lack the
+    /// leases of this daemon and of the manager. Gives up both leases at once. Registers anew in its turn,
+    /// and waits before it may become the manager until the previous one can no longer act.
+    void on_new_era();
+
     /// Whether this daemon is among the first that try to become the manager.
     bool is_first_candidate() const { return this->candidate_rank() < first_candidates; }
 
@@ -60,9 +65,15 @@
     void end(held_lease& lease, yield_context yield);
     /// Value of the manager key while this daemon holds it under that lease.
     std::string manager_key_value(std::uint64_t lease) const;
+    /// Whether the manager key was written by this daemon under a lease that it does not hold. A write that
+    /// was on its way while the store returned from an older copy may have used a lease that belongs to
+    /// another daemon since, so the key would not end.
+    bool has_orphaned_key(time_point now) const;
+    void remove_orphaned_key(yield_context yield);
     static constexpr std::size_t first_candidates = 4;
     std::size_t candidate_rank() const;
     milliseconds candidate_delay() const;
+    milliseconds manager_lifetime() const;
 
     boost::asio::io_context& context;
     const platform_ports& ports;
@@ -79,6 +90,8 @@
     held_lease manager_key_lease;
     std::uint64_t acquired_revision{0}; ///< 0: this daemon is not the manager
     std::optional<time_point> vacant_since;
+    time_point era_seen{};      ///< first answer of the present era, unless it is the store's first
+    time_point register_from{}; ///< turn of this daemon to register in the present era
     bool leaving{false};
 };
 
