Refuse answers of targets with an invalid status

Cause: the response parser accepts any three digits as a status. A target in trouble sent 000, and the caller received it as an answer; a caller's client cannot tell what such a status means.

Change: the client connection treats a final status outside 200 to 599 as a malformed answer. The request then continues as after any broken answer: another target where the route allows it, otherwise 502.

Measured: the new test failed before with 000, 001, 099, 600, 700 and 999, as plain answers and at the head of a stream. Already right before, and now tested: interim statuses with and without a final answer, 101, four digits, one or two digits, none, no digits, and 204 and 304 with a body, of which the caller gets the status and no body. It passes now.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -67,6 +67,14 @@
            bhttp::int_to_status(status) != bhttp::status::switching_protocols;
 }
 
+/// True for a status that can end a request. The parser accepts any three digits.
+bool is_final(unsigned status)
+{
+    constexpr unsigned lowest = 200;
+    constexpr unsigned above_highest = 600;
+    return status >= lowest && status < above_highest;
+}
+
 /// Closes the socket when the deadline passes during one operation. The timer runs on the executor of the
 /// calling coroutine and not on that of the socket, because different coroutines use the connection one after
 /// another.
@@ -220,6 +228,11 @@
         this->inner->broken = true;
         return failure{failure_kind::malformed, "read response head: protocol switch without a request"};
     }
+    if (!is_final(received.result_int())) {
+        this->inner->broken = true;
+        return failure{failure_kind::malformed,
+                       "read response head: invalid status " + std::to_string(received.result_int())};
+    }
     const auto coding = received.find(bhttp::field::transfer_encoding);
     if (coding != received.end() && !beast::iequals(coding->value(), "chunked")) {
         this->inner->broken = true;
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -32,7 +32,7 @@
     status write_request(const request& message, time_point deadline, yield_context yield);
 
     /// Reads status and headers of the response, not the body. Fails with `malformed` when the response has a
-    /// transfer coding other than `chunked`.
+    /// transfer coding other than `chunked`, or a status that is neither interim nor between 200 and 599.
     result<response> read_head(time_point deadline, yield_context yield);
 
     /// Reads the next part of the body; nullopt at its end. Fails with `too_large` when the body exceeds the
--- a/tests/gateway/broken_answer_test.cpp
+++ b/tests/gateway/broken_answer_test.cpp
@@ -476,3 +476,53 @@
     CHECK(got.finished);
     CHECK(got.answer.body == events(1, 8));
 }
+
+// Guards against a target in trouble whose status 000 reached a caller as an answer.
+TEST_CASE("an answer with an invalid status reaches no caller", "[gateway][broken_answer]")
+{
+    const std::string fields = "x-id: A\r\nx-signature: s\r\n";
+    const std::string plain_end = "content-length: 4\r\n\r\ntext";
+    const std::string stream_end = event_stream + chunked + "\r\n" + chunk(whole_stream) + last_chunk;
+    SECTION("alone, at the head of a stream, or in place of its rest")
+    {
+        for (const std::string status : {"000", "001", "099", "100", "101", "102", "103", "199", "600", "700",
+                                         "999", "1000", "2000", "20", "2", "", "OK", "-20", "0x1"}) {
+            const auto head = "HTTP/1.1 " + status + " Odd\r\n" + fields;
+            INFO("status '" << status << "'");
+            check_failed(send("/orders/1", {{{head + plain_end}}}, 1));
+            check_failed(send("/resumable/1", {{{head + stream_end}}}, 1));
+            check_aborted(resume({{head + event_stream + "\r\n" + events(3, 4)}}));
+        }
+    }
+    SECTION("an interim answer before the final one is passed over")
+    {
+        for (const std::string status : {"100", "102", "103"}) {
+            INFO(status);
+            const auto interim = "HTTP/1.1 " + status + " Interim\r\n\r\n";
+            check_whole(send("/resumable/1", {{{interim + signed_head + stream_end}}}, 1));
+        }
+    }
+    SECTION("a request that may be repeated is answered by another target")
+    {
+        const auto got =
+            send("/resumable/1",
+                 {{{"HTTP/1.1 000 Odd\r\n" + fields + stream_end}}, {{signed_head + stream_end}}}, 2);
+        CHECK(got.sends == 2);
+        check_whole(got);
+    }
+    SECTION("an answer that has no body by its status is complete without the bytes after it")
+    {
+        for (const int status : {204, 304}) {
+            const auto head = "HTTP/1.1 " + std::to_string(status) + " Empty\r\n" + fields;
+            for (const auto& rest : {"\r\n", plain_end.c_str(), stream_end.c_str()}) {
+                for (const std::string path : {"/orders/1", "/resumable/1"}) {
+                    INFO(status << " " << path << " " << rest);
+                    const auto got = send(path, {{{head + rest}}}, 1);
+                    CHECK(got.answer.status == status);
+                    CHECK(got.answer.body.empty());
+                    CHECK(got.finished);
+                }
+            }
+        }
+    }
+}
