--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -557,18 +557,15 @@
         return;
     }
     peer.counted = add;
-    const auto add_to = [&](auto& sums) {
-        for (const auto& [target, count] : peer.last_report.in_flight) {
-            auto& sum = sums[target];
-            sum = add ? sum + count : sum - count;
-            if (sum == 0) {
-                sums.erase(target);
-            }
+    const bool neighbour = peer.entry.failure_domain == this->domain;
+    for (const auto& [target, count] : peer.last_report.in_flight) {
+        auto& sum = this->others[target];
+        const auto near = neighbour ? count : 0;
+        sum.all = add ? sum.all + count : sum.all - count;
+        sum.neighbours = add ? sum.neighbours + near : sum.neighbours - near;
+        if (sum.all == 0) {
+            this->others.erase(target);
         }
-    };
-    add_to(this->others);
-    if (peer.entry.failure_domain == this->domain) {
-        add_to(this->neighbours);
     }
 }
 
@@ -591,18 +588,11 @@
     }
 }
 
-std::uint32_t fleet_state::others_in_flight(const instance_id& target, time_point now)
+peer_load fleet_state::peers_in_flight(const instance_id& target, time_point now)
 {
     this->expire_reports(now);
     const auto found = this->others.find(target);
-    return found == this->others.end() ? 0 : found->second;
-}
-
-std::uint32_t fleet_state::neighbours_in_flight(const instance_id& target, time_point now)
-{
-    this->expire_reports(now);
-    const auto found = this->neighbours.find(target);
-    return found == this->neighbours.end() ? 0 : found->second;
+    return found == this->others.end() ? peer_load{} : found->second;
 }
 
 bool fleet_state::counts(const daemon_id& daemon, const peer_state& peer, time_point now) const
--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -86,6 +86,13 @@
     peer_report last_report;
 };
 
+/// Requests of other daemons at a target.
+struct peer_load
+{
+    std::uint32_t all{0};
+    std::uint32_t neighbours{0}; ///< of daemons in the failure domain of this one
+};
+
 struct fleet_stats
 {
     std::uint64_t malformed_entries{0};
@@ -185,9 +192,11 @@
     bool accept_report(const peer_report& report, time_point now);
     const std::map<daemon_id, peer_state>& peers() const { return this->all_peers; }
     /// Requests that the other live daemons have in flight at the target, by their last reports.
-    std::uint32_t others_in_flight(const instance_id& target, time_point now);
-    /// Those of the live daemons in the failure domain of this one.
-    std::uint32_t neighbours_in_flight(const instance_id& target, time_point now);
+    peer_load peers_in_flight(const instance_id& target, time_point now);
+    std::uint32_t others_in_flight(const instance_id& target, time_point now)
+    {
+        return this->peers_in_flight(target, now).all;
+    }
     /// Number of daemons, including this one, and the rank of this one among them for the target.
     fleet_share share_for(const instance_id& target, time_point now) const;
     /// Sets the daemons that callers connect to.
@@ -250,8 +259,7 @@
     std::set<daemon_id> entries; ///< daemons that callers connect to; empty: not known yet
     /// Requests in flight by target, summed over the reports of the live daemons: a choice among many targets
     /// would otherwise read the reports of all daemons for each of them.
-    std::unordered_map<instance_id, std::uint32_t> others;
-    std::unordered_map<instance_id, std::uint32_t> neighbours; ///< of daemons in the own failure domain
+    std::unordered_map<instance_id, peer_load> others;
     time_point next_report_expiry{time_point::max()};
 };
 
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -167,10 +167,11 @@
         candidate.instance = state.entry.instance;
         candidate.fabric = state.entry.fabric;
         candidate.own = this->fleet.in_flight.in_flight(candidate.instance);
-        candidate.others = this->fleet.others_in_flight(candidate.instance, now);
+        const auto peers = this->fleet.peers_in_flight(candidate.instance, now);
+        candidate.others = peers.all;
+        candidate.neighbours = peers.neighbours;
         if (domain_of != nullptr) {
             candidate.domain = domain_of->find(state.entry.failure_domain);
-            candidate.neighbours = this->fleet.neighbours_in_flight(candidate.instance, now);
         }
         candidate.slots = static_cast<std::uint32_t>(this->usable_slots(state, slots, allowances, now));
         candidate.slowness = state.slowness_at(now) * (1 + failure_slowdown * state.failure_share);
--- a/tests/gateway/domain_routing_test.cpp
+++ b/tests/gateway/domain_routing_test.cpp
@@ -102,17 +102,17 @@
     add_daemon(fleet, "d1", "a", {{target, 3}});
     add_daemon(fleet, "d2", "b", {{target, 2}});
     const auto now = steady_clock::now();
-    CHECK(fleet.neighbours_in_flight(target, now) == 3);
+    CHECK(fleet.peers_in_flight(target, now).neighbours == 3);
     CHECK(fleet.others_in_flight(target, now) == 5);
 
     SECTION("also when the entry of a daemon names another domain")
     {
         // Guards against a sum that a daemon was added to and is never taken from.
         fleet.update_peer(daemon_id("d1"), {{}, {}, 1, failure_domain_id("b"), 0.25});
-        CHECK(fleet.neighbours_in_flight(target, now) == 0);
+        CHECK(fleet.peers_in_flight(target, now).neighbours == 0);
         CHECK(fleet.others_in_flight(target, now) == 5);
     }
-    CHECK(fleet.neighbours_in_flight(target, now + seconds(3)) == 0);
+    CHECK(fleet.peers_in_flight(target, now + seconds(3)).neighbours == 0);
     CHECK(fleet.others_in_flight(target, now + seconds(3)) == 0);
 }
 
