Order the fence again when the head refuses it for the moment

A head that had left its group answered the order to join the fence with "not now"; late orders then opened the group again, and the head was ordered to join another one.

Cause: each answer to the fence, also a refusal, released the group as "head fenced". Only an engine that accepts the fence, knows a newer epoch or is another instance refuses late orders.

Change: after another answer the fence is ordered again, until late orders can have arrived: they were all sent before the ending began. An engine is known to answer orders to join with "not now" while it is busy; the formation repeats them for that reason.

The stand-in engine can refuse orders to join.

--- a/src/gateway/group_ending.cpp
+++ b/src/gateway/group_ending.cpp
@@ -256,11 +256,17 @@
             this->release(key, state, release_evidence::head_left);
         }
     } else {
-        if (!accepted && verdict != order_verdict::stale) {
+        const bool refuses_late_orders =
+            accepted || verdict == order_verdict::stale || verdict == order_verdict::wrong_incarnation;
+        // All orders that could open the group were sent before its ending began.
+        const bool late_orders = steady_clock::now() < state.since + detail::max_order_delay;
+        if (!refuses_late_orders) {
             log(log_level::warning, "head refused the newer epoch",
                 {{"head", state.head.instance.str()}, {"verdict", std::string(to_string(verdict))}});
         }
-        this->release(key, state, release_evidence::head_fenced);
+        if (refuses_late_orders || !late_orders) {
+            this->release(key, state, release_evidence::head_fenced);
+        }
     }
     if (state.head_left && !state.released) {
         this->advance_ending(key, state, steady_clock::now());
--- a/tests/gateway/late_order_test.cpp
+++ b/tests/gateway/late_order_test.cpp
@@ -379,3 +379,22 @@
     CHECK(first_join_of_two_groups(site) == "");
     CHECK(site.orders_of(e00, "leave") > 0);
 }
+
+TEST_CASE("a head that refuses its fence for the moment is ordered to join it again",
+          "[gateway][group_manager]")
+{
+    // Guards against a refusal that is taken for the fence: the head still accepts late orders after it.
+    one_group_site site;
+    const std::vector<instance_id> members{e00, e01};
+    const auto group = form_with_lost_orders(site, e00, 2);
+    site.engine(e00).faults.refused_joins = 1;
+    site.engine(e01).drain();
+    REQUIRE(site.run_until([&] { return site.orders_of(e00, "leave") == 1; }));
+    REQUIRE(site.run_until([&] { return site.engine(e00).faults.refused_joins == 0; }));
+    site.run_for(milliseconds(700));
+    site.engine(e00).faults.entry_frozen = true; // its entry does not show that late orders open it
+    reopen_by_late_orders(site, e00, members, group);
+    register_again(site, e02);
+    site.run_for(milliseconds(2000));
+    CHECK(first_join_of_two_groups(site) == "");
+}
