--- a/tests/gateway/late_order_test.cpp
+++ b/tests/gateway/late_order_test.cpp
@@ -306,6 +306,32 @@
     CHECK(first_violation(site) == "");
 }
 
+TEST_CASE("a group does not open without a member that restarted after it reported that it is ready",
+          "[gateway][group_manager]")
+{
+    // Guards against a report of an earlier life: the member is cut off from the store until it restarts.
+    managed_site site(one_fabric(3, 3));
+    site.lease.held = false;
+    await_engines(site, 3);
+    for (const auto& name : {e01, e02}) {
+        send_order(site, name, gateway::group_action::stage);
+        REQUIRE(site.run_until([&] { return !site.fleet.find_target(name)->entry.staged.empty(); }));
+        site.engine(name).faults.entry_frozen = true;
+    }
+    site.site->fleet.timing.load = milliseconds(1500);
+    site.take_over();
+    REQUIRE(site.run_until([&] { return site.orders_of(e00, "join") == 1; }));
+    site.run_for(milliseconds(1100)); // the manager asks members that their entries do not show as ready
+    for (const auto& name : {e01, e02}) {
+        REQUIRE(site.orders_of(name, "join") == 1);
+        site.engine(name).faults.entry_frozen = false;
+        site.engine(name).update_entry();
+    }
+    site.engine(e02).restart();
+    site.run_for(milliseconds(5000));
+    CHECK(first_violation(site) == "");
+}
+
 TEST_CASE("a group that a late order of an earlier manager opens does not stay under its epoch",
           "[gateway][group_manager]")
 {
