--- a/tests/gateway/late_order_test.cpp
+++ b/tests/gateway/late_order_test.cpp
@@ -306,6 +306,32 @@
     CHECK(first_violation(site) == "");
 }
 
+TEST_CASE("a group does not open without a member that restarted after it reported that it is ready",
+          "[gateway][group_manager]")
+{
+    // Guards against a report of an earlier life: the member is cut off from the store until it restarts.
+    managed_site site(one_fabric(3, 3));
+    site.lease.held = false;
+    await_engines(site, 3);
+    for (const auto& name : {e01, e02}) {
+        send_order(site, name, gateway::group_action::stage);
+        REQUIRE(site.run_until([&] { return !site.fleet.find_target(name)->entry.staged.empty(); }));
+        site.engine(name).faults.entry_frozen = true;
+    }
+    site.site->fleet.timing.load = milliseconds(1500);
+    site.take_over();
+    REQUIRE(site.run_until([&] { return site.orders_of(e00, "join") == 1; }));
+    site.run_for(milliseconds(1100)); // the manager asks members that their entries do not show as ready
+    for (const auto& name : {e01, e02}) {
+        REQUIRE(site.orders_of(name, "join") == 1);
+        site.engine(name).faults.entry_frozen = false;
+        site.engine(name).update_entry();
+    }
+    site.engine(e02).restart();
+    site.run_for(milliseconds(5000));
+    CHECK(first_violation(site) == "");
+}
+
 TEST_CASE("a group that a late order of an earlier manager opens does not stay under its epoch",
           "[gateway][group_manager]")
 {
@@ -379,3 +405,22 @@
     CHECK(first_join_of_two_groups(site) == "");
     CHECK(site.orders_of(e00, "leave") > 0);
 }
+
+TEST_CASE("a head that refuses its fence for the moment is ordered to join it again",
+          "[gateway][group_manager]")
+{
+    // Guards against a refusal that is taken for the fence: the head still accepts late orders after it.
+    one_group_site site;
+    const std::vector<instance_id> members{e00, e01};
+    const auto group = form_with_lost_orders(site, e00, 2);
+    site.engine(e00).faults.refused_joins = 1;
+    site.engine(e01).drain();
+    REQUIRE(site.run_until([&] { return site.orders_of(e00, "leave") == 1; }));
+    REQUIRE(site.run_until([&] { return site.engine(e00).faults.refused_joins == 0; }));
+    site.run_for(milliseconds(700));
+    site.engine(e00).faults.entry_frozen = true; // its entry does not show that late orders open it
+    reopen_by_late_orders(site, e00, members, group);
+    register_again(site, e02);
+    site.run_for(milliseconds(2000));
+    CHECK(first_join_of_two_groups(site) == "");
+}
