Spread the reads of a new era, and test a manager that is cut off throughout a return

Cause: all daemons of a large fleet would read the whole store at the same moment when its new era is seen, also those that found it with their own watch.

Change: daemons that are not among the first candidates for the manager lease read in their turn, sized by the store's reads per second. A test with two registrations checks that the manager of the old era, cut off from the store throughout the return, never manages beside the next one.

--- a/src/gateway/store_mirror.cpp
+++ b/src/gateway/store_mirror.cpp
@@ -119,7 +119,7 @@
     this->copy_revision = 0;
     this->deferred.clear(); // what is known is compared with the new copy
     this->deferred_timer.cancel();
-    this->second_hand = false;
+    this->awaits_turn = this->has_read && this->may_become_manager && !this->may_become_manager();
     this->history_known = false;
     log(this->has_read ? log_level::warning : log_level::info,
         this->has_read ? "store returned from an older copy; reading the whole store"
@@ -134,7 +134,7 @@
 
 void store_mirror::wait_for_turn(yield_context yield)
 {
-    if (!std::exchange(this->second_hand, false)) {
+    if (!std::exchange(this->awaits_turn, false)) {
         return;
     }
     const auto items = this->fleet.targets().size() + this->fleet.peers().size();
@@ -210,7 +210,7 @@
             log(log_level::info, "another daemon tells of a newer era of the store; reading the whole store",
                 {{"daemon", notice.daemon.str()}, {"era", era_number(era)}});
             this->next_second_hand = now + second_hand_interval;
-            this->second_hand = true;
+            this->awaits_turn = this->may_become_manager && !this->may_become_manager();
             this->history_known = false;
             this->feed_expires = {};
             this->feed_timer.cancel();
@@ -254,6 +254,7 @@
         return false;
     }
     this->read_failures = 0;
+    this->awaits_turn = false;
     this->record_contact(now);
     this->history_known = true;
     if (this->has_read && value(snapshot).revision < this->seen_revision) {
--- a/src/gateway/store_mirror.hpp
+++ b/src/gateway/store_mirror.hpp
@@ -93,7 +93,7 @@
     /// Whether another daemon forwards all changes and this one need not watch the store.
     bool feed_active(time_point now) const;
     void wait_for_feed_change(yield_context yield);
-    /// Spreads the reads of daemons that learned of a new era from the same notice.
+    /// Spreads the reads of a new era over the daemons that do not become the manager soon.
     void wait_for_turn(yield_context yield);
     /// An answer of the store shows the era that began at this position.
     void observe_era(std::uint64_t era_start);
@@ -125,7 +125,7 @@
     std::uint64_t present_era{0};   ///< of the newest answer of the store
     std::uint64_t copy_revision{0}; ///< of the first read of the present era; what is newer is no copy
     std::uint64_t reads_for_era{0};
-    bool second_hand{false}; ///< only another daemon has told of a newer era so far
+    bool awaits_turn{false}; ///< the next read of the whole store is one of many at the same moment
     time_point next_second_hand{};
     time_point contact{};
     bool was_reachable{true};
--- a/tests/gateway/store_return_test.cpp
+++ b/tests/gateway/store_return_test.cpp
@@ -55,6 +55,114 @@
     bool drained() const { return this->fleet.drained_domain(zone); }
 };
 
+/// A link to the store that can be cut: no answer arrives then.
+class cuttable_store final : public gateway::metadata_store
+{
+public:
+    explicit cuttable_store(std::unique_ptr<gateway::metadata_store> client) : inner(std::move(client))
+    {
+        this->on_era = std::move(this->inner->on_era);
+        this->inner->on_era = [this](std::uint64_t start) {
+            if (!this->cut && this->on_era) {
+                this->on_era(start);
+            }
+        };
+    }
+
+    result<gateway::store_snapshot> read(const std::string& prefix, time_point deadline,
+                                         gateway::yield_context yield) override
+    {
+        return this->pass(this->inner->read(prefix, deadline, yield));
+    }
+    result<gateway::store_changes> watch(const std::string& prefix, std::uint64_t after, milliseconds wait,
+                                         time_point deadline, gateway::yield_context yield) override
+    {
+        return this->pass(this->inner->watch(prefix, after, wait, deadline, yield));
+    }
+    result<std::uint64_t> commit(const gateway::store_commit& change, time_point deadline,
+                                 gateway::yield_context yield) override
+    {
+        if (this->cut) {
+            return this->lost;
+        }
+        return this->inner->commit(change, deadline, yield);
+    }
+    result<gateway::lease_handle> create_lease(milliseconds lifetime, time_point deadline,
+                                               gateway::yield_context yield) override
+    {
+        return this->pass(this->inner->create_lease(lifetime, deadline, yield));
+    }
+    status renew_lease(std::uint64_t lease, time_point deadline, gateway::yield_context yield) override
+    {
+        if (this->cut) {
+            return this->lost;
+        }
+        return this->inner->renew_lease(lease, deadline, yield);
+    }
+    status end_lease(std::uint64_t lease, time_point deadline, gateway::yield_context yield) override
+    {
+        if (this->cut) {
+            return this->lost;
+        }
+        return this->inner->end_lease(lease, deadline, yield);
+    }
+    std::uint64_t calls() const override { return this->inner->calls(); }
+
+    bool cut{false};
+
+private:
+    template <class T>
+    result<T> pass(result<T> answer) const
+    {
+        return this->cut ? result<T>(this->lost) : std::move(answer);
+    }
+
+    const failure lost{failure_kind::timeout, "the link is cut"};
+    std::unique_ptr<gateway::metadata_store> inner;
+};
+
+/// Another daemon of the site, with its own view of the store.
+class second_daemon
+{
+public:
+    explicit second_daemon(managed_site& place)
+        : settings(place.settings), connections(place.context), fleet(daemon_id("d2")),
+          mirror(place.context, this->ports, this->fleet, this->settings),
+          holder(place.context, this->ports, this->mirror, this->fleet, this->settings, 2)
+    {
+        this->settings.daemon = daemon_id("d2");
+        this->ports.headers = site_wire::published_headers();
+        this->ports.decoder = site_wire::create_decoder();
+        this->ports.store = site_wire::create_store_client(this->connections, place.site->store->local());
+        this->mirror.on_change = [this] { this->holder.notify(); };
+        this->mirror.on_new_era = [this] { this->holder.on_new_era(); };
+        this->mirror.start();
+        this->holder.start();
+    }
+    ~second_daemon() { this->mirror.stop(); }
+    second_daemon(const second_daemon&) = delete;
+    second_daemon& operator=(const second_daemon&) = delete;
+
+    gateway::gateway_settings settings;
+    target::connection_pool connections;
+    gateway::platform_ports ports;
+    gateway::fleet_state fleet;
+    gateway::store_mirror mirror;
+    gateway::registration holder;
+};
+
+/// Ends the registration, so that none of its calls is open afterwards.
+void leave(managed_site& site, gateway::registration& holder)
+{
+    bool left = false;
+    boost::asio::spawn(site.context, [&](gateway::yield_context yield) {
+        holder.leave(yield);
+        left = true;
+    });
+    REQUIRE(site.run_until([&] { return left; }));
+    site.run_for(milliseconds(700));
+}
+
 } // namespace
 
 TEST_CASE("what is known outlasts a return of the store from an older copy",
@@ -267,13 +375,51 @@
         CHECK(steady_clock::now() - seen >= milliseconds(1500));
         CHECK(gateway::era_number(holder.manager_revision()) == 1);
     }
-    bool left = false;
-    boost::asio::spawn(site.context, [&](gateway::yield_context yield) {
-        holder.leave(yield);
-        left = true;
-    });
-    REQUIRE(site.run_until([&] { return left; }));
-    site.run_for(milliseconds(700));
+    leave(site, holder);
+}
+
+TEST_CASE("a manager that is cut off throughout a return does not act beside the next one",
+          "[gateway][registration][store_position]")
+{
+    // Guards against two managers: the store has forgotten the lease of the first one, which does not know
+    // it.
+    returning_site site;
+    auto wrapped = std::make_unique<cuttable_store>(std::move(site.ports.store));
+    auto& link = *wrapped;
+    site.ports.store = std::move(wrapped);
+    gateway::registration first(site.context, site.ports, site.mirror, site.fleet, site.settings, 1);
+    site.mirror.on_change = [&] { first.notify(); };
+    site.mirror.on_new_era = [&] { first.on_new_era(); };
+    site.store().save_copy();
+    first.start();
+    const auto now = [] { return steady_clock::now(); };
+    REQUIRE(site.run_until([&] { return first.manages(now()); }));
+    second_daemon other(site);
+    REQUIRE(site.run_until([&] {
+        return other.mirror.complete() && other.mirror.manager() &&
+               site.store().find(std::string(gateway::own_keys::daemons_prefix) + "d2");
+    }));
+    const auto revision = first.manager_revision();
+    bool both = false;
+    const auto other_manages = [&] {
+        both = both || (first.manages(now()) && other.holder.manages(now()));
+        return other.holder.manages(now());
+    };
+    link.cut = true;
+    site.store().return_to_copy();
+    REQUIRE(site.run_until(other_manages));
+    CHECK(other.holder.manager_revision() > revision);
+    CHECK_FALSE(both);
+    CHECK(site.mirror.era() == 0);
+    link.cut = false;
+    REQUIRE(site.run_until([&] {
+        return other_manages() && site.mirror.era() != 0 &&
+               site.store().find(gateway::own_keys::daemons_prefix + site.settings.daemon.str());
+    }));
+    CHECK_FALSE(first.manages(now()));
+    CHECK_FALSE(both);
+    leave(site, first);
+    leave(site, other.holder);
 }
 
 TEST_CASE("a daemon registers again in its turn", "[gateway][registration][store_position]")
@@ -296,13 +442,7 @@
     const auto turn = spread_delay(site.settings.daemon.str(), 1, 2, 0.5);
     REQUIRE(site.run_until([&] { return site.store().find(entry).has_value(); }));
     CHECK(steady_clock::now() - seen >= turn);
-    bool left = false;
-    boost::asio::spawn(site.context, [&](gateway::yield_context yield) {
-        holder.leave(yield);
-        left = true;
-    });
-    REQUIRE(site.run_until([&] { return left; }));
-    site.run_for(milliseconds(100));
+    leave(site, holder);
 }
 
 TEST_CASE("groups and epochs stay valid across a return of the store",
