Choose the target by the expected time to the first token

Two groups of a large model with equally many requests differ by a factor of two in the time to the first token, because requests over slots says nothing about the prompts that a group has still to read. Daemons now count the stated prompt tokens that they have sent to a target until its first event, report them to each other in a new optional field, and compare the expected times of the two drawn candidates. Without a reading rate in the configuration nothing changes.

--- a/src/decision/target_choice.cpp
+++ b/src/decision/target_choice.cpp
@@ -24,6 +24,14 @@
     return taken / candidate.slots * candidate.slowness;
 }
 
+/// Whether `a` is the better one of two candidates of the same preference.
+bool prefers(const target_candidate& a, const target_candidate& b, const first_token_estimate& estimate)
+{
+    const auto time_a = estimate ? estimate(a) : std::nullopt;
+    const auto time_b = time_a ? estimate(b) : std::nullopt;
+    return time_a && time_b ? *time_a < *time_b : load_of(a) < load_of(b);
+}
+
 /// Lower values are preferred.
 enum class preference
 {
@@ -89,7 +97,7 @@
 }
 
 std::optional<std::size_t> choose_target(const std::vector<target_candidate>& candidates,
-                                         std::uint64_t random)
+                                         std::uint64_t random, const first_token_estimate& estimate)
 {
     const auto found = preferred(candidates);
     if (found.empty()) {
@@ -102,7 +110,7 @@
     // The second draw is among the other candidates.
     const auto step = 1 + (random / found.size()) % (found.size() - 1);
     const auto second = found[(random % found.size() + step) % found.size()];
-    return load_of(candidates[second]) < load_of(candidates[first]) ? second : first;
+    return prefers(candidates[second], candidates[first], estimate) ? second : first;
 }
 
 std::optional<std::size_t> choose_least_loaded(const std::vector<target_candidate>& candidates,
--- a/src/decision/target_choice.hpp
+++ b/src/decision/target_choice.hpp
@@ -10,8 +10,10 @@
 #pragma once
 
 #include "base/ids.hpp"
+#include "base/time.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <vector>
 
@@ -43,10 +45,14 @@
 /// target in a list that is the same at all daemons.
 std::uint32_t reserved_slots(const daemon_order& order, std::size_t index, std::uint32_t slots);
 
+/// Expected time until a target sends the first token of the request; nothing if it is not known.
+using first_token_estimate = std::function<std::optional<duration>(const target_candidate&)>;
+
 /// Index of the chosen candidate, or nothing when all usable candidates are full or were tried. `random` is
-/// uniformly distributed over all values.
+/// uniformly distributed over all values. `estimate` is called for the two drawn candidates only; their loads
+/// are compared if it is not set or does not know both times.
 std::optional<std::size_t> choose_target(const std::vector<target_candidate>& candidates,
-                                         std::uint64_t random);
+                                         std::uint64_t random, const first_token_estimate& estimate = {});
 
 /// Index of the usable candidate with the fewest requests, for a request that may crash its target, or
 /// nothing when all usable candidates are full or were tried. `random` decides between equal ones.
--- a/src/gateway/daemon.cpp
+++ b/src/gateway/daemon.cpp
@@ -18,6 +18,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
+#include <limits>
 
 namespace rml::gateway {
 
@@ -191,6 +192,10 @@
         for (const auto& target : this->fleet.in_flight.busy()) {
             out.in_flight[target] = this->fleet.in_flight.in_flight(target);
         }
+        for (const auto& [target, tokens] : this->fleet.unread.all()) {
+            out.unread_tokens[target] = static_cast<std::uint32_t>(
+                std::min<std::uint64_t>(tokens, std::numeric_limits<std::uint32_t>::max()));
+        }
         out.stalled = this->requests.stalled_targets();
         out.suspected = this->fleet.suspicions.suspected_by(this->configured.daemon, steady_clock::now());
         out.answering = this->responding_suspects(steady_clock::now());
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -599,6 +599,13 @@
             this->others.erase(target);
         }
     }
+    for (const auto& [target, tokens] : peer.last_report.unread_tokens) {
+        auto& sum = this->others_unread[target];
+        sum = add ? sum + tokens : sum - tokens;
+        if (sum == 0) {
+            this->others_unread.erase(target);
+        }
+    }
 }
 
 void fleet_state::expire_reports(time_point now)
@@ -627,6 +634,13 @@
     return found == this->others.end() ? 0 : found->second;
 }
 
+std::uint64_t fleet_state::unread_tokens(const instance_id& target, time_point now)
+{
+    this->expire_reports(now);
+    const auto found = this->others_unread.find(target);
+    return this->unread.at(target) + (found == this->others_unread.end() ? 0 : found->second);
+}
+
 bool fleet_state::counts(const daemon_id& daemon, const peer_state& peer, time_point now) const
 {
     return daemon != this->self && (peer.registered || this->live(peer, now));
--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -4,6 +4,7 @@
 
 #include "decision/departed_targets.hpp"
 #include "decision/progress_monitor.hpp"
+#include "decision/prompt_load.hpp"
 #include "decision/request_rate.hpp"
 #include "decision/send_right.hpp"
 #include "decision/stall_suspicion.hpp"
@@ -207,7 +208,12 @@
     std::size_t daemons(time_point now) const;
     bool live(const peer_state& peer, time_point now) const;
 
+    /// Prompt tokens at the target that are unread, by this daemon and the last reports of the other live
+    /// ones.
+    std::uint64_t unread_tokens(const instance_id& target, time_point now);
+
     progress_monitor in_flight;
+    unread_prompts unread; ///< of requests that this daemon has sent
     /// Targets that this daemon or others suspect.
     suspicion_votes suspicions;
     /// False after the start, while other daemons may not be registered yet.
@@ -222,7 +228,8 @@
     static bool changes_groups(const target_entry& before, const target_entry& after);
     /// A daemon without reports may be partitioned from this one only, so it counts while it is registered.
     bool counts(const daemon_id& daemon, const peer_state& peer, time_point now) const;
-    /// Adds the requests in flight of the peer's last report to the sums, or subtracts them.
+    /// Adds the requests in flight and unread prompts of the peer's last report to the sums, or subtracts
+    /// them.
     void count_report(peer_state& peer, bool add);
     /// Time for which the last report shows that its daemon runs.
     static duration report_lifetime(const peer_state& peer);
@@ -263,6 +270,7 @@
     /// Requests in flight by target, summed over the reports of the live daemons: a choice among many targets
     /// would otherwise read the reports of all daemons for each of them.
     std::unordered_map<instance_id, std::uint32_t> others;
+    std::unordered_map<instance_id, std::uint64_t> others_unread; ///< the same for unread prompt tokens
     time_point next_report_expiry{time_point::max()};
 };
 
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -55,6 +55,10 @@
       disconnected(registry.create_counter("rml_callers_left_total", "Callers that left before the answer")),
       first_answer_waits(registry.create_counter("rml_first_answer_waits_total",
                                                  "Requests that waited for the first answer of a target")),
+      unread_tokens(registry.create_gauge("rml_unread_prompt_tokens",
+                                          "Prompt tokens sent to targets that have not sent a first event")),
+      expected_first_token(registry.create_histogram(
+          "rml_expected_first_token_seconds", "Expected time to the first token at the chosen target")),
       first_byte(registry.create_histogram("rml_first_byte_seconds", "Arrival to first byte of the answer")),
       total(registry.create_histogram("rml_request_seconds", "Arrival to the end of the answer"))
 {
@@ -186,6 +190,26 @@
     return out;
 }
 
+first_token_estimate forwarder::estimate_first_token(const pool_key& key, std::uint32_t prompt_tokens,
+                                                     time_point now)
+{
+    const auto& config = this->fleet.config();
+    const auto* service = config ? config->find_service(key.service) : nullptr;
+    if (service == nullptr || !service->engines || service->engines->prompt_tokens_per_s <= 0) {
+        return {};
+    }
+    const auto& engines = *service->engines;
+    const auto* model = engines.find(key.model);
+    const reading_profile profile{engines.prompt_tokens_per_s, engines.prompt_chunk_tokens, engines.step,
+                                  engines.step_per_request};
+    const auto pace = model != nullptr ? model->pace : 1.0;
+    return [this, prompt_tokens, now, profile, pace](const target_candidate& candidate) {
+        const prompt_queue queue{this->fleet.unread_tokens(candidate.instance, now),
+                                 candidate.own + candidate.others, pace * candidate.slowness};
+        return first_token_time(profile, queue, prompt_tokens);
+    };
+}
+
 std::optional<milliseconds> forwarder::pause_left(const pool_key& key, time_point now)
 {
     std::optional<time_point> first_end;
@@ -260,6 +284,11 @@
     this->guard.tick(now);
     this->detect_stalled_targets(now);
     this->update_slots(now);
+    std::uint64_t unread = 0;
+    for (const auto& [target, tokens] : this->fleet.unread.all()) {
+        unread += tokens;
+    }
+    this->unread_tokens.update(static_cast<std::int64_t>(unread));
     for (auto& [key, state] : this->pools) {
         state.queue->expire();
     }
--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -5,6 +5,7 @@
 
 #include "base/metrics.hpp"
 #include "decision/byte_budget.hpp"
+#include "decision/prompt_load.hpp"
 #include "decision/retry_budget.hpp"
 #include "decision/stop_admission.hpp"
 #include "decision/target_choice.hpp"
@@ -119,6 +120,10 @@
     pool_state& pool(const pool_key& key, milliseconds objective);
     std::vector<target_candidate> candidates(const pool_key& key, const std::vector<instance_id>& tried,
                                              time_point now);
+    /// Estimates the time to the first token of a request with that prompt; not set where the configuration
+    /// states no reading rate.
+    first_token_estimate estimate_first_token(const pool_key& key, std::uint32_t prompt_tokens,
+                                              time_point now);
     /// Calls `visit` with each target of the pool that serves, and its slots.
     template <class Visitor>
     void visit_targets(const pool_key& key, const Visitor& visit);
@@ -162,6 +167,8 @@
     counter& resumed;
     counter& disconnected;
     counter& first_answer_waits;
+    gauge& unread_tokens;
+    latency_histogram& expected_first_token;
     latency_histogram& first_byte;
     latency_histogram& total;
 };
--- a/src/gateway/peer_report.cpp
+++ b/src/gateway/peer_report.cpp
@@ -111,29 +111,35 @@
     for (const auto& [head, factor] : report.slow) {
         slow[head.str()] = factor;
     }
-    const json document{{"f", report_format},
-                        {"d", report.daemon.str()},
-                        {"b", report.started_ms},
-                        {"n", report.sequence},
-                        {"l", report.leaving},
-                        {"r", report.ready},
-                        {"s", report.store_reachable},
-                        {"m", report.manages},
-                        {"t", std::move(in_flight)},
-                        {"u", encode_ids(report.stalled)},
-                        {"o", encode_ids(report.suspected)},
-                        {"a", encode_ids(report.answering)},
-                        {"x", encode_ids(report.ejected)},
-                        {"p", std::move(slow)},
-                        {"w", std::move(offered_load)},
-                        {"q", report.requests_per_s},
-                        {"c", std::move(crashes)},
-                        {"y", report.crash_trials},
-                        {"i", report.interval.count()},
-                        {"g", encode_incarnations(report.departures)},
-                        {"h", encode_incarnations(report.removals)},
-                        {"v", encode_request_limits(report.request_limits)},
-                        {"k", report.limits_known}};
+    json document{{"f", report_format},
+                  {"d", report.daemon.str()},
+                  {"b", report.started_ms},
+                  {"n", report.sequence},
+                  {"l", report.leaving},
+                  {"r", report.ready},
+                  {"s", report.store_reachable},
+                  {"m", report.manages},
+                  {"t", std::move(in_flight)},
+                  {"u", encode_ids(report.stalled)},
+                  {"o", encode_ids(report.suspected)},
+                  {"a", encode_ids(report.answering)},
+                  {"x", encode_ids(report.ejected)},
+                  {"p", std::move(slow)},
+                  {"w", std::move(offered_load)},
+                  {"q", report.requests_per_s},
+                  {"c", std::move(crashes)},
+                  {"y", report.crash_trials},
+                  {"i", report.interval.count()},
+                  {"g", encode_incarnations(report.departures)},
+                  {"h", encode_incarnations(report.removals)},
+                  {"v", encode_request_limits(report.request_limits)},
+                  {"k", report.limits_known}};
+    if (!report.unread_tokens.empty()) {
+        auto& unread = document["j"] = json::object();
+        for (const auto& [target, tokens] : report.unread_tokens) {
+            unread[target.str()] = tokens;
+        }
+    }
     return to_cbor_bytes(document);
 }
 
@@ -157,6 +163,15 @@
             out.in_flight[instance_id(target)] =
                 static_cast<std::uint32_t>(checked_integer(count, max_uint32));
         }
+        if (message.contains("j")) { // absent without unread tokens, and from daemons of the previous version
+            if (message.at("j").size() > max_listed_targets) {
+                return failure{failure_kind::too_large, "peer report"};
+            }
+            for (const auto& [target, tokens] : message.at("j").items()) {
+                out.unread_tokens[instance_id(target)] =
+                    static_cast<std::uint32_t>(checked_integer(tokens, max_uint32));
+            }
+        }
         out.stalled = decode_ids(message, "u");
         if (message.contains("a")) { // daemons of the previous version do not send these two fields
             out.answering = decode_ids(message, "a");
--- a/src/gateway/peer_report.hpp
+++ b/src/gateway/peer_report.hpp
@@ -35,6 +35,8 @@
     bool store_reachable{false};
     bool manages{false}; ///< the sender is the group manager, so that `ejected` is the complete list
     std::map<instance_id, std::uint32_t> in_flight;
+    /// Prompt tokens of requests of the sender that the target has still to read, where there are any.
+    std::map<instance_id, std::uint32_t> unread_tokens;
     std::vector<instance_id> stalled;   ///< targets that stalled requests of the sender
     std::vector<instance_id> suspected; ///< targets that stalled within an answer, or could not be reached
     std::vector<instance_id> answering; ///< suspected targets that make progress for the sender
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -180,6 +180,8 @@
     const auto& target = attempt.target.instance;
     attempt.open = true;
     this->owner.fleet.in_flight.begin(target, steady_clock::now());
+    attempt.unread_tokens = this->prompt_tokens();
+    this->owner.fleet.unread.begin(target, attempt.unread_tokens);
     this->owner.report_scarce_slots(target, steady_clock::now());
     this->owner.attempts[&attempt] = {target, this->chosen_route->idempotent(),
                                       [this, &attempt] { this->on_stalled(attempt); }};
@@ -187,10 +189,16 @@
     return this->exchange(attempt, in);
 }
 
+void request_run::end_reading(target_attempt& attempt)
+{
+    this->owner.fleet.unread.end(attempt.target.instance, std::exchange(attempt.unread_tokens, 0));
+}
+
 void request_run::end_attempt(target_attempt& attempt, attempt_end end, http::yield_context in)
 {
     if (std::exchange(attempt.open, false)) {
         this->owner.attempts.erase(&attempt);
+        this->end_reading(attempt);
         this->owner.fleet.in_flight.end(attempt.target.instance, attempt.answer_begun);
         this->owner.report_scarce_slots(attempt.target.instance, steady_clock::now());
         this->record_crash_evidence(attempt, end, in);
@@ -259,6 +267,9 @@
 {
     const bool first = !std::exchange(attempt.answer_begun, true);
     this->owner.fleet.in_flight.progress(attempt.target.instance, first, steady_clock::now());
+    if (first) {
+        this->end_reading(attempt);
+    }
     if (auto* state = first ? this->owner.fleet.find_target(attempt.target.instance) : nullptr) {
         state->pause.record_answer(attempt.sent_at);
     }
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -395,6 +395,13 @@
     return {this->chosen_service->name, this->chosen_service->engines ? this->model : model_id()};
 }
 
+std::uint32_t request_run::prompt_tokens() const
+{
+    const auto& engines = this->chosen_service->engines;
+    const bool counts = engines && engines->prompt_tokens_per_s > 0 && this->size;
+    return counts ? counted_prompt(this->size->prompt) : 0;
+}
+
 std::optional<instance_id> request_run::choose()
 {
     const auto now = steady_clock::now();
@@ -407,8 +414,14 @@
     }
     this->awaits_first_answer = any_awaits_first_answer(candidates);
     const auto random = this->owner.random();
+    const auto estimate = this->owner.estimate_first_token(this->pool_of(), this->prompt_tokens(), now);
     const auto index =
-        this->trial ? choose_least_loaded(candidates, random) : choose_target(candidates, random);
+        this->trial ? choose_least_loaded(candidates, random) : choose_target(candidates, random, estimate);
+    this->expected_first_token = index && estimate ? estimate(candidates[*index]) : std::nullopt;
+    if (this->expected_first_token) {
+        this->owner.expected_first_token.record(
+            std::chrono::duration_cast<microseconds>(*this->expected_first_token));
+    }
     return index ? std::optional(candidates[*index].instance) : std::nullopt;
 }
 
@@ -622,6 +635,8 @@
     }
     const auto took = this->since_arrival();
     this->owner.total.record(took);
+    const auto expected =
+        std::chrono::duration_cast<milliseconds>(this->expected_first_token.value_or(milliseconds(-1)));
     log(log_level::info, "request",
         {{"request_id", this->request_id},
          {"route", this->chosen_route != nullptr ? this->chosen_route->name : ""},
@@ -633,6 +648,7 @@
          {"reason", this->reason},
          {"targets", targets},
          {"waited_ms", this->waited.count()},
+         {"expected_first_token_ms", expected.count()},
          {"first_byte_ms", this->first_byte.count()},
          {"took_ms", took.count()}});
 }
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -38,10 +38,11 @@
     bool unlimited{false};        ///< nothing limited the target's requests when this one was counted
     /// When it was counted against the limits of the target's requests.
     std::optional<time_point> counted_at;
-    time_point sent_at{};          ///< when the request was written
-    std::uint64_t crash_ticket{0}; ///< of the crash guard
-    int refusal_status{0};         ///< status of a target that did not run the request
-    std::string reason;            ///< why it ended
+    std::uint32_t unread_tokens{0}; ///< of the prompt, until the answer begins
+    time_point sent_at{};           ///< when the request was written
+    std::uint64_t crash_ticket{0};  ///< of the crash guard
+    int refusal_status{0};          ///< status of a target that did not run the request
+    std::string reason;             ///< why it ended
 
     http::response head;                          ///< of a plain answer also the body
     std::unique_ptr<byte_budget::share> buffered; ///< of a plain answer, the bytes of the body
@@ -105,6 +106,8 @@
     /// Waits until it is known whether the request would crash its target. Returns false, with the reason,
     /// when it must not be sent, or when that is not known in time.
     bool wait_for_permission();
+    /// Prompt tokens that count at the request's target; 0 where no reading rate or no size is stated.
+    std::uint32_t prompt_tokens() const;
     std::optional<instance_id> choose();
     std::optional<instance_id> choose_or_wait();
     /// Latest time at which `choose_or_wait` looks for a target again.
@@ -130,6 +133,8 @@
     attempt_end relay();
     attempt_end relay_stream(target_attempt& attempt);
     void end_attempt(target_attempt& attempt, attempt_end end, http::yield_context in);
+    /// The prompt of the attempt no longer counts as unread at its target.
+    void end_reading(target_attempt& attempt);
     /// Reports the end of an attempt to the crash guard.
     void record_crash_evidence(const target_attempt& attempt, attempt_end end, http::yield_context in);
     /// Runs an attempt and those that replace it.
@@ -204,9 +209,10 @@
     std::uint32_t possible_runs{0}; ///< those whose target has not stated that it did not run the request
     bool retry_reserved{false};     ///< the budget was charged for the next send
     bool head_sent{false};
-    std::string media_type;                    ///< of the stream whose head was sent
-    std::optional<token_counts> size;          ///< as the caller states it
-    std::optional<std::uint64_t> resume_after; ///< last event that the caller had before this request
+    std::string media_type;                       ///< of the stream whose head was sent
+    std::optional<token_counts> size;             ///< as the caller states it
+    std::optional<std::uint64_t> resume_after;    ///< last event that the caller had before this request
+    std::optional<duration> expected_first_token; ///< after the latest choice of a target
     milliseconds waited{0};
     milliseconds first_byte{-1}; ///< -1: no byte was sent
     int final_status{0};
--- a/tests/gateway/forwarding_site.hpp
+++ b/tests/gateway/forwarding_site.hpp
@@ -133,6 +133,7 @@
         add("/plans/", gateway::route_kind::stream, true, "pool");
         add("/plans-at-one-target/", gateway::route_kind::stream, true, "pool", 1);
         add("/timed/", gateway::route_kind::stream, true, "timed");
+        add("/reading/", gateway::route_kind::stream, true, "reading");
         gateway::service shop;
         shop.name = service_id("shop");
         gateway::service pool;
@@ -143,8 +144,11 @@
         auto timed = pool; // its steps have a duration, so that sizes of requests imply run times
         timed.name = service_id("timed");
         timed.engines->step = milliseconds(1);
+        auto reading = timed;
+        reading.name = service_id("reading");
+        reading.engines->prompt_tokens_per_s = 10000;
         this->fleet.update_config(std::make_shared<const gateway::site_config>(
-            1, routes, std::vector<gateway::service>{shop, pool, timed}, gateway::caller_limits{},
+            1, routes, std::vector<gateway::service>{shop, pool, timed, reading}, gateway::caller_limits{},
             std::unordered_map<std::string, gateway::client_account>{}));
     }
     ~forwarding_site() { this->connections.clear(); }
--- a/tests/gateway/peer_report_test.cpp
+++ b/tests/gateway/peer_report_test.cpp
@@ -50,6 +50,10 @@
     out.requests_per_s = static_cast<double>(random.below(1000)) / 8;
     for (std::size_t i = random.below(20); i > 0; --i) {
         out.in_flight[instance_id("i" + std::to_string(i))] = static_cast<std::uint32_t>(random.below(1000));
+        if (random.one_in(2)) {
+            out.unread_tokens[instance_id("u" + std::to_string(i))] =
+                static_cast<std::uint32_t>(random.below(5000));
+        }
         out.stalled.emplace_back("s" + std::to_string(i));
         out.suspected.emplace_back("o" + std::to_string(i));
         out.answering.emplace_back("a" + std::to_string(i));
@@ -76,7 +80,7 @@
     const bool held = rc::check("fields added since are missing", [] {
         random_source random;
         auto document = nlohmann::json::from_cbor(encode_report(sample(random)));
-        for (const char* added : {"a", "p", "m", "o", "q", "c", "y", "g", "h", "i", "v", "k"}) {
+        for (const char* added : {"a", "p", "m", "o", "q", "c", "y", "g", "h", "i", "v", "k", "j"}) {
             document.erase(added);
         }
         const auto bytes = nlohmann::json::to_cbor(document);
@@ -84,6 +88,7 @@
         RC_ASSERT(succeeded(back));
         RC_ASSERT(value(back).answering.empty());
         RC_ASSERT(value(back).slow.empty());
+        RC_ASSERT(value(back).unread_tokens.empty());
         RC_ASSERT(value(back).crashes.empty());
         RC_ASSERT(value(back).departures.empty() && value(back).removals.empty());
         RC_ASSERT(value(back).request_limits.empty() && !value(back).limits_known);
