Register and report at once when the store has been read

A daemon looked every 200 ms whether it had read the store before it wrote its entry, sent its first report to the others with the next interval, and listed the daemons for callers up to 200 ms later. After a restart of all daemons these waits add up at each of them. They now begin with the read.

--- a/src/gateway/daemon.cpp
+++ b/src/gateway/daemon.cpp
@@ -117,6 +117,10 @@
         this->mirror.on_change = [this] {
             if (this->mirror.complete() && !std::exchange(this->store_was_read, true)) {
                 this->fleet.record_store_read();
+                // The others need not wait for the next report, nor this daemon for its list of entry
+                // daemons.
+                this->exchange.send_now();
+                this->entries_updated = {};
             }
             this->holder.notify();
             this->apply_server_limits();
--- a/src/gateway/registration.cpp
+++ b/src/gateway/registration.cpp
@@ -65,6 +65,9 @@
 
 void registration::notify()
 {
+    if (this->mirror.complete() && !std::exchange(this->store_was_read, true)) {
+        this->entry_timer.cancel(); // the entry need not wait for the next retry
+    }
     const auto& holder = this->mirror.manager();
     const bool own = holder && this->manager_key_lease.id != 0 &&
                      holder->holder == this->manager_key_value(this->manager_key_lease.id);
--- a/src/gateway/registration.hpp
+++ b/src/gateway/registration.hpp
@@ -75,6 +75,7 @@
     boost::asio::steady_timer manager_timer;
     held_lease entry_lease;
     bool entry_written{false};
+    bool store_was_read{false};
     bool store_returned{false}; ///< since the last attempt to renew the entry began
     held_lease manager_key_lease;
     std::uint64_t acquired_revision{0}; ///< 0: this daemon is not the manager
