--- a/src/decision/target_choice.cpp
+++ b/src/decision/target_choice.cpp
@@ -1,6 +1,7 @@
 #include "decision/target_choice.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace rml {
 
@@ -41,7 +42,7 @@
     ejected,
 };
 
-preference preference_of(const target_candidate& candidate, const std::vector<target_candidate>& all)
+preference preference_of(const target_candidate& candidate, const std::vector<target_candidate>& tried)
 {
     if (candidate.ejected) {
         return preference::ejected;
@@ -49,10 +50,9 @@
     if (candidate.suspected) {
         return preference::suspected;
     }
-    const bool near =
-        !candidate.fabric.empty() && std::any_of(all.begin(), all.end(), [&](const auto& other) {
-            return other.tried && other.fabric == candidate.fabric;
-        });
+    const bool near = !candidate.fabric.empty() &&
+                      std::any_of(tried.begin(), tried.end(),
+                                  [&](const auto& other) { return other.fabric == candidate.fabric; });
     return near ? preference::near_tried_target : preference::healthy;
 }
 
@@ -63,6 +63,9 @@
     const bool any_usable = std::any_of(candidates.begin(), candidates.end(), [](const auto& candidate) {
         return !candidate.tried && !candidate.ejected;
     });
+    std::vector<target_candidate> tried;
+    std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(tried),
+                 [](const auto& candidate) { return candidate.tried; });
     auto best = preference::ejected;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const bool excluded = candidates[i].ejected && any_usable;
@@ -70,7 +73,7 @@
             !has_free_slot(candidates[i])) {
             continue;
         }
-        const auto found = preference_of(candidates[i], candidates);
+        const auto found = preference_of(candidates[i], tried);
         if (found < best) {
             best = found;
             out.clear();
