--- a/src/gateway/daemon.cpp
+++ b/src/gateway/daemon.cpp
@@ -20,6 +20,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
+#include <limits>
 #include <malloc.h>
 
 namespace rml::gateway {
@@ -162,6 +163,10 @@
         this->mirror.on_change = [this] {
             if (this->mirror.complete() && !std::exchange(this->store_was_read, true)) {
                 this->fleet.record_store_read();
+                // The others need not wait for the next report, nor this daemon for its list of entry
+                // daemons.
+                this->exchange.send_now();
+                this->entries_updated = {};
             }
             this->holder.notify();
             this->apply_server_limits();
@@ -241,6 +246,10 @@
         for (const auto& target : this->fleet.in_flight.busy()) {
             out.in_flight[target] = this->fleet.in_flight.in_flight(target);
         }
+        for (const auto& [target, tokens] : this->fleet.unread.all()) {
+            out.unread_tokens[target] = static_cast<std::uint32_t>(
+                std::min<std::uint64_t>(tokens, std::numeric_limits<std::uint32_t>::max()));
+        }
         out.stalled = this->requests.stalled_targets();
         out.suspected = this->fleet.suspicions.suspected_by(this->configured.daemon, steady_clock::now());
         out.answering = this->responding_suspects(steady_clock::now());
--- a/src/gateway/registration.cpp
+++ b/src/gateway/registration.cpp
@@ -93,6 +93,9 @@
 
 void registration::notify()
 {
+    if (this->mirror.complete() && !std::exchange(this->store_was_read, true)) {
+        this->entry_timer.cancel(); // the entry need not wait for the next retry
+    }
     const auto& holder = this->mirror.manager();
     const bool own = holder && this->manager_key_lease.id != 0 &&
                      holder->holder == this->manager_key_value(this->manager_key_lease.id);
