Return freed memory while clients hold as much as before

Cause: memory was returned to the system only after the held bytes had fallen. In a trial on a machine of 160 MB, 500 unfinished bodies after a crowd of heads stood at 133 MB (peak 145) with 64 MB held: growing bodies took free blocks of the heap and left smaller ones behind.

Change: memory is returned after 8 MB have been released, at most every 50 ms, and blocks of 64 KB and more are mapped one by one (before: 256 KB).

--- a/src/decision/client_limits.cpp
+++ b/src/decision/client_limits.cpp
@@ -19,6 +19,7 @@
 constexpr std::array<std::uint64_t, client_addresses> connection_divisors{2, 32, 8, 32};
 /// Less is not worth a walk over the free memory.
 constexpr std::size_t returned_bytes = 8 * 1024 * 1024;
+constexpr milliseconds return_interval{50};
 
 } // namespace
 
@@ -51,11 +52,11 @@
 {
     ++this->owner.open[index(this->address)];
     this->owner.sum += this->bytes();
-    this->owner.peak = std::max(this->owner.peak, this->owner.sum);
 }
 
 client_limits::share::~share()
 {
+    this->owner.released += this->bytes();
     if (!this->turned_away()) {
         this->owner.sum -= this->bytes();
     }
@@ -68,11 +69,13 @@
     if (!this->turned_away()) {
         this->owner.sum -= this->bytes();
     }
+    if (request != this->request_bytes) {
+        this->owner.released += this->request_bytes; // a body that grows moves to a larger block
+    }
     this->request_bytes = request;
     this->answer_bytes = answer;
     if (!this->turned_away()) {
         this->owner.sum += this->bytes();
-        this->owner.peak = std::max(this->owner.peak, this->owner.sum);
     }
 }
 
@@ -153,12 +156,13 @@
     return true;
 }
 
-bool client_limits::returns_memory()
+bool client_limits::returns_memory(time_point now)
 {
-    if (this->peak - this->sum < returned_bytes) {
+    if (this->released < returned_bytes || now < this->next_return) {
         return false;
     }
-    this->peak = this->sum;
+    this->released = 0;
+    this->next_return = now + return_interval;
     return true;
 }
 
--- a/src/decision/client_limits.hpp
+++ b/src/decision/client_limits.hpp
@@ -137,8 +137,9 @@
     bool accept(client_address address, time_point now);
     /// Whether one more refused connection may wait for its peer to close.
     bool keeps_refused(std::size_t waiting) const { return waiting < this->limit.refused_connections; }
-    /// True when much memory has been released since it last was, so that it is to be returned to the system.
-    bool returns_memory();
+    /// True when much memory has been released since it last was, so that it is to be returned to the system:
+    /// also while as much is held as before, since the allocator does not reuse all of it.
+    bool returns_memory(time_point now);
 
     const client_bounds& bounds() const { return this->limit; }
     std::size_t held() const { return this->sum; }
@@ -158,7 +159,8 @@
     std::list<share*> shares;
     std::array<std::size_t, client_addresses> open{};
     std::size_t sum{0};
-    std::size_t peak{0}; ///< highest sum since memory was returned
+    std::size_t released{0}; ///< since memory was returned
+    time_point next_return{};
     turned_away_counts counts;
 };
 
--- a/src/gateway/daemon.cpp
+++ b/src/gateway/daemon.cpp
@@ -60,7 +60,7 @@
 /// Without a fixed threshold, the first freed body makes the allocator keep blocks of its size.
 void keep_freed_memory_small()
 {
-    constexpr int mapped_bytes = 256 * 1024;
+    constexpr int mapped_bytes = 64 * 1024;
     ::mallopt(M_MMAP_THRESHOLD, mapped_bytes);
     ::mallopt(M_TRIM_THRESHOLD, mapped_bytes);
 }
@@ -320,7 +320,7 @@
         this->fleet.peers_settled = now - this->started >= peers_settle_time;
         this->requests.tick();
         this->clients_report.tick(now);
-        if (this->configured.memory_mb && this->clients.returns_memory()) {
+        if (this->configured.memory_mb && this->clients.returns_memory(now)) {
             return_freed_memory();
         }
         if (now >= this->entries_updated + entries_interval) {
