Lift drains at once in a store without eras

Without an era both are 0, so defer() took the removal for content of an older copy. After an outage of two heartbeats and a watch that failed with 410, a drain that was lifted meanwhile stayed in force for the grace time of 2.5 s.

Change: nothing is deferred unless a copy has been read in the present era. The change was neither built nor tested here; a test of this case is still missing.

--- a/src/gateway/store_mirror.cpp
+++ b/src/gateway/store_mirror.cpp
@@ -329,7 +329,8 @@
 
 bool store_mirror::defer(const store_event& event, time_point now)
 {
-    if (!this->has_read || event.revision > this->copy_revision) {
+    const bool follows_copy = this->has_read && this->copy_revision != 0;
+    if (!follows_copy || event.revision > this->copy_revision) {
         return false;
     }
     const auto& decoder = *this->ports.decoder;
