Check a target that ends its error answer with the connection

A target that stops within an answer without length may close the connection in order, so such an answer starts the check whether the target still accepts connections. An answer that leads to a retry after a server error ended with target_error instead of answered, and the check was left out: the loss of the target was not attributed to the request, which went to the next target without waiting for the classification.

Treat target_error as a whole answer there. Not built or run.

--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -240,8 +240,8 @@
     const bool leaving = known == nullptr || known->entry.draining;
     // A target that stops within such an answer may close the connection in order.
     const bool unframed = attempt.bound.connection && attempt.bound.connection->ends_with_connection();
-    const bool may_be_lost =
-        end == attempt_end::lost ? attempt.connection_broke : end == attempt_end::answered && unframed;
+    const bool whole = end == attempt_end::answered || end == attempt_end::target_error;
+    const bool may_be_lost = end == attempt_end::lost ? attempt.connection_broke : whole && unframed;
     if (may_be_lost && !leaving && !this->stopping) {
         return this->owner.guard.end_broken(attempt.crash_ticket, attempt.target, this->deadline, in);
     }
