Check all members before a group is opened, and remove orphaned keys beside an unused lease

Found by review: an order to open was repeated although a member had been lost or drained since the members were compared, and a manager key of an earlier era stayed when its daemon had created another lease meanwhile.

--- a/src/gateway/group_formation.cpp
+++ b/src/gateway/group_formation.cpp
@@ -410,11 +410,15 @@
 {
     const auto what = group_order::open({plan.group, plan.epoch});
     for (int attempt = 0; attempt < max_open_attempts && this->in_force(plan); ++attempt) {
-        const auto* head = this->fleet.find_target(plan.members.front());
-        if (head == nullptr || !this->update_readiness(plan)) {
+        const bool complete =
+            std::all_of(plan.members.begin(), plan.members.end(), [this](const instance_id& member) {
+                const auto* state = this->fleet.find_target(member);
+                return state != nullptr && !this->is_lost(state->entry) && !state->entry.draining;
+            });
+        if (!complete || !this->update_readiness(plan)) {
             return false;
         }
-        const auto entry = head->entry;
+        const auto entry = this->fleet.find_target(plan.members.front())->entry;
         plan.open_sent = true;
         const auto answer = this->order(entry, what, yield);
         if (succeeded(answer) &&
--- a/src/gateway/registration.cpp
+++ b/src/gateway/registration.cpp
@@ -75,7 +75,8 @@
     const auto own = this->manager_key_value(0);
     const auto prefix = own.substr(0, own.rfind('/') + 1);
     return this->era_seen != time_point{} && now >= this->era_seen + this->manager_lifetime() && holder &&
-           holder->holder.compare(0, prefix.size(), prefix) == 0 && this->manager_key_lease.id == 0;
+           holder->holder.compare(0, prefix.size(), prefix) == 0 &&
+           holder->holder != this->manager_key_value(this->manager_key_lease.id);
 }
 
 void registration::remove_orphaned_key(yield_context yield)
