Turn away idle connections before requests that arrive

Found by review: connections that had been idle for seconds kept their memory while arriving requests were refused, and a stream whose client reads slowly counted as stalled because the progress within one chunk was not recorded.

--- a/src/decision/client_limits.cpp
+++ b/src/decision/client_limits.cpp
@@ -183,12 +183,13 @@
 
 client_limits::share* client_limits::first_by_memory(time_point now) const
 {
-    // Stalled requests, stalled answers, requests that arrive, idle connections.
+    // Stalled requests, stalled answers, connections that have been idle, requests that arrive, connections
+    // that have just become idle.
     const auto rank = [now](const share& client) {
         const bool stalled = client.stalled(now);
-        const auto group = client.current == share::phase::reading     ? (stalled ? 4 : 2)
-                           : client.current == share::phase::answering ? (stalled ? 3 : 0)
-                           : client.current == share::phase::idle      ? 1
+        const auto group = client.current == share::phase::reading     ? (stalled ? 5 : 2)
+                           : client.current == share::phase::answering ? (stalled ? 4 : 0)
+                           : client.current == share::phase::idle      ? (stalled ? 3 : 1)
                                                                        : 0;
         return std::make_tuple(group, client.bytes(), now - client.progressed);
     };
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -300,8 +300,13 @@
         boost::system::error_code code;
         const answer_guard waiting(this->share, chunk.size());
         this->stream.expires_after(this->timeout);
+        std::size_t written = 0;
+        const auto record = [&](const boost::system::error_code& failed, std::size_t total) -> std::size_t {
+            waiting.record_progress(total - std::exchange(written, total));
+            return asio::transfer_all()(failed, total);
+        };
         asio::async_write(this->stream, bhttp::make_chunk(asio::const_buffer(chunk.data(), chunk.size())),
-                          this->yield[code]);
+                          record, this->yield[code]);
         return this->checked(code);
     }
 
