Bound what retries after errors take, and keep the answer budget as long as its shares

Found by review. Retries after server errors could spend the whole budget, so that a request without any answer was not repeated; they now use half of it. A second target that does not answer delayed the kept error up to the deadline; it now gets half of the time left. The end of the io_context unwinds attempts after the forwarder has been destroyed, so they share the ownership of the budget for answers.

--- a/src/decision/domain_routing.cpp
+++ b/src/decision/domain_routing.cpp
@@ -108,11 +108,11 @@
             acceptable = std::min(acceptable.value_or(limit), limit);
         }
     }
-    double sound_slots = sums[0].slots;
+    double usable_slots = sums[0].slots;
     if (acceptable) {
         for (const auto& candidate : candidates) {
             const bool slow = candidate.domain == 0 && candidate.slowness > *acceptable;
-            sound_slots -= slow && usable(candidate) ? candidate.slots : 0;
+            usable_slots -= slow && usable(candidate) ? candidate.slots : 0;
         }
     }
 
@@ -125,8 +125,8 @@
         return std::max(0.0, demand - std::max(0.0, up_to * of_slots - foreign));
     };
     const auto enter_level = std::min(1.0, level + level_hysteresis);
-    const bool leaves = excess(sound_slots, this->current == routing_reason::near ? enter_level : level) > 0;
-    const auto too_many = leaves ? excess(sound_slots, level) : 0;
+    const bool leaves = excess(usable_slots, this->current == routing_reason::near ? enter_level : level) > 0;
+    const auto too_many = leaves ? excess(usable_slots, level) : 0;
     this->share = std::min(too_many, room) / demand;
     if (this->share <= 0) {
         this->current = routing_reason::near;
--- a/src/decision/error_retry.hpp
+++ b/src/decision/error_retry.hpp
@@ -11,6 +11,10 @@
 
 namespace rml {
 
+/// Part of the retry budget that may be spent after server errors. The rest is left for requests that no
+/// target has answered, which otherwise fail.
+constexpr double error_retry_budget_part = 0.5;
+
 /// A complete answer of a target to a request.
 struct answered_attempt
 {
--- a/src/decision/retry_budget.cpp
+++ b/src/decision/retry_budget.cpp
@@ -21,7 +21,7 @@
     ++this->counts.first_tries;
 }
 
-bool retry_budget::try_retry(time_point now)
+bool retry_budget::try_retry(time_point now, double part)
 {
     auto& target = this->current(now);
     const auto oldest = this->newest - static_cast<std::int64_t>(bucket_count) + 1;
@@ -38,7 +38,7 @@
     const auto allowed = std::max(this->settings.share * static_cast<double>(first_tries),
                                   this->settings.minimum_per_second * window) +
                          this->settings.slack;
-    if (static_cast<double>(retries + 1) > allowed) {
+    if (static_cast<double>(retries + 1) > part * allowed) {
         ++this->counts.refused;
         return false;
     }
--- a/src/decision/retry_budget.hpp
+++ b/src/decision/retry_budget.hpp
@@ -38,8 +38,9 @@
 
     void record_first_try(time_point now);
 
-    /// Counts and allows a retry. Returns false when the budget is spent; the retry does not count then.
-    bool try_retry(time_point now);
+    /// Counts and allows a retry. Returns false when the budget is spent; the retry does not count then. An
+    /// optional retry uses only `part` of the budget, from 0 to 1, and leaves the rest for others.
+    bool try_retry(time_point now, double part = 1);
 
     const retry_budget_stats& stats() const { return this->counts; }
 
--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -86,7 +86,7 @@
     void log_open_requests() const;
 
     /// Bytes held of plain answers that are being received or sent to their callers.
-    std::size_t buffered_answer_bytes() const { return this->answer_bytes.used(); }
+    std::size_t buffered_answer_bytes() const { return this->answer_bytes->used(); }
 
     /// Called when a slot was taken or released at a target that is nearly full.
     std::function<void()> on_scarce_slots;
@@ -96,7 +96,9 @@
 private:
     friend class detail::request_run;
 
-    byte_budget answer_bytes{limits::buffered_answer_bytes}; ///< of plain answers that are being received
+    /// Of plain answers that are being received. Shared with the attempts: the end of the io_context unwinds
+    /// their coroutines after the forwarder has been destroyed.
+    std::shared_ptr<byte_budget> answer_bytes{std::make_shared<byte_budget>(limits::buffered_answer_bytes)};
 
     /// A stopping daemon needs the longest delay of requests at the current load.
     static constexpr seconds longest_delay_period{30};
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -415,8 +415,9 @@
 
 request_run::attempt_end request_run::read_whole(target_attempt& attempt, http::yield_context in)
 {
+    attempt.answer_bytes = this->owner.answer_bytes;
     attempt.buffered = std::make_unique<byte_budget::share>(
-        this->owner.answer_bytes, [&attempt] { attempt.bound.connection->close(); });
+        *attempt.answer_bytes, [&attempt] { attempt.bound.connection->close(); });
     while (true) {
         auto part = attempt.bound.connection->read_body_part(this->deadline, in);
         const bool within_budget = succeeded(part) && value(part)
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -575,17 +575,17 @@
     if (end != attempt_end::not_run && !this->chosen_route->idempotent()) {
         return false;
     }
-    if (!this->reserve_retry(now)) {
+    if (!this->reserve_retry(now, end == attempt_end::target_error ? error_retry_budget_part : 1)) {
         this->reason += "; retry budget exhausted";
         return false;
     }
     return true;
 }
 
-bool request_run::reserve_retry(time_point now)
+bool request_run::reserve_retry(time_point now, double part)
 {
     if (!this->retry_reserved) {
-        this->retry_reserved = this->owner.budget(this->chosen_service->name, now).try_retry(now);
+        this->retry_reserved = this->owner.budget(this->chosen_service->name, now).try_retry(now, part);
     }
     return this->retry_reserved;
 }
@@ -611,7 +611,13 @@
 {
     attempt.reason = "target answered with " + std::to_string(attempt.head.status);
     this->kept_error = std::move(attempt.head);
+    this->answer_bytes = attempt.answer_bytes;
     this->kept_error_bytes = std::move(attempt.buffered);
+    if (this->chosen_route->kind == route_kind::repeatable) {
+        // The error still reaches the caller in time when the next target does not answer.
+        const auto now = steady_clock::now();
+        this->deadline = now + (this->deadline - now) / 2;
+    }
 }
 
 void request_run::send_kept_error()
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -46,6 +46,7 @@
     std::string reason;               ///< why it ended
 
     http::response head;                          ///< of a plain answer also the body
+    std::shared_ptr<byte_budget> answer_bytes;    ///< outlives `buffered`
     std::unique_ptr<byte_budget::share> buffered; ///< of a plain answer, the bytes of the body
     bool streamed{false};
     event_framer events;
@@ -166,7 +167,8 @@
     bool record_progress(target_attempt& attempt);
     attempt_end failed_exchange(target_attempt& attempt, const failure& why);
     bool is_valid_answer(target_attempt& attempt);
-    bool reserve_retry(time_point now);
+    /// Charges the retry budget for the next send, of which `part` may be used.
+    bool reserve_retry(time_point now, double part = 1);
     bool may_retry(attempt_end end);
     /// Updates the target's failure share and suspicion after an attempt.
     void record_result(const target_attempt& attempt, attempt_end end);
@@ -214,6 +216,7 @@
 
     /// A target's answer with a server error, kept while other targets are asked, with the bytes of its body.
     std::optional<http::response> kept_error;
+    std::shared_ptr<byte_budget> answer_bytes; ///< outlives `kept_error_bytes`
     std::unique_ptr<byte_budget::share> kept_error_bytes;
 
     std::vector<instance_id> tried;
