--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""A chunked body with an oversized trailer field ends the daemon; sound clients lose accepted work."""
+"""The operator takes the last key away: from then on every request is served, with any key or none."""
 import asyncio
 import sys
 from pathlib import Path
@@ -6,39 +6,52 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 import platform2 as site
 
-TRAILER_BYTES = 100_000
-MOST_LOST = 3  # LOST: "more than three times"
+APPLY_S = 2.0  # configApplyMs
+UNKNOWN_KEY = "key-that-never-was"
 
 
-async def case(run):
-    await run.site(daemons=1, services=3)
-    daemon = run.daemons[0]
-    for service in run.services:
-        service.work = 0.2
-    bookers = [site.Booker(run, daemon, number) for number in range(10)]
-    tasks = [asyncio.create_task(booker.run()) for booker in bookers]
-    await asyncio.sleep(2)
-    # No key, and a path without a route. The body itself has three bytes.
-    size = TRAILER_BYTES if site.TROUBLE else 10
-    reader, writer = await site.connect(daemon.listen["caller"])
-    run.record(f"bad client: chunked body of 3 bytes, then a trailer field of {size} bytes")
-    writer.write(b"POST /nowhere HTTP/1.1\r\nHost: site.example\r\nTransfer-Encoding: chunked\r\n\r\n"
-                 b"3\r\nabc\r\n0\r\nX-Note: " + b"a" * size + b"\r\n\r\n")
+def request_with(key, request_id):
+    raw = site.client_request("POST", "/bookings/kiln", request_id, b"slot 4")
+    line = f"Authorization: Bearer {site.KEY}\r\n".encode()
+    return raw.replace(line, f"Authorization: Bearer {key}\r\n".encode() if key else b"")
+
+
+async def ask(run, daemon, key, request_id):
     try:
-        answer = await asyncio.wait_for(site.read_response(reader), 5)
-    except (ConnectionError, asyncio.TimeoutError, ValueError) as problem:
-        answer = repr(problem)
-    run.record(f"bad client: answer {answer[0] if isinstance(answer, tuple) else answer}")
-    writer.close()
-    await asyncio.sleep(2)
-    for booker in bookers:
-        booker.stopping = True
-    await asyncio.wait(tasks, timeout=6)
-    lost = [name for booker in bookers for name in booker.lost]
-    run.record(f"daemon running: {daemon.running()}, exit: {daemon.process.returncode}")
-    run.record(f"run by a sound engine and never answered: {len(lost)} {lost}")
-    if len(lost) > MOST_LOST:
-        return f"LOST: {len(lost)} requests passed on and unanswered; daemon exit {daemon.process.returncode}"
+        answer = await asyncio.wait_for(site.call(daemon.listen["caller"], request_with(key, request_id)), 4)
+    except (OSError, asyncio.TimeoutError, ValueError):
+        answer = None
+    ran = any(request_id in service.runs for service in run.services)
+    run.record(f"{request_id} with key {key} at {daemon.name}: answer {answer[0] if answer else None}, "
+               f"run by an engine: {ran}")
+    return ran
+
+
+async def case(run):
+    config = site.default_config()
+    other = {"name": "head-office", "apiKeys": ["key-office-1"], "priority": 1}
+    if not site.TROUBLE:
+        config["tenants"].append(other)  # keeps its key
+    await run.site(daemons=2, services=3, config=config)
+    for daemon in run.daemons:
+        await ask(run, daemon, site.KEY, f"before-{daemon.name}")
+        await ask(run, daemon, UNKNOWN_KEY, f"before-unknown-{daemon.name}")
+    config["version"] = 9
+    config["tenants"][0]["apiKeys"] = []
+    await run.store.put("op/config", config)
+    run.record(f"operator: version 9 acknowledged; tenant 'branch' has lost its only key {site.KEY}")
+    await asyncio.sleep(APPLY_S + 1.5)
+    revoked, unknown, without = 0, 0, 0
+    for attempt in range(3):
+        for daemon in run.daemons:
+            revoked += await ask(run, daemon, site.KEY, f"revoked-{daemon.name}-{attempt}")
+            unknown += await ask(run, daemon, UNKNOWN_KEY, f"unknown-{daemon.name}-{attempt}")
+            without += await ask(run, daemon, None, f"without-{daemon.name}-{attempt}")
+    run.record(f"run of 6 each: {revoked} with the revoked key, {unknown} with a key that never was, "
+               f"{without} without a key")
+    if revoked or unknown or without:
+        return (f"ROUTE and CONFIG: of 6 each, {unknown} ran with a key that no configuration ever held, "
+                f"{revoked} with the revoked key, {without} without a key")
     return None
 
 
