Review: render the deploy file's template, and spread the sound clients

The settings come from deploy/settings.json.in, as the platform fills it in, so that the cases do not depend on its present form; each daemon has a loopback address of its own. They start 21 ms apart now.

--- a/review/platform2.py
+++ b/review/platform2.py
@@ -10,7 +10,6 @@
 import random
 import re
 import shlex
-import socket
 import sys
 import tempfile
 import time
@@ -300,44 +299,85 @@
     return {"version": 7,
             "routes": [route("bookings", "/bookings/", "unsafe", 1), route("stock", "/stock/", "safe", 2),
                        *extra_routes],
-            "services": [{"name": "office", "healthPath": "/health", "maxConnections": 400, "coldStartS": 0.0,
+            "services": [{"name": "office", "healthPath": "/health", "maxConnections": 274, "coldStartS": 0.0,
                           "coldPerS": 0.0}],
             "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000,
                        "idleTimeoutMs": 15000},
             "tenants": [{"name": "branch", "apiKeys": [KEY], "priority": 1}]}
 
 
-def free_address(kind=socket.SOCK_STREAM):
-    """An address below the usual range of ephemeral ports, so that no connection takes it meanwhile."""
-    for _ in range(100):
-        port = random.randrange(20000, 32000)
-        try:
-            with socket.socket(socket.AF_INET, kind) as probe:
-                probe.bind(("127.0.0.1", port))
-            return f"127.0.0.1:{port}"
-        except OSError:
-            continue
-    raise RuntimeError("no free port")
+def lookup(fields, name):
+    """The value of a dotted name; None if there is none."""
+    for part in name.split("."):
+        if isinstance(fields, list):
+            fields = fields[int(part)] if part.isdigit() and int(part) < len(fields) else None
+        else:
+            fields = fields.get(part) if isinstance(fields, dict) else None
+        if fields is None:
+            return None
+    return fields
+
+
+def render(template, fields):
+    """Fills in a template of the deploy file: sections that ask for a value, `{{a.b}}` and `{{a.b|json}}`."""
+    section = re.compile(r"\{\{([#^])([\w.]+)\}\}(.*?)\{\{/\2\}\}", re.DOTALL)
+
+    def open_section(match):
+        present = lookup(fields, match.group(2)) not in (None, False)
+        return match.group(3) if present == (match.group(1) == "#") else ""
+
+    while section.search(template):
+        template = section.sub(open_section, template)
+
+    def fill(match):
+        value = fields if match.group(1) == "." else lookup(fields, match.group(1))
+        if match.group(2):
+            return json.dumps(value)
+        if isinstance(value, list):
+            return ",".join(str(entry) for entry in value)
+        return "" if value is None else json.dumps(value) if isinstance(value, (dict, bool)) else str(value)
+
+    return re.sub(r"\{\{([\w.]+)(\|json)?\}\}", fill, template)
 
 
 class Daemon:
-    """A daemon, started as deploy/system.toml says."""
+    """A daemon, started as deploy/system.toml says, on a loopback address of its own."""
 
-    def __init__(self, number, directory, store_address, memory_mb=260, listen=None):
+    def __init__(self, number, directory, store_address, memory_mb=260):
         self.name = f"daemon-{number}"
-        self.listen = listen or {
-            "caller": free_address(), "readiness": free_address(), "entries": free_address(),
-            "metrics": free_address(), "peer": free_address(socket.SOCK_DGRAM)}
+        ip = f"127.{random.randrange(1, 250)}.{random.randrange(1, 250)}.{10 + number}"
+        ports = random.sample(range(20000, 32000, 20), 5)
+        self.listen = {"caller": f"{ip}:{ports[0]}", "readiness": f"{ip}:{ports[1]}",
+                       "entries": f"{ip}:{ports[2]}"}
+        zone = "zone-a" if number % 2 == 0 else "zone-b"
+        fields = {
+            "nodeName": self.name, "role": "gateway", "machineClass": "front", "serves": ["front", "directory"],
+            "ip": ip, "zone": zone, "region": "r1", "zones": {"zone-a": "r1", "zone-b": "r1"},
+            "listen": {"front": f"{ip}:{ports[0]}", "ready": f"{ip}:{ports[1]}",
+                       "directory": f"{ip}:{ports[2]}", "control": f"{ip}:{ports[3]}"},
+            "internalPorts": [ports[4], ports[4] + 15], "seeds": [], "bootstrap": True,
+            "includeInTolerance": False,
+            "limits": {"cpuShare": 0.25, "cpuCores": 1, "memoryMb": memory_mb, "maxFds": 4100,
+                       "linkMbps": 1000.0, "diskMb": 0},
+            "dataDir": None, "discovery": "platform", "entry": "directory", "heartbeatMs": 1200,
+            "contracts": ["base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants",
+                          "places", "platform", "gangs"],
+            "faultTolerance": {"machines": 2, "zones": 1, "regions": 0},
+            "bounds": {"seedLagS": 3, "reuseAfterS": 2, "contactMs": 3000, "ackMs": 4000, "catchUpS": 4,
+                       "drainMs": 2000, "graceS": 8, "lossSlackMs": 200, "configApplyMs": 2000,
+                       "rollbackSlackMs": 250, "outerMs": 5000, "strictRevocation": False, "revokeMs": 5000,
+                       "retryBudgetRatio": 0.2, "budgetWindowS": 10, "retryBudgetSlack": 134,
+                       "coldOverage": 1.5, "coldSlack": 5, "evacuateMs": 5000, "recoverS": 12, "passMs": 120,
+                       "retryAfterS": 0, "stallMs": 5000, "requireFencing": False, "ceilingWindowS": 5,
+                       "originRateOverage": 1.1, "ttl_max_s": 5},
+            "provider": {"address": store_address, "form": "kv", "writesPerS": 400, "readsPerS": 2000,
+                         "historyS": 20, "valueBytes": 1048576, "ttlMinMs": 1000}}
+        deploy = (ROOT / "deploy/system.toml").read_text()
+        template = re.search(r'^template = "(.*)"$', deploy, re.MULTILINE)
+        rendered = render((ROOT / template.group(1)).read_text(), fields) if template else json.dumps(fields)
         self.settings = Path(directory) / f"{self.name}.json"
+        self.settings.write_text(rendered)
         self.log = open(Path(directory) / f"{self.name}.log", "ab")
-        self.settings.write_text(json.dumps({
-            "daemon": self.name, "region": "r1", "failure_domain": "zone-a" if number % 2 == 0 else "zone-b",
-            "listen": self.listen,
-            "store": {"address": store_address, "writes_per_s": 400, "reads_per_s": 2000,
-                      "shortest_lease_ms": 1000},
-            "registry_heartbeat_ms": 1200, "memory_mb": memory_mb, "max_fds": 4100, "cpu_share": 0.25,
-            "bounds": {"drain_ms": 2000, "stop_grace_s": 8, "config_apply_ms": 2000, "stall_ms": 5000,
-                       "retry_share": 0.2, "retry_window_s": 10, "retry_slack": 134, "entry_lifetime_s": 5}}))
         self.process = None
 
     async def start(self):
@@ -479,6 +519,16 @@
         return field(answer[1], "Connection") != "close"
 
 
+async def start_bookers(case, daemon, count):
+    """Starts sound clients one after the other, so that some of their requests run at any moment."""
+    bookers = [Booker(case, daemon, number) for number in range(count)]
+    tasks = []
+    for booker in bookers:
+        tasks.append(asyncio.create_task(booker.run()))
+        await asyncio.sleep(0.021)
+    return bookers, tasks
+
+
 class Case:
     """Runs a case, writes record.txt and exits with 0 (the rule held), 1 (broken) or 2 (could not run)."""
 
