Close idle connections to targets that are gone

Cause: the pool closed an idle connection only when its address was used again. Nobody uses the address of a target that is gone, so the descriptor stayed in CLOSE_WAIT. Evidence from the case on: 440, 1,313, 2,877 and 4,100 descriptors at generations 1, 5, 12 and 22; of the 4,100, 3,641 were in CLOSE_WAIT and 446 established. The limit on idle connections held per target, not for all, and a shortage of descriptors counted against the target.

Change: the pool checks its idle connections once a second with one poll() and closes those that ended or are older than target_idle_time; the end of a registry entry closes the connections to its address at once.

It works because every way for an idle connection to end (closed, silent, withdrawn, surplus) now has an owner that needs no further use of its address. The check holds the lock under which connections are taken.

The process test failed on (68 descriptors before, 175 after ten generations) and passes (67, 70).

--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -103,6 +103,7 @@
         const auto now = steady_clock::now();
         this->peers.tick(now);
         this->update_members(now);
+        this->target_connections.expire(now);
         http::pause(limits::keepalive_interval, yield);
     }
 }
--- a/src/entryd/daemon.cpp
+++ b/src/entryd/daemon.cpp
@@ -5,6 +5,7 @@
 #include "base/metrics.hpp"
 #include "caller/caller_handler.hpp"
 #include "entryd/serving_unit.hpp"
+#include "http/pause.hpp"
 #include "http/server.hpp"
 #include "target/connection_pool.hpp"
 
@@ -55,6 +56,8 @@
         if (auto started = this->unit->start(this->server->local()); failed(started)) {
             return started;
         }
+        boost::asio::spawn(this->context,
+                           [this](http::yield_context yield) { this->expire_connections(yield); });
         this->start_workers();
         // A single write, so that a process that reads the pipe never receives a partial line.
         std::cout << "listening caller=" + to_string(this->server->local()) +
@@ -80,6 +83,15 @@
         }
     }
 
+    /// Runs until the context is stopped.
+    void expire_connections(http::yield_context yield)
+    {
+        while (true) {
+            this->connections.expire(steady_clock::now());
+            http::pause(limits::target_idle_check, yield);
+        }
+    }
+
     /// Waits for the first signal, then until the requests have ended or a second signal arrives.
     void wait_and_leave(http::yield_context yield)
     {
--- a/src/gateway/daemon.cpp
+++ b/src/gateway/daemon.cpp
@@ -3,6 +3,7 @@
 #include "base/log.hpp"
 #include "base/metrics.hpp"
 #include "gateway/client_report.hpp"
+#include "gateway/connection_budget.hpp"
 #include "gateway/coroutine.hpp"
 #include "gateway/crash_archive.hpp"
 #include "gateway/entry_list.hpp"
@@ -79,7 +80,9 @@
                    const std::function<result<gateway_settings>()>& read_settings)
         : configured(settings), reload(read_settings), started_ms(wall_clock_ms()),
           clients(bounds_for(machine_of(settings))), clients_report(this->clients, this->metrics),
-          connections(this->context), ports(create_ports(this->connections, settings.store.address)),
+          connections(this->context),
+          budget(this->clients, this->connections, settings.max_fds, this->metrics),
+          ports(create_ports(this->connections, settings.store.address)),
           fleet(settings.daemon, settings.failure_domain),
           mirror(this->context, this->ports, this->fleet, this->configured),
           holder(this->context, this->ports, this->mirror, this->fleet, this->configured, this->started_ms),
@@ -196,6 +199,7 @@
         };
         this->exchange.on_report = [this](const peer_report& report) { this->accept_report(report); };
         this->manager.on_ending = [this] { this->exchange.send_now(); };
+        this->fleet.on_target_ended = [this](const endpoint& address) { this->connections.clear(address); };
         this->fleet.on_request_limit = [this] { this->exchange.send_to_all_soon(); };
         this->requests.on_scarce_slots = [this] { this->exchange.send_soon(); };
         this->requests.crashes().on_change = [this] { this->exchange.send_to_all_soon(); };
@@ -341,6 +345,7 @@
         this->fleet.update_start(now);
         this->requests.tick();
         this->clients_report.tick(now);
+        this->budget.tick(now);
         if (this->configured.memory_mb && this->clients.returns_memory(now)) {
             return_freed_memory();
         }
@@ -473,6 +478,7 @@
     counter& era_reads{this->metrics.create_counter("rml_store_era_reads_total",
                                                     "Reads of the whole store because of a new era")};
     target::connection_pool connections;
+    connection_budget budget;
     platform_ports ports;
     fleet_state fleet;
     store_mirror mirror;
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -56,6 +56,7 @@
         if (state.entry.membership) {
             this->record_removed_entry(state.entry); // of the life before
         }
+        this->report_end(state.entry);
         state = target_state{};
         this->newest = now;
     }
@@ -63,6 +64,9 @@
         // An engine outside a group reports no model, but keeps its last one resident in this incarnation.
         entry.model = state.entry.model;
     }
+    if (!(state.entry.address == entry.address)) {
+        this->report_end(state.entry);
+    }
     const target_incarnation incarnation{entry.instance, entry.started_ms};
     if (entry.draining) {
         this->departed.record(incarnation, departure_source::registry, now);
@@ -288,6 +292,15 @@
         }
     }
     this->record_removed_entry(state.entry);
+    this->report_end(state.entry);
+}
+
+void fleet_state::report_end(const target_entry& entry) const
+{
+    const bool registered = entry.address.port != 0;
+    if (registered && this->on_target_ended) {
+        this->on_target_ended(entry.address);
+    }
 }
 
 void fleet_state::record_removed_entry(const target_entry& entry)
--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -123,6 +123,9 @@
     const std::map<instance_id, target_entry>& absent_members();
     /// Removes a member that was found lost; its group then no longer serves.
     void destroy_absent_member(const instance_id& instance);
+    /// Called with the address of a target that ended: its entry was removed, or shows another incarnation or
+    /// another address. Connections to it are of no more use.
+    std::function<void(const endpoint&)> on_target_ended;
     /// Removes targets whose grace time has ended.
     void expire_targets(time_point now);
     target_state* find_target(const instance_id& instance);
@@ -248,6 +251,7 @@
     /// Subtracts the reports of daemons that are no longer live.
     void expire_reports(time_point now);
     void record_removal(const target_state& state);
+    void report_end(const target_entry& entry) const;
     /// Keeps the entry for `removed_head`.
     void record_removed_entry(const target_entry& entry);
     void record_request_limit(target_state& state, const target_signals& signals, time_point now);
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -101,9 +101,16 @@
         if (this->owner.stop_at) {
             limit = std::min(limit, *this->owner.stop_at + last_connect_time);
         }
-        auto opened = this->owner.connections.open(target.address, limit, in);
+        auto opened =
+            this->owner.connections.open(target.address, limit, in, target::connection_use::request);
         if (failed(opened)) {
             attempt.reason = error(opened).context;
+            // Tells nothing of the target, and another one cannot be reached either.
+            attempt.no_descriptor = error(opened).kind == failure_kind::unavailable;
+            attempt.withheld = attempt.no_descriptor;
+            if (attempt.no_descriptor) {
+                return attempt_end::not_sent;
+            }
             if (steady_clock::now() >= this->deadline) {
                 return attempt_end::timed_out;
             }
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -566,7 +566,7 @@
         return false;
     }
     if (end == attempt_end::not_sent) {
-        return true; // no target has received the request
+        return !this->primary->no_descriptor; // no target has received the request
     }
     if (this->sends >= this->chosen_route->max_attempts) {
         this->reason += "; attempt limit of the route reached";
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -34,6 +34,7 @@
     bool answer_begun{false};     ///< a part of the body was received
     bool connection_broke{false}; ///< ended with a broken connection to the target
     bool withheld{false};         ///< not sent because the target takes no requests, or no more now
+    bool no_descriptor{false};    ///< not sent because this process can open no more connections
     bool is_first{false};         ///< sent before an answer of the target, see `limit_unknown`
     bool unlimited{false};        ///< nothing limited the target's requests when this one was counted
     /// When it was counted against the limits of the target's requests.
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -9,7 +9,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <poll.h>
 #include <sys/socket.h>
+#include <utility>
 
 namespace rml::http {
 
@@ -21,8 +23,18 @@
 
 constexpr std::size_t body_part_bytes = 16 * 1024;
 
+/// True when the process or the system lacks a resource for another socket, which tells nothing of the peer.
+bool is_local_shortage(const boost::system::error_code& code)
+{
+    return code == asio::error::no_descriptors || code == asio::error::no_buffer_space ||
+           code == asio::error::no_memory || code == boost::system::errc::too_many_files_open_in_system;
+}
+
 failure failure_of(const boost::system::error_code& code, const char* context)
 {
+    if (is_local_shortage(code)) {
+        return {failure_kind::unavailable, std::string(context) + ": " + code.message()};
+    }
     if (code == asio::error::timed_out) {
         return {failure_kind::timeout, context};
     }
@@ -123,12 +135,41 @@
     return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+/// Counts one socket until it is destroyed or released.
+class counted_socket
+{
+public:
+    explicit counted_socket(socket_count owner) : count(std::move(owner))
+    {
+        if (this->count) {
+            ++*this->count;
+        }
+    }
+    ~counted_socket() { this->release(); }
+    counted_socket(const counted_socket&) = delete;
+    counted_socket& operator=(const counted_socket&) = delete;
+
+    void release()
+    {
+        if (const auto owner = std::exchange(this->count, nullptr)) {
+            --*owner;
+        }
+    }
+
+private:
+    socket_count count;
+};
+
 } // namespace
 
 struct client_connection::state
 {
-    explicit state(const asio::any_io_executor& executor) : socket(executor) {}
+    state(const asio::any_io_executor& executor, socket_count open_sockets)
+        : counted(std::move(open_sockets)), socket(executor)
+    {
+    }
 
+    counted_socket counted;
     asio::ip::tcp::socket socket;
     /// The parser needs a head, a chunk header or the trailers as a whole, and limits only the size of a
     /// head.
@@ -160,14 +201,15 @@
 
 result<std::unique_ptr<client_connection>> client_connection::create(asio::io_context& context,
                                                                      const endpoint& remote,
-                                                                     time_point deadline, yield_context yield)
+                                                                     time_point deadline, yield_context yield,
+                                                                     socket_count open_sockets)
 {
     boost::system::error_code code;
     const auto address = asio::ip::make_address(remote.address, code);
     if (code) {
         return failure{failure_kind::connection_refused, "not an IP number: " + remote.address};
     }
-    auto created = std::make_unique<state>(context.get_executor());
+    auto created = std::make_unique<state>(context.get_executor(), std::move(open_sockets));
     created->host = to_string(remote);
     {
         const deadline_guard guard(created->socket, deadline, yield);
@@ -310,10 +352,26 @@
            this->inner->buffer.size() == 0 && open_and_idle(this->inner->socket);
 }
 
+std::vector<bool> client_connection::ended_by_peer(const std::vector<const client_connection*>& idle)
+{
+    std::vector<pollfd> sockets;
+    sockets.reserve(idle.size());
+    for (const auto* connection : idle) {
+        sockets.push_back({connection->inner->socket.native_handle(), POLLIN, 0});
+    }
+    std::vector<bool> out(idle.size());
+    if (::poll(sockets.data(), sockets.size(), 0) > 0) {
+        std::transform(sockets.begin(), sockets.end(), out.begin(),
+                       [](const pollfd& socket) { return socket.revents != 0; });
+    }
+    return out;
+}
+
 void client_connection::close()
 {
     boost::system::error_code ignored;
     this->inner->socket.close(ignored);
+    this->inner->counted.release();
     this->inner->broken = true;
 }
 
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -6,24 +6,33 @@
 #include "http/executor.hpp"
 #include "http/message.hpp"
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace rml::http {
 
 using yield_context = boost::asio::yield_context;
 
+/// Number of open sockets. Shared with the connections that it counts, which may outlive its owner.
+using socket_count = std::shared_ptr<std::atomic<std::size_t>>;
+
 /// One connection. Used by one coroutine at a time; different coroutines may use it one after another.
 class client_connection
 {
 public:
-    /// Opens a connection. Fails with `connection_refused` or `timeout`; no request bytes were sent then.
+    /// Opens a connection. Fails with `connection_refused` or `timeout`, or with `unavailable` when this
+    /// process has no descriptor left; no request bytes were sent then. `open_sockets`, if set, counts the
+    /// socket from the start of connecting until it is closed.
     static result<std::unique_ptr<client_connection>> create(boost::asio::io_context& context,
                                                              const endpoint& remote, time_point deadline,
-                                                             yield_context yield);
+                                                             yield_context yield,
+                                                             socket_count open_sockets = nullptr);
     ~client_connection();
     client_connection(const client_connection&) = delete;
     client_connection& operator=(const client_connection&) = delete;
@@ -50,6 +59,10 @@
     /// arrived since. Must be checked again directly before an idle connection is used.
     bool reusable() const;
 
+    /// For each idle connection, whether the peer has closed it or has sent bytes that no request asked for.
+    /// Takes one system call for all.
+    static std::vector<bool> ended_by_peer(const std::vector<const client_connection*>& idle);
+
     /// Closes the socket. Pending operations fail with `connection_broken`. May be called more than once.
     void close();
 
--- a/src/target/connection_pool.cpp
+++ b/src/target/connection_pool.cpp
@@ -8,19 +8,37 @@
 
 namespace rml::target {
 
-connection_pool::idle_connection connection_pool::pop(const endpoint& remote)
+bound_connection connection_pool::remove(idle_list::iterator which)
+{
+    const auto found = this->by_remote.find(which->remote);
+    auto& same_remote = found->second;
+    same_remote.erase(std::find(same_remote.begin(), same_remote.end(), which));
+    if (same_remote.empty()) {
+        this->by_remote.erase(found);
+    }
+    auto removed = std::move(which->bound);
+    this->all_idle.erase(which);
+    return removed;
+}
+
+void connection_pool::discard(idle_list::iterator which, discard_reason reason,
+                              discarded_connections& discarded)
+{
+    discarded.push_back(this->remove(which));
+    ++this->counts.discarded;
+    ++this->counts.discarded_by[static_cast<std::size_t>(reason)];
+}
+
+bound_connection connection_pool::pop(const endpoint& remote, time_point& idle_since)
 {
     const std::scoped_lock lock(this->mutex);
-    const auto found = this->idle.find(to_string(remote));
-    if (found == this->idle.end()) {
+    const auto found = this->by_remote.find(to_string(remote));
+    if (found == this->by_remote.end()) {
         return {};
     }
-    auto most_recent = std::move(found->second.back());
-    found->second.pop_back();
-    if (found->second.empty()) {
-        this->idle.erase(found);
-    }
-    return most_recent;
+    const auto most_recent = found->second.back();
+    idle_since = most_recent->idle_since;
+    return this->remove(most_recent);
 }
 
 bound_connection connection_pool::take_idle(const endpoint& remote, std::optional<std::uint64_t> incarnation,
@@ -28,27 +46,47 @@
 {
     const auto earliest_idle_since = steady_clock::now() - max_idle_time;
     while (true) {
-        auto candidate = this->pop(remote);
-        if (!candidate.bound.connection) {
+        time_point idle_since;
+        auto candidate = this->pop(remote, idle_since);
+        if (!candidate.connection) {
             return {};
         }
-        const bool usable =
-            candidate.idle_since >= earliest_idle_since &&
-            candidate.bound.incarnation == incarnation.value_or(candidate.bound.incarnation) &&
-            candidate.bound.connection->reusable();
+        const bool usable = idle_since >= earliest_idle_since &&
+                            candidate.incarnation == incarnation.value_or(candidate.incarnation) &&
+                            candidate.connection->reusable();
         const std::scoped_lock lock(this->mutex);
-        ++(usable ? this->counts.reused : this->counts.discarded);
         if (usable) {
-            return std::move(candidate.bound);
+            ++this->counts.reused;
+            return candidate;
         }
+        ++this->counts.discarded;
+        ++this->counts.discarded_by[static_cast<std::size_t>(discard_reason::unusable)];
     }
 }
 
+bool connection_pool::reserve(connection_use use)
+{
+    discarded_connections discarded;
+    const std::scoped_lock lock(this->mutex);
+    if (*this->open_sockets < this->bounds.open) {
+        return true;
+    }
+    if (!this->all_idle.empty()) {
+        this->discard(this->all_idle.begin(), discard_reason::surplus, discarded);
+        return true;
+    }
+    this->counts.refused += use == connection_use::request ? 1 : 0;
+    return use == connection_use::control;
+}
+
 result<std::unique_ptr<http::client_connection>>
-connection_pool::open(const endpoint& remote, time_point deadline, yield_context yield)
+connection_pool::open(const endpoint& remote, time_point deadline, yield_context yield, connection_use use)
 {
+    if (!this->reserve(use)) {
+        return failure{failure_kind::unavailable, "no descriptor left for a connection to a target"};
+    }
     const auto limit = std::min(deadline, steady_clock::now() + limits::connect_timeout);
-    auto opened = http::client_connection::create(this->context, remote, limit, yield);
+    auto opened = http::client_connection::create(this->context, remote, limit, yield, this->open_sockets);
     if (succeeded(opened)) {
         const std::scoped_lock lock(this->mutex);
         ++this->counts.opened;
@@ -62,39 +100,67 @@
         return;
     }
     const auto now = steady_clock::now();
-    std::vector<idle_connection> discarded;
+    discarded_connections discarded;
     const std::scoped_lock lock(this->mutex);
-    auto& connections = this->idle[to_string(remote)];
-    connections.push_back({std::move(used), now});
-    // The longest idle connections are at the front: take_idle() takes from the back, so that surplus
-    // connections reach the idle limit.
-    auto surplus = connections.begin();
-    while (surplus != connections.end() &&
-           (surplus->idle_since < now - limits::target_idle_time ||
-            static_cast<std::size_t>(connections.end() - surplus) > limits::target_idle_connections)) {
-        discarded.push_back(std::move(*surplus));
-        ++surplus;
-        ++this->counts.discarded;
+    const auto key = to_string(remote);
+    this->all_idle.push_back({key, std::move(used), now});
+    this->by_remote[key].push_back(std::prev(this->all_idle.end()));
+    // take_idle() takes the connection that became idle last, so surplus ones grow old.
+    while (this->by_remote.at(key).size() > limits::target_idle_connections) {
+        this->discard(this->by_remote.at(key).front(), discard_reason::surplus, discarded);
+    }
+    while (this->all_idle.size() > this->bounds.idle) {
+        this->discard(this->all_idle.begin(), discard_reason::surplus, discarded);
+    }
+}
+
+void connection_pool::expire(time_point now)
+{
+    discarded_connections discarded;
+    const std::scoped_lock lock(this->mutex);
+    while (!this->all_idle.empty() && this->all_idle.front().idle_since < now - limits::target_idle_time) {
+        this->discard(this->all_idle.begin(), discard_reason::idle_time, discarded);
+    }
+    std::vector<idle_list::iterator> entries;
+    std::vector<const http::client_connection*> connections;
+    for (auto entry = this->all_idle.begin(); entry != this->all_idle.end(); ++entry) {
+        entries.push_back(entry);
+        connections.push_back(entry->bound.connection.get());
+    }
+    const auto ended = http::client_connection::ended_by_peer(connections);
+    for (std::size_t i = 0; i < entries.size(); ++i) {
+        if (ended[i]) {
+            this->discard(entries[i], discard_reason::ended_by_peer, discarded);
+        }
     }
-    connections.erase(connections.begin(), surplus);
 }
 
 void connection_pool::clear(const endpoint& remote)
 {
-    std::vector<idle_connection> discarded;
+    discarded_connections discarded;
     const std::scoped_lock lock(this->mutex);
-    if (const auto found = this->idle.find(to_string(remote)); found != this->idle.end()) {
-        discarded.swap(found->second);
-        this->idle.erase(found);
-        this->counts.discarded += discarded.size();
+    const auto found = this->by_remote.find(to_string(remote));
+    if (found == this->by_remote.end()) {
+        return;
+    }
+    for (const auto entry : std::vector<idle_list::iterator>(found->second)) {
+        this->discard(entry, discard_reason::cleared, discarded);
     }
 }
 
 void connection_pool::clear()
 {
-    std::unordered_map<std::string, std::vector<idle_connection>> discarded;
+    discarded_connections discarded;
     const std::scoped_lock lock(this->mutex);
-    discarded.swap(this->idle);
+    while (!this->all_idle.empty()) {
+        this->discard(this->all_idle.begin(), discard_reason::cleared, discarded);
+    }
+}
+
+void connection_pool::update_limits(const pool_limits& limit)
+{
+    const std::scoped_lock lock(this->mutex);
+    this->bounds = limit;
 }
 
 pool_stats connection_pool::stats() const
@@ -103,4 +169,10 @@
     return this->counts;
 }
 
+std::size_t connection_pool::idle() const
+{
+    const std::scoped_lock lock(this->mutex);
+    return this->all_idle.size();
+}
+
 } // namespace rml::target
--- a/tests/gateway/fleet_state_test.cpp
+++ b/tests/gateway/fleet_state_test.cpp
@@ -418,3 +418,46 @@
         CHECK(fleet.daemons(start + seconds(6)) == 2);
     }
 }
+
+TEST_CASE("the end of a target is told once, with the address that it had", "[gateway][fleet_state]")
+{
+    // Guards against connections that are kept to the address of a target that is gone, or that has returned
+    // there in another life.
+    fleet_state fleet(daemon_id("d0"));
+    std::vector<endpoint> ended;
+    fleet.on_target_ended = [&](const endpoint& address) { ended.push_back(address); };
+    auto entry = engine("a", 0, group_phase::open);
+    fleet.update_target(entry, start);
+    const std::vector<endpoint> first{entry.address};
+
+    SECTION("a renewed entry is no end")
+    {
+        fleet.update_target(entry, start + seconds(1));
+        CHECK(ended.empty());
+    }
+    SECTION("a removed entry")
+    {
+        fleet.destroy_target(entry.instance, start, std::nullopt);
+        CHECK(ended == first);
+    }
+    SECTION("an entry removed during an outage of the store, at the end of the grace time")
+    {
+        fleet.destroy_target(entry.instance, start, start + seconds(3));
+        fleet.expire_targets(start + seconds(1));
+        CHECK(ended.empty());
+        fleet.expire_targets(start + seconds(3));
+        CHECK(ended == first);
+    }
+    SECTION("another life at the same address")
+    {
+        entry.started_ms = 2;
+        fleet.update_target(entry, start);
+        CHECK(ended == first);
+    }
+    SECTION("the same life at another address")
+    {
+        entry.address.port = 81;
+        fleet.update_target(entry, start);
+        CHECK(ended == first);
+    }
+}
--- a/tests/gateway/forwarder_test.cpp
+++ b/tests/gateway/forwarder_test.cpp
@@ -628,3 +628,30 @@
     CHECK(requests == 2);
     CHECK(site.fleet.in_flight.busy().empty());
 }
+
+TEST_CASE("a request for which no descriptor is left is refused at once", "[gateway][forwarder]")
+{
+    // Guards against requests that wait until their deadline, and against targets that are avoided, because
+    // this daemon can open no more connections.
+    answering_target first = sound_target();
+    answering_target second = sound_target();
+    forwarding_site site;
+    site.add_target("a", first.address());
+    site.add_target("b", second.address());
+    site.connections.update_limits({0, 0});
+    const auto& answer = site.send("/orders/1", "r1");
+    CHECK(answer.answer.status == 503);
+    CHECK(http::find_header(answer.answer.headers, "retry-after"));
+    CHECK(site.connections.stats().refused == 1);
+    CHECK(first.requests() + second.requests() == 0);
+    for (const auto* name : {"a", "b"}) {
+        CHECK_FALSE(site.fleet.suspected(instance_id(name), steady_clock::now()));
+        CHECK(site.fleet.find_target(instance_id(name))->failure_share == 0);
+    }
+
+    SECTION("and the next one is served when descriptors are free again")
+    {
+        site.connections.update_limits({});
+        CHECK(site.send("/orders/1", "r2").answer.status == 200);
+    }
+}
