Require a key wherever the configuration states accounts

Cause: the decoder kept accounts only as a table by key, and an empty table was read as a configuration without accounts, which opens. Evidence: on both daemons log the new version as in force, and the request line of an order that ran names that version and an empty account; with a second tenant that keeps its key all are rejected.

An empty list and tenants without keys reject every request on routes that are not public. "configuration in force" logs requires_key.

It works because the decision no longer depends on how many keys are left.

--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -191,7 +191,7 @@
 bool request_run::find_account()
 {
     this->priority = this->chosen_route->priority;
-    if (!this->config->has_accounts()) {
+    if (!this->config->requires_key()) {
         return true;
     }
     static constexpr std::string_view scheme = "Bearer ";
--- a/src/gateway/site.cpp
+++ b/src/gateway/site.cpp
@@ -12,9 +12,8 @@
 }
 
 site_config::site_config(std::uint64_t version, std::vector<route> routes, std::vector<service> services,
-                         const caller_limits& limits,
-                         std::unordered_map<std::string, client_account> accounts_by_key)
-    : number(version), all_routes(std::move(routes)), bounds(limits), by_key(std::move(accounts_by_key))
+                         const caller_limits& limits, std::optional<accounts_by_key> stated_accounts)
+    : number(version), all_routes(std::move(routes)), bounds(limits), accounts(std::move(stated_accounts))
 {
     for (std::size_t i = 0; i < this->all_routes.size(); ++i) {
         this->by_host[this->all_routes[i].host].push_back(i);
@@ -60,8 +59,11 @@
 
 const client_account* site_config::find_account(const std::string& key) const
 {
-    const auto found = this->by_key.find(key);
-    return found == this->by_key.end() ? nullptr : &found->second;
+    if (!this->accounts) {
+        return nullptr;
+    }
+    const auto found = this->accounts->find(key);
+    return found == this->accounts->end() ? nullptr : &found->second;
 }
 
 std::string_view to_string(group_phase phase)
--- a/src/gateway/site.hpp
+++ b/src/gateway/site.hpp
@@ -109,12 +109,16 @@
     std::optional<std::uint32_t> priority; ///< overrides the route's priority
 };
 
+using accounts_by_key = std::unordered_map<std::string, client_account>;
+
 /// One version of the configuration. Immutable once built.
 class site_config
 {
 public:
+    /// `accounts`: absent if the configuration states no accounts, so that callers need no key. It may be
+    /// empty: accounts are stated, and none has a key.
     site_config(std::uint64_t version, std::vector<route> routes, std::vector<service> services,
-                const caller_limits& limits, std::unordered_map<std::string, client_account> accounts_by_key);
+                const caller_limits& limits, std::optional<accounts_by_key> accounts);
 
     std::uint64_t version() const { return this->number; }
     const caller_limits& limits() const { return this->bounds; }
@@ -129,8 +133,9 @@
     const std::map<service_id, service>& services() const { return this->by_service; }
     /// The account that holds the key, or null.
     const client_account* find_account(const std::string& key) const;
-    /// False if no account has a key, so that callers need none.
-    bool has_accounts() const { return !this->by_key.empty(); }
+    /// Whether callers need a key, except on routes without one. When the last key is taken away, nobody has
+    /// one.
+    bool requires_key() const { return this->accounts.has_value(); }
 
 private:
     std::uint64_t number;
@@ -140,7 +145,7 @@
     std::map<service_id, service> by_service;
     domain_delays stated_delays;
     caller_limits bounds;
-    std::unordered_map<std::string, client_account> by_key;
+    std::optional<accounts_by_key> accounts;
 };
 
 enum class group_phase
--- a/src/gateway/store_mirror.cpp
+++ b/src/gateway/store_mirror.cpp
@@ -510,9 +510,11 @@
         return;
     }
     const auto version = value(decoded)->version();
+    const bool requires_key = value(decoded)->requires_key();
     if (this->fleet.update_config(value(std::move(decoded)))) {
         log(log_level::info, "configuration in force",
             {{"version", static_cast<std::int64_t>(version)},
+             {"requires_key", requires_key},
              {"revision", static_cast<std::int64_t>(event.revision)}});
     }
 }
--- a/tests/gateway/crash_guard_test.cpp
+++ b/tests/gateway/crash_guard_test.cpp
@@ -232,7 +232,7 @@
         shop.name = service_id("shop");
         added.fleet.update_config(std::make_shared<const gateway::site_config>(
             1, std::vector<gateway::route>{streams}, std::vector<gateway::service>{shop},
-            gateway::caller_limits{}, std::unordered_map<std::string, gateway::client_account>{}));
+            gateway::caller_limits{}, std::nullopt));
         for (std::size_t i = 0; i < daemon_count; ++i) {
             added.fleet.update_peer(daemon_id("d" + std::to_string(i)), {});
         }
--- a/tests/gateway/domain_routing_test.cpp
+++ b/tests/gateway/domain_routing_test.cpp
@@ -20,9 +20,8 @@
         services.push_back(service);
     }
     std::vector<gateway::route> routes{*before.find_route("site.example", "/stock/")};
-    return std::make_shared<const gateway::site_config>(
-        before.version() + 1, routes, services, before.limits(),
-        std::unordered_map<std::string, gateway::client_account>{});
+    return std::make_shared<const gateway::site_config>(before.version() + 1, routes, services,
+                                                        before.limits(), std::nullopt);
 }
 
 void add_daemon(gateway::fleet_state& fleet, const std::string& name, const std::string& domain,
--- a/tests/gateway/fleet_state_test.cpp
+++ b/tests/gateway/fleet_state_test.cpp
@@ -25,9 +25,9 @@
     gateway::service pool;
     pool.name = service_id("pool");
     pool.engines = engines;
-    return std::make_shared<const gateway::site_config>(
-        version, std::vector<gateway::route>{}, std::vector<gateway::service>{pool}, gateway::caller_limits{},
-        std::unordered_map<std::string, gateway::client_account>{});
+    return std::make_shared<const gateway::site_config>(version, std::vector<gateway::route>{},
+                                                        std::vector<gateway::service>{pool},
+                                                        gateway::caller_limits{}, std::nullopt);
 }
 
 target_entry engine(const std::string& name, std::uint32_t rank, group_phase phase, std::uint64_t epoch = 5)
--- a/tests/gateway/forwarding_site.hpp
+++ b/tests/gateway/forwarding_site.hpp
@@ -149,7 +149,7 @@
         reading.engines->prompt_tokens_per_s = 10000;
         this->fleet.update_config(std::make_shared<const gateway::site_config>(
             1, routes, std::vector<gateway::service>{shop, pool, timed, reading}, gateway::caller_limits{},
-            std::unordered_map<std::string, gateway::client_account>{}));
+            std::nullopt));
     }
     ~forwarding_site() { this->connections.clear(); }
     forwarding_site(const forwarding_site&) = delete;
@@ -214,6 +214,7 @@
     std::string method{"POST"}; ///< of the requests sent
     std::string parts;          ///< of their prompts; empty: none
     std::string counts;         ///< their sizes; empty: not stated
+    std::string key;            ///< API key of the caller; empty: none
     /// Called while the next request opens its first connection, if it does not wait before.
     std::function<void()> while_connecting;
     boost::asio::io_context context;
@@ -240,6 +241,9 @@
         if (!this->parts.empty()) {
             message.headers.push_back({"x-parts", this->parts});
         }
+        if (!this->key.empty()) {
+            message.headers.push_back({"Authorization", "Bearer " + this->key});
+        }
         if (!this->counts.empty()) {
             message.headers.push_back({"x-counts", this->counts});
         }
