Forget daemons that were replaced

Callers would see old views of the load: above 96 known daemons a fleet counts as large and reports each second instead of each 100 ms, so a site of eight gets there by some ninety replacements.

Change: a daemon that has had neither an entry nor current reports for ten minutes is forgotten. One that is only cut off from the store stays, and one that returns within that time counts at once.

--- a/src/gateway/daemon.cpp
+++ b/src/gateway/daemon.cpp
@@ -339,6 +339,10 @@
     {
         const auto now = steady_clock::now();
         this->fleet.expire_targets(now);
+        if (now >= this->peers_expire) {
+            this->peers_expire = now + peer_expiry_interval;
+            this->fleet.expire_peers(now);
+        }
         this->store_era.update(era_number(this->mirror.era()));
         this->era_reads.add(this->mirror.era_reads() - this->era_reads.value());
         this->fleet.peers_settled = now - this->started >= peers_settle_time;
@@ -458,6 +462,7 @@
 
     /// Two notices may be lost before the other daemons watch the store themselves.
     static constexpr milliseconds notice_interval{250};
+    static constexpr milliseconds peer_expiry_interval{1000};
     /// The entry daemons change when a daemon is lost, which takes longer than this to detect.
     static constexpr milliseconds entries_interval{200};
     /// Reports come every 100 ms and renew the suspicion of another daemon; otherwise it ends.
@@ -501,6 +506,7 @@
     bool store_was_read{false};
     time_point entries_updated{};
     time_point notice_sent{};
+    time_point peers_expire{}; ///< next check for daemons that are gone
     bool leaving{false};
     bool stopping{false}; ///< the server for callers accepts no more connections
     time_point leaving_since{};
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -18,6 +18,9 @@
 constexpr milliseconds peer_timeout{1500};
 /// Reports that may be missing before a daemon that reports less often does not count as live.
 constexpr int reports_per_timeout = 3;
+/// A daemon that is cut off from the store and from this one may return within this time, and its reports
+/// count at once.
+constexpr std::chrono::minutes peer_memory{10};
 /// The limit of a cold target is stated per second.
 constexpr seconds cold_rate_window{1};
 /// Entries of removed targets that are kept, so that a head that lost only its entry can be ordered to end
@@ -516,6 +519,23 @@
     }
 }
 
+void fleet_state::expire_peers(time_point now)
+{
+    for (auto entry = this->all_peers.begin(); entry != this->all_peers.end();) {
+        auto& peer = entry->second;
+        if (peer.registered || this->live(peer, now)) {
+            peer.gone_since.reset();
+        } else if (!peer.gone_since) {
+            peer.gone_since = now;
+        }
+        const bool forgotten = peer.gone_since && now - *peer.gone_since >= peer_memory;
+        if (forgotten) {
+            this->count_report(peer, false);
+        }
+        entry = forgotten ? this->all_peers.erase(entry) : std::next(entry);
+    }
+}
+
 bool fleet_state::accept_report(const peer_report& report, time_point now)
 {
     const auto found = this->all_peers.find(report.daemon);
--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -81,9 +81,10 @@
 struct peer_state
 {
     daemon_entry entry;
-    bool registered{false};   ///< its entry is in the store
-    bool counted{false};      ///< its last report is part of the sums over the live daemons
-    time_point reported_at{}; ///< time of the last report
+    bool registered{false};               ///< its entry is in the store
+    std::optional<time_point> gone_since; ///< set while it has neither an entry nor current reports
+    bool counted{false};                  ///< its last report is part of the sums over the live daemons
+    time_point reported_at{};             ///< time of the last report
     peer_report last_report;
 };
 
@@ -202,6 +203,9 @@
 
     void update_peer(const daemon_id& daemon, daemon_entry entry);
     void destroy_peer(const daemon_id& daemon);
+    /// Forgets daemons that have had neither an entry nor current reports for some minutes: they do not
+    /// return under their name.
+    void expire_peers(time_point now);
     /// Returns false for a report that is not newer than the last one, or of an unknown daemon.
     bool accept_report(const peer_report& report, time_point now);
     const std::map<daemon_id, peer_state>& peers() const { return this->all_peers; }
--- a/tests/gateway/fleet_state_test.cpp
+++ b/tests/gateway/fleet_state_test.cpp
@@ -461,3 +461,57 @@
         CHECK(ended == first);
     }
 }
+
+TEST_CASE("daemons that were replaced are forgotten", "[gateway][fleet_state]")
+{
+    // Guards against a small fleet that counts as a large one, with rare reports, after its daemons have been
+    // replaced some hundred times, and against the memory that their last reports take.
+    constexpr int replacements = 400;
+    constexpr std::chrono::minutes between{5};
+    fleet_state fleet(daemon_id("d0"));
+    fleet.update_peer(daemon_id("neighbour"), {});
+    auto now = start;
+    auto heavy = report("neighbour", 1, true);
+    heavy.in_flight[instance_id("a")] = 2;
+    heavy.unread_tokens[instance_id("a")] = 100;
+
+    SECTION("however many there were")
+    {
+        std::size_t most = 0;
+        for (int i = 0; i < replacements; ++i, now += between) {
+            const daemon_id replaced("r" + std::to_string(i));
+            fleet.update_peer(replaced, {});
+            heavy.daemon = replaced;
+            CHECK(fleet.accept_report(heavy, now));
+            fleet.destroy_peer(replaced);
+            fleet.expire_peers(now + seconds(30));
+            most = std::max(most, fleet.peers().size());
+        }
+        CHECK(most <= 4);
+        CHECK(fleet.peers().count(daemon_id("neighbour")) == 1);
+        CHECK(fleet.others_in_flight(instance_id("a"), now) == 0);
+        CHECK(fleet.unread_tokens(instance_id("a"), now) == 0);
+    }
+    SECTION("but not one that is only cut off from the store and keeps reporting")
+    {
+        fleet.destroy_peer(daemon_id("neighbour"));
+        for (std::uint64_t i = 1; i <= 1000; ++i, now += seconds(1)) {
+            CHECK(fleet.accept_report(report("neighbour", i, true), now));
+            fleet.expire_peers(now);
+        }
+        CHECK(fleet.peers().size() == 1);
+    }
+    SECTION("nor one that returns within some minutes, whose reports count at once")
+    {
+        CHECK(fleet.accept_report(report("neighbour", 1, true), now));
+        fleet.destroy_peer(daemon_id("neighbour"));
+        fleet.expire_peers(now + seconds(30));
+        fleet.expire_peers(now + seconds(60));
+        CHECK(fleet.accept_report(report("neighbour", 2, true), now + seconds(90)));
+        fleet.expire_peers(now + seconds(90));
+        fleet.expire_peers(now + seconds(660));
+        CHECK(fleet.peers().size() == 1);
+        fleet.expire_peers(now + seconds(1300));
+        CHECK(fleet.peers().empty());
+    }
+}
