Let idle connections to targets give way when clients come

The limit on open connections to targets follows what clients leave free, but a lower limit closed nothing until the next connection was opened: 512 idle connections and as many in use could take the reserve of the store's calls.

Change: update_limits() closes idle connections, longest idle first, until the new limits hold.

Measured: the section on a lowered limit asked for 8 open connections before and for 6 and 4 now; the pool's tests pass.

--- a/src/target/connection_pool.cpp
+++ b/src/target/connection_pool.cpp
@@ -159,8 +159,16 @@
 
 void connection_pool::update_limits(const pool_limits& limit)
 {
+    discarded_connections discarded;
     const std::scoped_lock lock(this->mutex);
     this->bounds = limit;
+    const auto exceeded = [&] {
+        // The sockets of discarded connections are still open here.
+        return this->all_idle.size() > limit.idle || *this->open_sockets - discarded.size() > limit.open;
+    };
+    while (!this->all_idle.empty() && exceeded()) {
+        this->discard(this->all_idle.begin(), discard_reason::surplus, discarded);
+    }
 }
 
 pool_stats connection_pool::stats() const
--- a/src/target/connection_pool.hpp
+++ b/src/target/connection_pool.hpp
@@ -104,6 +104,7 @@
     /// Closes all idle connections.
     void clear();
 
+    /// Closes the idle connections that exceed the new limits.
     void update_limits(const pool_limits& bounds);
 
     pool_stats stats() const;
--- a/tests/target/connection_pool_test.cpp
+++ b/tests/target/connection_pool_test.cpp
@@ -193,12 +193,15 @@
         user.pool.clear();
         CHECK(user.call_together(first.address(), 9, connection_use::control) == 0);
     }
-    SECTION("a limit that was lowered is kept by the next connections")
+    SECTION("a limit that is lowered closes idle connections at once")
     {
         user.call_together(first.address(), 8);
+        user.pool.update_limits({6});
+        CHECK(user.pool.open_connections() == 6);
         user.pool.update_limits({8, 4});
+        CHECK(user.pool.open_connections() == 4);
         CHECK(user.call_together(second.address(), 1) == 0);
-        CHECK(user.pool.open_connections() == 8);
+        CHECK(user.pool.open_connections() == 4);
     }
 }
 
