Use one pool of idle connections in rml-entryd

src/platform had a second pool. Its idle connections were closed only at the next use too: up to four to each platform service stayed in CLOSE_WAIT.

Change: service_connections keeps one exchange per connection and takes its idle connections from target/connection_pool, which it checks before each exchange.

--- a/src/platform/http_instances.cpp
+++ b/src/platform/http_instances.cpp
@@ -1,5 +1,5 @@
-#include "platform/connection_pool.hpp"
 #include "platform/platform.hpp"
+#include "platform/service_connections.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -8,7 +8,7 @@
 namespace {
 
 /// Reads a JSON document. Fails with `malformed` on any status but 200 and 503.
-result<nlohmann::json> read_document(detail::connection_pool& pool, const std::string& target,
+result<nlohmann::json> read_document(detail::service_connections& pool, const std::string& target,
                                      time_point deadline, yield_context yield)
 {
     const http::request message{"GET", target, {}, {}};
@@ -83,7 +83,7 @@
     }
 
 private:
-    detail::connection_pool pool;
+    detail::service_connections pool;
 };
 
 class http_weight_limit final : public weight_limit
@@ -105,7 +105,7 @@
     }
 
 private:
-    detail::connection_pool pool;
+    detail::service_connections pool;
 };
 
 } // namespace
--- a/src/platform/http_store.cpp
+++ b/src/platform/http_store.cpp
@@ -1,6 +1,6 @@
 #include "base/limits.hpp"
-#include "platform/connection_pool.hpp"
 #include "platform/platform.hpp"
+#include "platform/service_connections.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -10,8 +10,8 @@
 
 namespace {
 
-using detail::connection_pool;
 using detail::exchange_stage;
+using detail::service_connections;
 
 bool valid_key(std::string_view key)
 {
@@ -77,7 +77,7 @@
     failure malformed(const std::string& context);
     failure unknown(const std::string& context);
 
-    connection_pool pool;
+    service_connections pool;
     store_counters counters;
 };
 
--- a/src/platform/connection_pool.hpp
+++ b/src/platform/service_connections.hpp
@@ -3,17 +3,13 @@
 
 #include "base/endpoint.hpp"
 #include "base/failure.hpp"
-#include "base/ranked_mutex.hpp"
 #include "base/time.hpp"
-#include "http/client.hpp"
 #include "http/message.hpp"
+#include "target/connection_pool.hpp"
 
-#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
 #include <cstdint>
-#include <memory>
-#include <vector>
 
 namespace rml::platform::detail {
 
@@ -32,32 +28,20 @@
 };
 
 /// Each connection carries one exchange at a time. Used from all threads of the context.
-class connection_pool
+class service_connections
 {
 public:
-    connection_pool(boost::asio::io_context& context, endpoint remote);
+    service_connections(boost::asio::io_context& context, endpoint remote);
 
     /// Sends the request over an idle connection or a new one; with `force_new` always over a new one.
     exchange_result exchange(const http::request& message, time_point deadline, bool force_new,
                              boost::asio::yield_context yield);
 
-    std::uint64_t opened() const { return this->connections_opened; }
+    std::uint64_t opened() const { return this->connections.stats().opened; }
 
 private:
-    struct idle_connection
-    {
-        std::unique_ptr<http::client_connection> connection;
-        time_point since;
-    };
-
-    std::unique_ptr<http::client_connection> acquire();
-    void release(std::unique_ptr<http::client_connection> used);
-
-    boost::asio::io_context& context;
     endpoint remote;
-    ranked_mutex lock{lock_rank::connection_pool};
-    std::vector<idle_connection> idle;
-    std::atomic<std::uint64_t> connections_opened{0};
+    target::connection_pool connections;
 };
 
 } // namespace rml::platform::detail
