Name the shares behind the report of few descriptors

Reading the change anew: the shares stood as numbers in two functions, and the report kept its state in a way that had to be worked out.

--- a/src/base/limits.hpp
+++ b/src/base/limits.hpp
@@ -129,7 +129,7 @@
 constexpr milliseconds target_idle_time{20000}; // below http_idle_timeout, so that the client closes first
 constexpr std::size_t target_idle_connections = 32; // per target
 constexpr std::size_t target_idle_total = 1024;     // to all targets, where no limit on descriptors is stated
-constexpr milliseconds target_idle_check{1000};     // a target that ends its connections is noticed so late
+constexpr milliseconds target_idle_check{1000};     // until a connection that its target closed is released
 constexpr milliseconds disconnect_poll_interval{100}; // detects a caller's disconnect while no token arrives
 constexpr std::size_t event_bytes = 64 * 1024;
 constexpr std::size_t answer_bytes = 16 * 1024 * 1024;          // one answer that is not a stream
--- a/src/decision/descriptor_budget.cpp
+++ b/src/decision/descriptor_budget.cpp
@@ -9,6 +9,10 @@
 /// Parts of all descriptors, as divisors.
 constexpr std::uint64_t reserved_divisor = 8;
 constexpr std::uint64_t idle_divisor = 8;
+/// Shares of the descriptors that are not reserved. The distance between them keeps a number of open ones
+/// that varies a little from being reported again and again.
+constexpr double shortage_share = 0.875;
+constexpr double relaxed_share = 0.75;
 
 } // namespace
 
@@ -27,14 +31,14 @@
     return this->shared() - std::min(this->shared(), clients);
 }
 
-bool descriptor_budget::nearly_used(std::size_t open) const
+bool descriptor_budget::is_short(std::size_t open) const
 {
-    return open >= this->shared() / 8 * 7;
+    return static_cast<double>(open) >= shortage_share * static_cast<double>(this->shared());
 }
 
-bool descriptor_budget::relaxed(std::size_t open) const
+bool descriptor_budget::is_relaxed(std::size_t open) const
 {
-    return open < this->shared() / 4 * 3;
+    return static_cast<double>(open) < relaxed_share * static_cast<double>(this->shared());
 }
 
 } // namespace rml
--- a/src/decision/descriptor_budget.hpp
+++ b/src/decision/descriptor_budget.hpp
@@ -18,10 +18,10 @@
     /// Connections to targets, idle or not, beside that many connections of clients. A request uses one of
     /// each, so what clients leave free is for targets.
     std::size_t target_connections(std::size_t clients) const;
-    /// Whether nearly all descriptors that are not reserved are open.
-    bool nearly_used(std::size_t open) const;
-    /// Whether so few of them are open that the next shortage is to be reported again.
-    bool relaxed(std::size_t open) const;
+    /// Whether clients and targets together use nearly all descriptors that are not reserved.
+    bool is_short(std::size_t open) const;
+    /// Whether they use so few again that the next shortage is another one.
+    bool is_relaxed(std::size_t open) const;
 
 private:
     std::size_t shared() const;
--- a/src/gateway/connection_budget.cpp
+++ b/src/gateway/connection_budget.cpp
@@ -83,10 +83,13 @@
 void connection_budget::log_shortage(const target::pool_stats& counts, time_point now)
 {
     const auto open = this->client_connections() + this->connections.open_connections();
-    const bool begins = !this->short_of_descriptors && this->budget->nearly_used(open);
-    if (begins || this->budget->relaxed(open)) {
-        this->short_of_descriptors = begins;
+    const bool was_short = this->shortage;
+    if (this->budget->is_short(open)) {
+        this->shortage = true;
+    } else if (this->budget->is_relaxed(open)) {
+        this->shortage = false;
     }
+    const bool begins = this->shortage && !was_short;
     const auto more_refused = counts.refused - this->refused_in_log;
     if (!begins && (more_refused == 0 || now < this->next_line)) {
         return;
--- a/src/gateway/connection_budget.hpp
+++ b/src/gateway/connection_budget.hpp
@@ -40,7 +40,7 @@
     std::array<counter*, target::discard_reasons> discarded{};
     target::pool_stats reported;
     std::uint64_t refused_in_log{0};
-    bool short_of_descriptors{false};
+    bool shortage{false}; ///< few descriptors are left
     time_point next_check{};
     time_point next_line{};
 };
--- a/tests/decision/descriptor_budget_test.cpp
+++ b/tests/decision/descriptor_budget_test.cpp
@@ -31,9 +31,9 @@
         }
         SECTION("a shortage is reported before all are used, " + std::to_string(descriptors))
         {
-            CHECK(budget.relaxed(0));
-            CHECK_FALSE(budget.nearly_used(0));
-            CHECK(budget.nearly_used(budget.target_connections(0)));
+            CHECK(budget.is_relaxed(0));
+            CHECK_FALSE(budget.is_short(0));
+            CHECK(budget.is_short(budget.target_connections(0)));
         }
     }
 }
