--- a/review/platform3.py
+++ b/review/platform3.py
@@ -79,6 +79,8 @@
         self.next_lease = 1
         self.changed = asyncio.Event()
         self.era = 0
+        self.oldest = 0   # revision before the history that is kept
+        self.away = False
         self.address = ""
 
     async def start(self):
@@ -111,6 +113,17 @@
         for key in [k for k, row in self.items.items() if row["lease"] == lease]:
             self.remove(key)
 
+    def copy(self):
+        return dict(self.items), dict(self.leases), self.revision, self.next_lease
+
+    def return_to(self, copy):
+        """A drill: the store comes back from an older copy, in a new era."""
+        self.items, self.leases, self.revision, self.next_lease = dict(copy[0]), dict(copy[1]), copy[2], copy[3]
+        self.history = []
+        self.oldest = self.revision
+        self.era += 1
+        self.notify()
+
     def expire(self):
         now = time.monotonic()
         for lease in [n for n, (_, until) in self.leases.items() if until <= now]:
@@ -136,6 +149,8 @@
             writer.close()
 
     async def answer(self, method, target, body):
+        if self.away:
+            return 503, {}
         self.expire()
         parts = urlsplit(target)
         path = parts.path
@@ -175,9 +190,9 @@
     async def watch(self, query):
         after = int(query["after"])
         until = time.monotonic() + int(query.get("waitMs", "0")) / 1000
-        if after > self.revision:
-            return 410, {}
         while True:
+            if after > self.revision or after < self.oldest:
+                return 410, {}
             self.expire()
             events = [e for e in self.history if e["rev"] > after and e["key"].startswith(query["prefix"])]
             left = until - time.monotonic()
@@ -215,17 +230,21 @@
         self.born = int(time.time() * 1000)
         self.work_s = 0.03
         self.bytes_per_s = None  # None: reads at once
+        self.down = False
         self.runs = {}
         self.busy = 0
 
     async def start(self):
+        await self.listen()
+        self.beat()
+        self.task = asyncio.ensure_future(self.heartbeat())
+
+    async def listen(self):
         listener = socket.socket()
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 64 * 1024)
         listener.bind(("127.0.0.1", 0))
         self.server = await asyncio.start_server(self.serve, sock=listener, limit=64 * 1024)
         self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
-        self.beat()
-        self.task = asyncio.ensure_future(self.heartbeat())
 
     def entry(self):
         return {"service": self.service, "address": self.address, "zone": self.zone, "version": "v1",
@@ -238,8 +257,9 @@
     async def heartbeat(self):
         while True:
             await asyncio.sleep(HEARTBEAT_S)
-            self.sequence += 1
-            self.beat()
+            if not self.down:
+                self.sequence += 1
+                self.beat()
 
     async def take_body(self, reader, headers):
         """Reads a body with a length, at the engine's speed."""
@@ -265,7 +285,7 @@
         try:
             while True:
                 head = await read_head(reader)
-                if head is None:
+                if head is None or self.down:
                     break
                 line, headers = head
                 rid = headers.get("x-rosemarylever-request-id", "")
@@ -315,6 +335,19 @@
         self.sequence += 1
         self.beat()
 
+    async def crash(self, for_s):
+        """srv_crash: the engine is down for a while and starts again under its id."""
+        self.record("engine %s crashes" % self.name)
+        self.down, self.group, self.last_model, self.highest, self.busy = True, None, "", 0, 0
+        self.server.close()
+        self.store.remove("servers/" + self.name)
+        await asyncio.sleep(for_s)
+        self.down = False
+        self.born, self.sequence = int(time.time() * 1000), 0
+        await self.listen()
+        self.record("engine %s is back" % self.name)
+        self.change()
+
     def order(self, order):
         operation = order.get("operation")
         if operation == "stage":
@@ -449,37 +482,12 @@
             await asyncio.sleep(0.1)
         raise CannotRun("%s is not ready" % self.name)
 
-    def resident_mb(self):
-        try:
-            with open("/proc/%d/status" % self.process.pid, encoding="ascii") as status:
-                for line in status:
-                    if line.startswith("VmRSS:"):
-                        return int(line.split()[1]) / 1024
-        except (OSError, ProcessLookupError):
-            pass
-        return 0.0
-
-    def unread_mb(self):
-        """Bytes that have been received by the process's connections of clients and not yet read."""
-        return unread_bytes({self.ports["caller"]}) / 1048576
-
     def stop(self, with_signal=signal.SIGKILL):
         if self.process and self.process.poll() is None:
             self.process.send_signal(with_signal)
             self.process.wait()
 
 
-def unread_bytes(ports):
-    total = 0
-    with open("/proc/net/tcp", encoding="ascii") as table:
-        next(table)
-        for line in table:
-            fields = line.split()
-            if fields[3] == "01" and int(fields[1].split(":")[1], 16) in ports:
-                total += int(fields[4].split(":")[1], 16)
-    return total
-
-
 async def get_status(port, path):
     """Status of one GET on a new connection; 0 without an answer."""
     try:
@@ -632,52 +640,3 @@
     record("exit %d: %s" % (code, {0: "the rule held", 1: "the rule was broken", 2: "could not run"}[code]))
     print("exit %d" % code)
     os._exit(code)
-
-
-async def ended_by_a_client(record, directory, daemons, stray, sent):
-    """Ordinary callers at one daemon; then one stray client sends some bytes. Returns whether LOST is broken.
-
-    LOST: a machine in touch passes a request from a kept connection on to a sound engine and closes that connection
-    without an answer, more than three times.
-    """
-    store = Store()
-    await store.start()
-    engines = [Engine(store, record, "e%d" % i, "office", slots=6) for i in range(3)]
-    for engine in engines:
-        engine.work_s = 0.2
-        await engine.start()
-    store.put("op/config", json.dumps(configuration(
-        [plain_route("orders", "/orders/", "unsafe", "office", 2500, 1)], [plain_service("office")])).encode())
-    daemon = Daemon(store, record, "front-1", directory)
-    daemons.append(daemon)
-    daemon.start()
-    await daemon.wait_ready()
-    callers = [Caller(record, daemon, "caller%d" % i, "/orders/new") for i in range(8)]
-    tasks = [asyncio.ensure_future(c.run()) for c in callers]
-    await asyncio.sleep(5)  # longer than contactMs, so the machine is in touch
-    if daemon.process.poll() is not None or not all(c.answers for c in callers):
-        raise CannotRun("the daemon did not serve the callers")
-    record("a stray client sends: %s" % sent)
-    reader, writer = await asyncio.open_connection("127.0.0.1", daemon.ports["caller"])
-    writer.write(stray)
-    try:
-        head = await asyncio.wait_for(read_head(reader), 2)
-        record("the stray client gets: %s" % (head[0] if head else "the end of its connection"))
-    except asyncio.TimeoutError:
-        record("the stray client gets nothing")
-    writer.close()
-    await asyncio.sleep(1)
-    ended = daemon.process.poll()
-    record("the daemon %s" % ("runs" if ended is None else "ended by itself, status %d" % ended))
-    if ended is not None:
-        with open(daemon.log.name, encoding="utf-8", errors="replace") as log:
-            record("last lines of the daemon: " + " | ".join(log.read().strip().split("\n")[-2:]))
-    for caller in callers:
-        caller.stopped = True
-    for task in tasks:
-        task.cancel()
-    ran = {rid for engine in engines for rid in engine.runs}
-    cut = [rid for caller in callers for rid in caller.cut if rid in ran]
-    record("%d requests from kept connections ran at a sound engine and got no answer: %s"
-           % (len(cut), ", ".join(cut)))
-    return len(cut) > 3
