--- a/review/12/case.py
+++ b/review/12/case.py
@@ -82,7 +82,7 @@
     caller = Caller(record, daemons[0], "caller", "/plans/a", deadline_ms=8000)
     caller.headers = "X-Rosemarylever-Model: m1\r\nX-Rosemarylever-Token-Counts: 1460,25\r\n"
     task = asyncio.ensure_future(caller.run(pause_s=0.1))
-    await asyncio.sleep(1)
+    await asyncio.sleep(2)
     record("engine %s, a member of group %s, is to leave (planned): it reports draining" % (member.name, group))
     member.draining = True
     member.change()
@@ -97,7 +97,9 @@
         if "fence" not in late.held:
             raise CannotRun("the manager sent no join of another group to the head")
         late.carry_out("join")
-        await asyncio.sleep(0.25)
+        until = time.monotonic() + 0.5
+        while time.monotonic() < until and head.group and head.group["phase"] == "joining":
+            await asyncio.sleep(0.01)
         late.carry_out("open")
         await asyncio.sleep(2.2)
         late.carry_out("fence")
--- a/review/platform3.py
+++ b/review/platform3.py
@@ -6,6 +6,7 @@
 import base64
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -437,9 +438,9 @@
             self.busy -= 1
 
 
-def free_port():
+def free_port(ip):
     with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
+        s.bind((ip, 0))
         return s.getsockname()[1]
 
 
@@ -449,10 +450,12 @@
     def __init__(self, store, record, name, directory, memory_mb=260, descriptors=4100, zone="z1", bounds=None):
         self.record, self.name = record, name
         self.memory_mb = memory_mb
-        self.ports = {k: free_port() for k in ("caller", "readiness", "entries", "metrics", "peer")}
+        # An address of its own, so that nothing else takes its ports between this and its start.
+        self.ip = "127.%d.%d.%d" % tuple(random.randint(1, 254) for _ in range(3))
+        self.ports = {k: free_port(self.ip) for k in ("caller", "readiness", "entries", "metrics", "peer")}
         self.settings = {
             "daemon": name, "region": "r1", "failure_domain": zone,
-            "listen": {k: "127.0.0.1:%d" % p for k, p in self.ports.items()},
+            "listen": {k: "%s:%d" % (self.ip, p) for k, p in self.ports.items()},
             "store": {"address": store.address, "writes_per_s": 400, "reads_per_s": 2000,
                       "shortest_lease_ms": 1000},
             "registry_heartbeat_ms": int(HEARTBEAT_S * 1000), "memory_mb": memory_mb, "max_fds": descriptors,
@@ -477,7 +480,7 @@
     async def wait_ready(self, limit=10):
         until = time.monotonic() + limit
         while time.monotonic() < until:
-            if await get_status(self.ports["readiness"], "/ready") == 200:
+            if await get_status(self.ip, self.ports["readiness"], "/ready") == 200:
                 return
             await asyncio.sleep(0.1)
         raise CannotRun("%s is not ready" % self.name)
@@ -488,10 +491,10 @@
             self.process.wait()
 
 
-async def get_status(port, path):
+async def get_status(ip, port, path):
     """Status of one GET on a new connection; 0 without an answer."""
     try:
-        reader, writer = await asyncio.wait_for(asyncio.open_connection("127.0.0.1", port), 1)
+        reader, writer = await asyncio.wait_for(asyncio.open_connection(ip, port), 1)
     except (OSError, asyncio.TimeoutError):
         return 0
     try:
@@ -562,7 +565,7 @@
         while not self.stopped:
             try:
                 reader, writer = await asyncio.wait_for(
-                    asyncio.open_connection("127.0.0.1", self.daemon.ports["caller"]), 1)
+                    asyncio.open_connection(self.daemon.ip, self.daemon.ports["caller"]), 1)
             except (OSError, asyncio.TimeoutError):
                 await asyncio.sleep(0.2)
                 continue
