--- a/review/platform3.py
+++ b/review/platform3.py
@@ -17,6 +17,7 @@
 REPOSITORY = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 PROGRAM = os.path.join(REPOSITORY, "target", "rml-gatewayd")
 HEARTBEAT_S = 1.2
+LOAD_S, WARM_S = 2.0, 1.1
 
 
 class CannotRun(Exception):
@@ -54,7 +55,10 @@
     if headers.get("transfer-encoding", "").lower() == "chunked":
         out = bytearray()
         while True:
-            size = int((await reader.readline()).split(b";")[0], 16)
+            line = await reader.readline()
+            if not line.endswith(b"\n"):
+                raise ConnectionError("the body was cut")
+            size = int(line.split(b";")[0], 16)
             out += await reader.readexactly(size)
             await reader.readline()
             if size == 0:
@@ -316,13 +320,15 @@
         engines[name] = self
         self.group = None
         self.highest = 0
-        self.last_model = ""
+        self.last_model = ""  # of its last group since its start
+        self.staged = []      # on its host, which keeps one model, also over a restart
+        self.worked = False   # loads take a tenth of the time before the first request
         self.event_s = 0.03
         self.draining = False
         self.late = None  # called with each order; True: it gets no answer, and the caller runs it later
 
     def state(self):
-        out = {"stage": "both", "staged": [], "domain": self.fabric, "sequence": self.sequence, "born": self.born,
+        out = {"stage": "both", "staged": self.staged, "domain": self.fabric, "sequence": self.sequence, "born": self.born,
                "models": [{"name": self.last_model, "version": 1, "adapters": []}] if self.last_model else []}
         if self.group:
             out["group"] = {"name": self.group["name"], "epoch": self.group["epoch"], "phase": self.group["phase"],
@@ -352,6 +358,7 @@
     def order(self, order):
         operation = order.get("operation")
         if operation == "stage":
+            asyncio.get_running_loop().call_later(LOAD_S, self.stage, order["model"], self.born)
             return 202
         name, epoch = order.get("group"), order.get("epoch")
         mine = self.group and (self.group["name"], self.group["epoch"]) == (name, epoch)
@@ -364,7 +371,9 @@
             self.group = {"name": name, "epoch": epoch, "model": order["model"], "members": order["members"],
                           "phase": "joining"}
             self.change()
-            asyncio.get_running_loop().call_later(0.2, self.joined, epoch)
+            time_s = (0.2 if order["model"] == self.last_model else WARM_S if order["model"] in self.staged
+                      else LOAD_S if self.worked else LOAD_S / 10)
+            asyncio.get_running_loop().call_later(time_s, self.joined, epoch)
             return 202
         if operation == "leave":
             if mine:
@@ -390,10 +399,16 @@
             return 202
         return 400
 
+    def stage(self, model, born):
+        if self.born == born and not self.down:
+            self.staged = [model]
+            self.change()
+
     def joined(self, epoch):
         if self.group and self.group["epoch"] == epoch and self.group["phase"] == "joining":
             self.group["phase"] = "ready"
             self.last_model = self.group["model"]
+            self.staged = [self.last_model]
             self.change()
 
     async def respond(self, line, headers, reader, writer, rid):
@@ -421,6 +436,8 @@
                                                ("X-Rosemarylever-Not-Executed", "1")]))
             return
         self.busy += 1
+        for engine in self.engines.values():
+            engine.worked = True
         try:
             await self.take_body(reader, headers)
             self.runs[rid] = self.runs.get(rid, 0) + 1
@@ -535,8 +552,8 @@
                        "context_per_k": 0.00488, "read_per_s": 46000.0, "pairs_per_m": 0.7, "chunk": 2048,
                        "report_lag_ms": 200.0, "loadsPerS": 4.0, "loads_at_once": 6, "keeps": 1, "far_x": 3.0,
                        "delays": [], "usual": {"prompt": 1076, "answer": 116},
-                       "models": [{"name": "m1", "size": size, "share": 1.0, "pace": 1.0, "loadS": 2.0,
-                                   "warmS": 1.1}]}}
+                       "models": [{"name": "m1", "size": size, "share": 1.0, "pace": 1.0, "loadS": LOAD_S,
+                                   "warmS": WARM_S}]}}
 
 
 def request_head(path, rid, length, deadline_ms=2500, method="POST", more=""):
