A target's failure is not passed on as the promise that nothing has run

Cause: request_run::receive told marked refusals and 421 from answers, and relayed every other answer with its status, whatever the status promises.

Change: decision/answer_status says which statuses promise that a request has not run, and whether a caller may get one, from the runs that are possible over all attempts and from the kind of the route. Every answer passes it before any part is relayed, kept, or preferred to another attempt. Without proof the attempt counts as lost, so that a request that must run once ends with a 502 of the daemon, without signature, body or Retry-After of the target. Requests that may run twice get the target's own answer, after another target was asked. Same cause elsewhere: 408 and 429 count as failures of a target for retries and beside a silent attempt; a success that is marked as not executed is not valid; the failure share and the crash guard read the status of the target and not the one that its caller got.

--- a/src/decision/error_retry.hpp
+++ b/src/decision/error_retry.hpp
@@ -1,4 +1,4 @@
-/// Whether a request that a target answered with a server error is sent to another target.
+/// Whether a request that a target answered with a failure of its own is sent to another target.
 ///
 /// Load: targets that fail a share of their requests at random while their health checks pass. Callers repeat
 /// such a request themselves, on a new connection and a few times at most; another target of the same pool
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -51,6 +51,9 @@
       refused(registry.create_counter("rml_requests_refused_total", "Requests refused that have not run")),
       failed_requests(
           registry.create_counter("rml_requests_failed_total", "Requests that ended in a failure")),
+      unproven_refusals(registry.create_counter(
+          "rml_unproven_refusals_total",
+          "Answers of targets with 408, 429 or 503 that do not state that the request did not run")),
       resumed(registry.create_counter("rml_requests_moved_total", "Requests sent to another target")),
       disconnected(registry.create_counter("rml_callers_left_total", "Callers that left before the answer")),
       first_answer_waits(registry.create_counter("rml_first_answer_waits_total",
--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -173,6 +173,7 @@
     counter& answered;
     counter& refused;
     counter& failed_requests;
+    counter& unproven_refusals;
     counter& resumed;
     counter& disconnected;
     counter& first_answer_waits;
--- a/src/gateway/request_attempt.cpp
+++ b/src/gateway/request_attempt.cpp
@@ -1,6 +1,7 @@
 #include "gateway/request_run.hpp"
 
 #include "base/limits.hpp"
+#include "decision/answer_status.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -23,11 +24,6 @@
 /// 421 Misdirected Request: the target is not the one that the request names, or is not the head of a group.
 constexpr int wrong_target_status = 421;
 
-bool is_success(int status)
-{
-    return status >= 200 && status < 300;
-}
-
 /// Hop-by-hop headers, and `expect` and `content-length`, which are not forwarded either.
 bool is_connection_header(std::string_view name)
 {
@@ -69,7 +65,7 @@
     }
     const bool failed_there = end == attempt_end::lost || end == attempt_end::not_sent ||
                               end == attempt_end::timed_out || end == attempt_end::target_error ||
-                              (end == attempt_end::answered && this->final_status >= 500);
+                              (end == attempt_end::answered && is_target_failure(attempt.head.status));
     state->failure_share += failure_smoothing * ((failed_there ? 1.0 : 0.0) - state->failure_share);
 }
 
@@ -260,7 +256,7 @@
     if (may_be_lost && !leaving && !this->stopping) {
         return this->owner.guard.end_broken(attempt.crash_ticket, attempt.target, this->deadline, in);
     }
-    const bool answered = end == attempt_end::answered && this->final_status < 300;
+    const bool answered = end == attempt_end::answered && is_success(attempt.head.status);
     this->owner.guard.end(attempt.crash_ticket, answered, steady_clock::now());
 }
 
@@ -325,6 +321,10 @@
         attempt.reason = "answer has no signature of a target";
         return false;
     }
+    if (is_success(head.status) && http::find_header(head.headers, names.not_executed)) {
+        attempt.reason = "success states that the request did not run";
+        return false;
+    }
     return true;
 }
 
@@ -351,18 +351,26 @@
     if (!valid) {
         return attempt_end::lost;
     }
-    if (not_run && status >= 400) {
+    if (not_run) {
         --this->possible_runs;
         attempt.refusal_status = status;
         attempt.reason = "target refused with " + std::to_string(status);
         return attempt_end::not_run;
     }
+    if (promises_not_run(status)) {
+        this->owner.unproven_refusals.add();
+    }
+    if (!may_tell_caller(status, this->chosen_route->idempotent(), this->possible_runs)) {
+        attempt.reason = "target answered with " + std::to_string(status) +
+                         " without stating that it did not run the request";
+        return attempt_end::lost;
+    }
     if (this->chosen_route->kind == route_kind::stream && status == 200) {
         attempt.streamed = true;
         return this->read_events(attempt, in);
     }
     const bool beside_another = &attempt != this->primary.get() && this->primary->open;
-    if (this->head_sent || (status >= 500 && beside_another)) {
+    if (this->head_sent || (is_target_failure(status) && beside_another)) {
         attempt.reason = "status " + std::to_string(status) +
                          (this->head_sent ? " instead of the rest of a stream" : " of another target");
         return attempt_end::lost;
