A head that has left joins its fence only as it reported to be

Cause: the answer to the order to leave was kept as a flag. Late orders to join and to open took the head back, and each repetition of the unanswered fence was decided by that flag as if it were the first order. Evidence: the record of the case, leave 202, fence unanswered, late join and open, fence 202 0.75 s later with nothing asked in between.

Change: before each order of the fence the head reports its group. It is ordered to leave an older group first. The order names the number of orders that the engine had accepted by that report, which the platform's engines compare, so that also a fence that is carried out late takes no head out of a group that late orders have opened. Past the time of late orders, a head that reports no group is released without a fence. A failed report counts as an unanswered order.

--- a/src/decision/group_assignments.cpp
+++ b/src/decision/group_assignments.cpp
@@ -72,12 +72,13 @@
     auto assigned = in;
     assigned.confirmed = !is_fence_group(in.group.first);
     this->assign(engine, assigned);
-    return join_permit(engine, in.group, false);
+    return join_permit(engine, in.group, false, std::nullopt);
 }
 
-join_permit group_assignments::permit_fence(const engine_life& head, const group_key& ended)
+join_permit group_assignments::permit_fence(const engine_life& head, const group_key& ended,
+                                            std::optional<std::uint64_t> accepted_orders)
 {
-    return {head, fence_group(fence_epoch(ended)), true};
+    return {head, fence_group(fence_epoch(ended)), true, accepted_orders};
 }
 
 bool group_assignments::in_force(const join_permit& permit) const
--- a/src/decision/group_assignments.hpp
+++ b/src/decision/group_assignments.hpp
@@ -58,17 +58,21 @@
 public:
     const engine_life& engine() const { return this->holder; }
     const group_key& group() const { return this->target; }
+    /// Orders that the engine had accepted when it reported the evidence. It refuses the order to join if it
+    /// has accepted another one since, also if it carries out the order late. Nothing: not known.
+    const std::optional<std::uint64_t>& accepted_orders() const { return this->as_of; }
 
 private:
     friend class group_assignments;
-    join_permit(engine_life engine, group_key group, bool fence)
-        : holder(std::move(engine)), target(std::move(group)), is_fence(fence)
+    join_permit(engine_life engine, group_key group, bool fence, std::optional<std::uint64_t> accepted_orders)
+        : holder(std::move(engine)), target(std::move(group)), is_fence(fence), as_of(accepted_orders)
     {
     }
 
     engine_life holder;
     group_key target;
     bool is_fence;
+    std::optional<std::uint64_t> as_of;
 };
 
 class group_assignments
@@ -89,9 +93,11 @@
     /// whether this life of the engine is in a group, if it may be in another group that serves, or if it is
     /// assigned to a newer one.
     std::optional<join_permit> permit_join(const engine_life& engine, const membership& in);
-    /// Permits the fence of an ended group at its head. Needs no record of the engine: its epoch follows that
-    /// of the group, so an engine in any later group refuses it.
-    static join_permit permit_fence(const engine_life& head, const group_key& ended);
+    /// Permits the fence of an ended group at its head, which has reported to be in no group when it had
+    /// accepted that many orders (nothing: it does not state the number). Needs no record of the engine: the
+    /// epoch of the fence follows that of the group, so an engine in any later group refuses it.
+    static join_permit permit_fence(const engine_life& head, const group_key& ended,
+                                    std::optional<std::uint64_t> accepted_orders);
     /// Whether the engine is still assigned to the group of the permit. Check it before each order.
     bool in_force(const join_permit& permit) const;
     /// Records that the engine has accepted the order of the permit, if that is still in force.
--- a/src/gateway/group_ending.cpp
+++ b/src/gateway/group_ending.cpp
@@ -17,6 +17,10 @@
 constexpr std::uint32_t max_unanswered_orders = 2;
 /// Bound on the linear backoff: the delay grows by at most this many times `ending_retry_delay`.
 constexpr std::uint32_t max_retry_factor = 6;
+/// Oldest state that an engine reports: the platform's pages say some hundred milliseconds.
+constexpr milliseconds max_report_age{500};
+/// Delay until a head is asked again whose report may be older than its last order.
+constexpr milliseconds report_interval{100};
 /// Added to the time after which a stalled group is broken, for the latency of the order to the member.
 constexpr milliseconds stall_margin{500};
 
@@ -172,11 +176,14 @@
     if (state.head.instance.empty()) {
         return;
     }
+    if (state.head_left) {
+        return this->fence_head(key, state);
+    }
     if (state.graceful && state.head_closed && now - state.since < detail::graceful_end && head != nullptr &&
         head->entry.membership && head->entry.membership->phase == group_phase::closing) {
         return; // the head finishes its requests
     }
-    const auto what = this->next_end_order(key, state, head, now);
+    const auto what = next_end_order(key, state, head, now);
     state.order_pending = true;
     start_coroutine(this->context, [this, key, what, engine = state.head](yield_context yield) {
         const auto answer = this->order(engine, what, yield);
@@ -205,17 +212,113 @@
     return has_models ? service->engines->models.front().model : model_id();
 }
 
-group_order group_manager::next_end_order(const group_key& key, const ending& state, const target_state* head,
-                                          time_point now) const
+void group_manager::fence_head(const group_key& key, ending& state)
 {
-    if (state.head_left) {
-        // An engine that joins a fence group has seen a newer epoch and refuses orders still in flight. An
-        // engine that has joined a later group in the meantime refuses the fence.
-        auto model =
-            head != nullptr && !head->entry.model.empty() ? head->entry.model : this->fence_model(state);
-        auto permit = group_assignments::permit_fence({state.head.instance, state.head.started_ms}, key);
-        return group_order::join(std::move(permit), std::move(model), {state.head.instance});
+    state.order_pending = true;
+    start_coroutine(this->context, [this, key, engine = state.head](yield_context yield) {
+        this->probes_sent.add();
+        const auto report =
+            this->ports.engines->report(engine, steady_clock::now() + detail::probe_timeout, yield);
+        auto found = this->endings.find(key);
+        if (found == this->endings.end()) {
+            return;
+        }
+        if (const auto what = this->next_fence_order(key, found->second, report); what) {
+            const auto answer = this->order(engine, *what, yield);
+            found = this->endings.find(key);
+            if (found == this->endings.end()) {
+                return;
+            }
+            this->handle_fence_verdict(key, found->second, what->action(), answer);
+        }
+        found->second.order_pending = false;
+        if (found->second.released) {
+            this->tick();
+        }
+    });
+}
+
+std::optional<group_order> group_manager::next_fence_order(const group_key& key, ending& state,
+                                                           const result<engine_report>& report)
+{
+    if (failed(report)) {
+        record_unanswered(key, state, error(report));
+        return std::nullopt;
+    }
+    const auto now = steady_clock::now();
+    state.unanswered_orders = 0;
+    const auto& in = value(report).membership;
+    if (in && in->epoch > key.second) {
+        this->release(key, state, release_evidence::head_fenced);
+        return std::nullopt;
+    }
+    if (in && !is_fence_group(in->group)) {
+        if (now < state.left_at + max_report_age) {
+            state.next_order = now + report_interval;
+            return std::nullopt;
+        }
+        log(log_level::info, "late orders took the head of an ending group back; ordering it to leave again",
+            {{"group", key.first.str()},
+             {"head", state.head.instance.str()},
+             {"reported_group", in->group.str()},
+             {"phase", std::string(to_string(in->phase))}});
+        return group_order::leave({in->group, in->epoch});
     }
+    if (now >= state.since + detail::max_order_delay) {
+        // All orders that could open the group were sent before its ending began.
+        this->release(key, state, release_evidence::head_left);
+        return std::nullopt;
+    }
+    // An engine that joins a fence group has seen a newer epoch and refuses orders still in flight. It
+    // refuses the fence if it has joined a later group, or if late orders have taken it back since its
+    // report.
+    const auto* head = this->fleet.find_target(state.head.instance);
+    auto model = head != nullptr && !head->entry.model.empty() ? head->entry.model : this->fence_model(state);
+    auto permit = group_assignments::permit_fence({state.head.instance, state.head.started_ms}, key,
+                                                  value(report).accepted_orders);
+    return group_order::join(std::move(permit), std::move(model), {state.head.instance});
+}
+
+void group_manager::handle_fence_verdict(const group_key& key, ending& state, group_action action,
+                                         const result<order_verdict>& answer)
+{
+    if (failed(answer)) {
+        return record_unanswered(key, state, error(answer));
+    }
+    const auto now = steady_clock::now();
+    const auto verdict = value(answer);
+    const bool accepted = verdict == order_verdict::started || verdict == order_verdict::already;
+    state.next_order = now + report_interval;
+    if (verdict == order_verdict::wrong_incarnation) {
+        return this->release(key, state, release_evidence::head_moved_on);
+    }
+    if (action == group_action::leave) {
+        state.left_at = accepted ? now : state.left_at;
+        return;
+    }
+    if (accepted || verdict == order_verdict::stale) {
+        return this->release(key, state, release_evidence::head_fenced);
+    }
+    log(log_level::info, "head refused its fence; asking it again",
+        {{"group", key.first.str()},
+         {"head", state.head.instance.str()},
+         {"verdict", std::string(to_string(verdict))}});
+}
+
+void group_manager::record_unanswered(const group_key& key, ending& state, const failure& why)
+{
+    state.needs_fence = true;
+    state.next_order =
+        steady_clock::now() + ending_retry_delay * (1 + std::min(state.unanswered_orders, max_retry_factor));
+    if (state.unanswered_orders++ == 0) {
+        log(log_level::info, "head did not answer the order to end its group; retrying",
+            {{"group", key.first.str()}, {"head", state.head.instance.str()}, context_field(why)});
+    }
+}
+
+group_order group_manager::next_end_order(const group_key& key, const ending& state, const target_state* head,
+                                          time_point now)
+{
     const bool head_closed = state.head_closed && head != nullptr && head->entry.membership &&
                              head->entry.membership->phase == group_phase::ready;
     const bool closing = state.graceful && !head_closed && now - state.since < detail::graceful_end;
@@ -227,46 +330,27 @@
                                        const result<order_verdict>& answer)
 {
     state.order_pending = false;
-    state.next_order =
-        steady_clock::now() + ending_retry_delay * (1 + std::min(state.unanswered_orders, max_retry_factor));
     if (failed(answer)) {
-        state.needs_fence = true;
-        if (state.unanswered_orders++ == 0) {
-            log(log_level::info, "head did not answer the order to end its group; retrying",
-                {{"group", key.first.str()},
-                 {"head", state.head.instance.str()},
-                 context_field(error(answer))});
-        }
-        return;
+        return record_unanswered(key, state, error(answer));
     }
     state.unanswered_orders = 0;
+    state.next_order = steady_clock::now() + ending_retry_delay;
     const auto verdict = value(answer);
     const bool accepted = verdict == order_verdict::started || verdict == order_verdict::already;
     if (action == group_action::close) {
         state.head_closed = accepted;
         state.graceful = accepted; // the head refuses to close only if it is not open
-    } else if (action == group_action::leave) {
+    } else {
         // An engine that has seen a newer epoch, or another incarnation at its address, is not in this group.
         state.head_left =
             accepted || verdict == order_verdict::stale || verdict == order_verdict::wrong_incarnation;
+        state.left_at = steady_clock::now();
         state.next_order = state.head_left ? time_point{} : state.next_order;
         if (state.head_left && !accepted) {
             this->release(key, state, release_evidence::head_moved_on);
         } else if (state.head_left && (!state.needs_fence || this->fence_model(state).empty())) {
             this->release(key, state, release_evidence::head_left);
         }
-    } else {
-        const bool refuses_late_orders =
-            accepted || verdict == order_verdict::stale || verdict == order_verdict::wrong_incarnation;
-        // All orders that could open the group were sent before its ending began.
-        const bool late_orders = steady_clock::now() < state.since + detail::max_order_delay;
-        if (!refuses_late_orders) {
-            log(log_level::warning, "head refused the newer epoch",
-                {{"head", state.head.instance.str()}, {"verdict", std::string(to_string(verdict))}});
-        }
-        if (refuses_late_orders || !late_orders) {
-            this->release(key, state, release_evidence::head_fenced);
-        }
     }
     if (state.head_left && !state.released) {
         this->advance_ending(key, state, steady_clock::now());
--- a/src/gateway/group_manager.hpp
+++ b/src/gateway/group_manager.hpp
@@ -114,7 +114,8 @@
         time_point since{};
         bool order_pending{false};
         bool head_closed{false}; ///< the head has accepted the order to close
-        bool head_left{false};   ///< the head has left the group
+        bool head_left{false};   ///< the head has left the group; late orders may have taken it back since
+        time_point left_at{};    ///< when it answered the latest order to leave
         bool needs_fence{false}; ///< late orders may be in flight; a newer epoch makes the head refuse them
         /// Why the head does not serve; its members can then join other groups.
         std::optional<release_evidence> released;
@@ -189,6 +190,17 @@
     void advance_ending(const group_key& key, ending& state, time_point now);
     void handle_end_verdict(const group_key& key, ending& state, group_action action,
                             const result<order_verdict>& answer);
+    /// Asks a head that has left for its group. If it is in none, it is ordered to join the fence group,
+    /// which it refuses once it has accepted another order; otherwise it is ordered to leave again.
+    void fence_head(const group_key& key, ending& state);
+    /// The order that follows from the report of a head that has left: to join its fence or to leave again.
+    /// Nothing if the report may be older than the leave, or if it releases the group.
+    std::optional<group_order> next_fence_order(const group_key& key, ending& state,
+                                                const result<engine_report>& report);
+    void handle_fence_verdict(const group_key& key, ending& state, group_action action,
+                              const result<order_verdict>& answer);
+    /// The head did not answer; the next order or question follows after a delay.
+    static void record_unanswered(const group_key& key, ending& state, const failure& why);
     void remove_expired_records(time_point now);
     /// Whether the engine shows that it has loaded what was ordered.
     static bool is_done(const preparation& wanted, const target_entry& engine);
@@ -261,9 +273,9 @@
     void add_probes(const target_entry& engine, result<engine_report>& answer,
                     std::vector<std::function<void(yield_context)>>& tasks);
 
-    /// The order to the head that advances the ending of its group: close, leave or join the fence group.
-    group_order next_end_order(const group_key& key, const ending& state, const target_state* head,
-                               time_point now) const;
+    /// The order that ends the group at its head: close or leave.
+    static group_order next_end_order(const group_key& key, const ending& state, const target_state* head,
+                                      time_point now);
     /// Model that the fence of the group names if the head's entry shows none: of the ending, of a member,
     /// staged at the head, or any that its service serves. Empty only if the service has no models, so that
     /// no engine of it joins another group. A fence with another model than that of the group costs a load.
--- a/src/gateway/ports.hpp
+++ b/src/gateway/ports.hpp
@@ -202,7 +202,7 @@
 {
     started,           ///< the engine has begun to carry it out
     already,           ///< the engine is already in the requested state
-    not_now,           ///< not possible in the engine's current state
+    not_now,           ///< not possible in the engine's current state, or it has accepted another order since
     stale,             ///< the engine knows a higher epoch, or this epoch with other members
     wrong_incarnation, ///< another instance answers at the address
     unknown_order,     ///< malformed
@@ -216,7 +216,8 @@
     double pace{1}; ///< factor on the usual time; above 1: slower
     std::uint32_t running{0};
     std::uint32_t waiting{0};
-    bool busy{false}; ///< an order is in progress
+    bool busy{false};                             ///< an order is in progress
+    std::optional<std::uint64_t> accepted_orders; ///< in this life of the engine; nothing: not stated
     model_id model;
     std::vector<model_id> staged;
     std::optional<group_membership> membership;
--- a/tests/decision/group_assignments_test.cpp
+++ b/tests/decision/group_assignments_test.cpp
@@ -106,11 +106,12 @@
     // Guards against a fence that counts as a group that may serve: its engine would never be free again.
     const engine_life head{instance_id("e1"), 100};
     const group_key ended{group_id("g2"), 2};
-    const auto permit = group_assignments::permit_fence(head, ended);
+    const auto permit = group_assignments::permit_fence(head, ended, 5);
     CHECK(permit.engine().instance == head.instance);
     CHECK(permit.group() == group_key(group_id("parked-3"), 3));
     CHECK(is_fence_group(permit.group().first));
     CHECK_FALSE(is_fence_group(ended.first));
+    CHECK(permit.accepted_orders() == 5);
 }
 
 TEST_CASE("an answer that was asked for before an order is recognised", "[group_assignments]")
