An order to join names the orders that its engine had accepted

Cause: the evidence of a join permit was checked before the first order and reused for its repetitions, which may follow two seconds later. The report itself is some hundred milliseconds old.

Change: a report that finds an engine in no group also states how many orders the engine has accepted. The permit carries the number, formations and warm-ups name it in the order to join, and the engine refuses the order if it has accepted another one since, first, repeated or late. An engine that refuses is asked again: it has carried out an earlier copy of the order, or is in another group, which is recorded and ended, or gets the order with the new number. Engines that are known to be vacant from the manager's own orders are still ordered without a number.

Test: "an order to join is not repeated at an engine that late orders have opened since it was asked" failed before; "an engine that accepted another order since it was asked joins once it has reported again" guards the refusal.

The tests of held orders carry out the late join without a number, as the order to an engine that is known to be vacant: with it the head refuses the late join, so that nothing would be left for them to guard.

--- a/src/decision/group_assignments.cpp
+++ b/src/decision/group_assignments.cpp
@@ -48,6 +48,7 @@
     auto& entry = this->update(engine);
     entry.current = in;
     entry.previous.reset();
+    entry.accepted_orders.reset();
 }
 
 group_assignments::record& group_assignments::update(const engine_life& engine)
@@ -69,10 +70,13 @@
     if (!same_group && (newer_group || !this->vacant(engine))) {
         return std::nullopt;
     }
+    // After the order of this permit the number is no longer known.
+    const auto accepted_orders =
+        same_group ? std::nullopt : this->records.at(engine.instance).accepted_orders;
     auto assigned = in;
     assigned.confirmed = !is_fence_group(in.group.first);
     this->assign(engine, assigned);
-    return join_permit(engine, in.group, false, std::nullopt);
+    return join_permit(engine, in.group, false, accepted_orders);
 }
 
 join_permit group_assignments::permit_fence(const engine_life& head, const group_key& ended,
@@ -108,11 +112,19 @@
     }
 }
 
-void group_assignments::record_free(const engine_life& engine)
+void group_assignments::record_free(const engine_life& engine, std::optional<std::uint64_t> accepted_orders)
 {
     auto& entry = this->update(engine);
     entry.current.reset();
     entry.previous.reset();
+    entry.accepted_orders = accepted_orders;
+}
+
+join_permit group_assignments::renew(const join_permit& permit, std::optional<std::uint64_t> accepted_orders)
+{
+    auto out = permit;
+    out.as_of = accepted_orders;
+    return out;
 }
 
 void group_assignments::release(const group_key& group, release_evidence evidence,
--- a/src/decision/group_assignments.hpp
+++ b/src/decision/group_assignments.hpp
@@ -107,8 +107,12 @@
     std::uint64_t changes_of(const instance_id& engine) const;
     /// Forgets what is known of the engine, so that it is asked before it joins a group again.
     void forget(const instance_id& engine);
-    /// Records that the engine has reported to be in no group that may serve.
-    void record_free(const engine_life& engine);
+    /// Records that the engine has reported to be in no group that may serve, when it had accepted that many
+    /// orders.
+    void record_free(const engine_life& engine, std::optional<std::uint64_t> accepted_orders);
+    /// The permit with the evidence of a later report, for an engine that has refused the order because it
+    /// had accepted another one since the first report, and that is still in no group that may serve.
+    static join_permit renew(const join_permit& permit, std::optional<std::uint64_t> accepted_orders);
     /// Records that the group no longer serves and cannot serve again under that life of its head.
     void release(const group_key& group, release_evidence evidence, std::int64_t head_started_ms,
                  time_point now);
@@ -142,6 +146,7 @@
         std::int64_t started_ms{0};
         std::optional<membership> current;
         std::optional<std::pair<group_id, release_evidence>> previous;
+        std::optional<std::uint64_t> accepted_orders; ///< as reported by an engine without a group
     };
     struct release_record
     {
--- a/src/gateway/group_formation.cpp
+++ b/src/gateway/group_formation.cpp
@@ -227,7 +227,7 @@
     const bool other_life = this->assignments.released_life(key) != engine.started_ms;
     const bool ended = released && !(serves && (given_up || other_life));
     if (!in || is_fence_group(in->group) || ended) {
-        this->assignments.record_free(life);
+        this->assignments.record_free(life, report.accepted_orders);
         return true;
     }
     this->assignments.assign(life, {key, in->rank});
@@ -280,7 +280,7 @@
 bool group_manager::join_member(const formation& plan, const target_entry& member, const join_permit& permit,
                                 bool& given_up, yield_context yield)
 {
-    const auto what = group_order::join(permit, plan.model, plan.members);
+    auto what = group_order::join(permit, plan.model, plan.members);
     const auto sent = steady_clock::now();
     bool alive = false;
     bool silent = false;
@@ -304,6 +304,10 @@
                 given_up = true;
                 return false;
             }
+            if (const auto joined = this->renew_join(plan, member, what, yield); joined) {
+                given_up = given_up || !*joined;
+                return *joined;
+            }
         } else if (error(answer).kind == failure_kind::lapsed) {
             given_up = true;
             return false;
@@ -323,6 +327,36 @@
     return false;
 }
 
+std::optional<bool> group_manager::renew_join(const formation& plan, const target_entry& member,
+                                              group_order& what, yield_context yield)
+{
+    if (!what.permit()->accepted_orders()) {
+        return std::nullopt; // refused for the engine's state
+    }
+    this->probes_sent.add();
+    const auto report =
+        this->ports.engines->report(member, steady_clock::now() + detail::probe_timeout, yield);
+    if (failed(report) || !this->in_force(plan)) {
+        return std::nullopt;
+    }
+    const auto& in = value(report).membership;
+    if (in && in->group == plan.group && in->epoch == plan.epoch) {
+        return true; // it has carried out an earlier copy of the order
+    }
+    if (in && !is_fence_group(in->group)) {
+        log(log_level::info, "engine has joined another group since it reported to be free",
+            {{"engine", member.instance.str()},
+             {"group", plan.group.str()},
+             {"reported_group", in->group.str()}});
+        this->assignments.forget(member.instance); // what it reports has an older epoch than the order
+        this->record_report(member, value(report));
+        return false;
+    }
+    what = group_order::join(group_assignments::renew(*what.permit(), value(report).accepted_orders),
+                             plan.model, plan.members);
+    return std::nullopt;
+}
+
 bool group_manager::answers_report(const target_entry& engine, yield_context yield)
 {
     for (int attempt = 0; attempt < max_report_attempts; ++attempt) {
--- a/src/gateway/group_manager.hpp
+++ b/src/gateway/group_manager.hpp
@@ -234,6 +234,10 @@
     /// is in vain.
     bool join_member(const formation& plan, const target_entry& member, const join_permit& permit,
                      bool& given_up, yield_context yield);
+    /// Asks a member that has refused the order to join. Returns true if it has joined and false if it is in
+    /// another group; otherwise `what` becomes the order that it can accept.
+    std::optional<bool> renew_join(const formation& plan, const target_entry& member, group_order& what,
+                                   yield_context yield);
     /// Whether the engine reports. False is no evidence of a loss if this process paused meanwhile.
     bool answers_report(const target_entry& engine, yield_context yield);
     /// Waits until the registry shows the open head: until then the group stays in `formations`. Ends the
--- a/tests/decision/group_assignments_test.cpp
+++ b/tests/decision/group_assignments_test.cpp
@@ -119,7 +119,7 @@
     // Guards against a report that undoes a newer record: it was asked for before the order to join.
     group_assignments assignments;
     const engine_life engine{instance_id("e1"), 100};
-    assignments.record_free(engine);
+    assignments.record_free(engine, std::nullopt);
     const auto asked = assignments.changes_of(engine.instance);
     const auto permit = assignments.permit_join(engine, {fence_group(4), 0});
     REQUIRE(permit);
--- a/tests/gateway/held_order_test.cpp
+++ b/tests/gateway/held_order_test.cpp
@@ -48,7 +48,11 @@
         this->engine(member).drain();
         REQUIRE(this->run_until([&] { return this->held.count("fence") != 0; }));
     }
-    void carry_out(const std::string& kind) { this->engine(head).execute_held(this->held.at(kind)); }
+    /// The join is carried out as one that names no number of accepted orders, which the head would refuse.
+    void carry_out(const std::string& kind)
+    {
+        this->engine(head).execute_held(this->held.at(kind), kind == "join" ? "expected" : "");
+    }
     std::string first_join_of_two_groups() const
     {
         for (const auto& violation : this->site->fleet.violations) {
--- a/tests/gateway/late_order_test.cpp
+++ b/tests/gateway/late_order_test.cpp
@@ -406,6 +406,42 @@
     CHECK(site.orders_of(e00, "leave") > 0);
 }
 
+TEST_CASE("an order to join is not repeated at an engine that late orders have opened since it was asked",
+          "[gateway][group_manager]")
+{
+    // Guards against evidence that was true at the first order to join: the engine reported that it is free,
+    // left that order unanswered, and late orders of an earlier manager made it the open head of another
+    // group.
+    one_group_site site;
+    site.site->fleet.timing.load = milliseconds(5);
+    site.lose_next_orders(e00, 1);
+    site.take_over();
+    REQUIRE(site.run_until([&] { return site.orders_of(e01, "join") == 1; }));
+    REQUIRE(site.run_until([&] { return site.engine(e00).faults.late_orders == 0; }));
+    site.engine(e00).faults.entry_frozen = true;
+    reopen_by_late_orders(site, e00, {e00}, {group_id("g1"), 1});
+    CHECK(site.orders_of(e00, "open") == 1);
+    site.run_for(milliseconds(2000));
+    CHECK(first_join_of_two_groups(site) == "");
+    CHECK(site.orders_of(e00, "leave") > 0);
+}
+
+TEST_CASE("an engine that accepted another order since it was asked joins once it has reported again",
+          "[gateway][group_manager]")
+{
+    // Guards against formations that are given up because an engine has staged weights since its report.
+    one_group_site site;
+    site.lose_next_orders(e00, 1);
+    site.take_over();
+    REQUIRE(site.run_until([&] { return site.orders_of(e01, "join") == 1; }));
+    REQUIRE(site.run_until([&] { return site.engine(e00).faults.late_orders == 0; }));
+    send_order(site, e00, gateway::group_action::stage);
+    REQUIRE(site.run_until([&] { return site.group_count() == 1; }));
+    CHECK(site.orders_of(e00, "join") == 1);
+    CHECK(site.orders_of(e01, "join") == 1);
+    CHECK(first_violation(site) == "");
+}
+
 TEST_CASE("a head that refuses its fence for the moment is ordered to join it again",
           "[gateway][group_manager]")
 {
--- a/tests/gateway/managed_site.hpp
+++ b/tests/gateway/managed_site.hpp
@@ -145,7 +145,7 @@
 {
     const engine_life life{engine.instance, engine.started_ms};
     group_assignments records;
-    records.record_free(life);
+    records.record_free(life, std::nullopt);
     return gateway::group_order::join(records.permit_join(life, {group, 0}).value(), model_id("planner"),
                                       members);
 }
