Members of a group whose head gives no answer leave it before they join

Cause: the release of a group made its members vacant whatever it rested on.

Change: after a release without an answer of the head its members are unknown instead of vacant. They are ordered to leave, are not used until a report is newer than that order, and are asked before they join; one that still reports the group is ordered to leave again. A late order cannot open a group whose head left, was fenced or got no order to open, so other releases are unchanged.

--- a/src/decision/group_assignments.cpp
+++ b/src/decision/group_assignments.cpp
@@ -131,12 +131,20 @@
                                 std::int64_t head_started_ms, time_point now)
 {
     this->releases[group] = {evidence, head_started_ms, now};
-    for (auto& [instance, entry] : this->records) {
-        if (entry.current && entry.current->group == group) {
-            ++this->changes[instance];
-            entry.current.reset();
-            entry.previous = {group.first, evidence};
+    for (auto entry = this->records.begin(); entry != this->records.end();) {
+        auto& [instance, state] = *entry;
+        if (!state.current || state.current->group != group) {
+            ++entry;
+            continue;
+        }
+        ++this->changes[instance];
+        if (is_without_answer(evidence)) {
+            entry = this->records.erase(entry);
+            continue;
         }
+        state.current.reset();
+        state.previous = {group.first, evidence};
+        ++entry;
     }
 }
 
--- a/src/decision/group_assignments.hpp
+++ b/src/decision/group_assignments.hpp
@@ -32,6 +32,13 @@
 
 std::string_view to_string(release_evidence evidence);
 
+/// Whether the head itself gave no answer. It may be idle, serve again, and count as open, so that each
+/// member has to leave the group before it joins another one.
+inline bool is_without_answer(release_evidence evidence)
+{
+    return evidence == release_evidence::head_stalled || evidence == release_evidence::head_unknown;
+}
+
 /// Identifies one life of an engine.
 struct engine_life
 {
@@ -113,7 +120,9 @@
     /// The permit with the evidence of a later report, for an engine that has refused the order because it
     /// had accepted another one since the first report, and that is still in no group that may serve.
     static join_permit renew(const join_permit& permit, std::optional<std::uint64_t> accepted_orders);
-    /// Records that the group no longer serves and cannot serve again under that life of its head.
+    /// Records that the group no longer serves and cannot serve again under that life of its head. Its
+    /// members are vacant; without an answer of the head they are unknown, because a late order may take them
+    /// back.
     void release(const group_key& group, release_evidence evidence, std::int64_t head_started_ms,
                  time_point now);
 
--- a/src/gateway/group_ending.cpp
+++ b/src/gateway/group_ending.cpp
@@ -17,8 +17,6 @@
 constexpr std::uint32_t max_unanswered_orders = 2;
 /// Bound on the linear backoff: the delay grows by at most this many times `ending_retry_delay`.
 constexpr std::uint32_t max_retry_factor = 6;
-/// Oldest state that an engine reports: the platform's pages say some hundred milliseconds.
-constexpr milliseconds max_report_age{500};
 /// Delay until a head is asked again whose report may be older than its last order.
 constexpr milliseconds report_interval{100};
 /// Added to the time after which a stalled group is broken, for the latency of the order to the member.
@@ -253,7 +251,7 @@
         return std::nullopt;
     }
     if (in && !is_fence_group(in->group)) {
-        if (now < state.left_at + max_report_age) {
+        if (now < state.left_at + detail::max_report_age) {
             state.next_order = now + report_interval;
             return std::nullopt;
         }
@@ -375,13 +373,11 @@
         if (const auto in = this->membership_of(target->entry); !in || in->group != key) {
             continue;
         }
-        start_coroutine(this->context, [this, key, engine = target->entry](yield_context yield) {
-            const auto answer = this->order(engine, group_order::leave(key), yield);
-            if (failed(answer)) {
-                log(log_level::info, "member did not answer the order to leave an ended group",
-                    {{"engine", engine.instance.str()}, context_field(error(answer))});
-            }
-        });
+        if (is_without_answer(evidence)) {
+            this->order_to_leave_first(key, target->entry, steady_clock::now());
+        } else {
+            this->order_to_leave(key, target->entry);
+        }
     }
     state.released = evidence;
     this->assignments.release(key, evidence, state.head.started_ms, steady_clock::now());
@@ -390,4 +386,23 @@
     }
 }
 
+void group_manager::order_to_leave(const group_key& key, const target_entry& member)
+{
+    start_coroutine(this->context, [this, key, engine = member](yield_context yield) {
+        const auto answer = this->order(engine, group_order::leave(key), yield);
+        if (failed(answer)) {
+            log(log_level::info, "member did not answer the order to leave an ended group",
+                {{"engine", engine.instance.str()}, context_field(error(answer))});
+        }
+    });
+}
+
+void group_manager::order_to_leave_first(const group_key& key, const target_entry& member, time_point now)
+{
+    log(log_level::info, "member has to leave a group whose head does not answer",
+        {{"engine", member.instance.str()}, {"group", key.first.str()}});
+    this->leaving[member.instance] = now + detail::max_report_age;
+    this->order_to_leave(key, member);
+}
+
 } // namespace rml::gateway
--- a/src/gateway/group_formation.cpp
+++ b/src/gateway/group_formation.cpp
@@ -222,10 +222,14 @@
     }
     // Reports lag behind, so one that says that the head serves counts only against a release without the
     // head's own answer, and against one that is about an earlier life of the head.
-    const bool given_up =
-        released == release_evidence::head_stalled || released == release_evidence::head_unknown;
+    const bool given_up = released && is_without_answer(*released);
     const bool other_life = this->assignments.released_life(key) != engine.started_ms;
     const bool ended = released && !(serves && (given_up || other_life));
+    if (ended && given_up && in->rank != 0) {
+        this->assignments.forget(engine.instance);
+        this->order_to_leave_first(key, engine, steady_clock::now());
+        return false;
+    }
     if (!in || is_fence_group(in->group) || ended) {
         this->assignments.record_free(life, report.accepted_orders);
         return true;
--- a/src/gateway/group_manager.cpp
+++ b/src/gateway/group_manager.cpp
@@ -137,6 +137,7 @@
     this->endings.clear();
     this->assignments.clear();
     this->unanswered_groups.clear();
+    this->leaving.clear();
     this->lost_engines.clear();
     this->preparations.clear();
     this->reservations.clear();
@@ -181,6 +182,9 @@
     this->assignments.forget_if(
         [&](const instance_id& engine) { return this->fleet.find_entry(engine) == nullptr; });
     this->assignments.forget_released_before(now - detail::max_order_delay);
+    for (auto entry = this->leaving.begin(); entry != this->leaving.end();) {
+        entry = now >= entry->second ? this->leaving.erase(entry) : std::next(entry);
+    }
     for (auto entry = this->lost_engines.begin(); entry != this->lost_engines.end();) {
         const auto* engine = this->fleet.find_entry(entry->first);
         const bool other_life = engine == nullptr || engine->started_ms != entry->second.started_ms;
@@ -307,7 +311,10 @@
 {
     occupied_engines out;
     for (const auto& [group, forming] : this->formations) {
-        out.forming.insert(forming.members.begin(), forming.members.end());
+        out.reserved.insert(forming.members.begin(), forming.members.end());
+    }
+    for (const auto& [member, until] : this->leaving) {
+        out.reserved.insert(member);
     }
     for (const auto& [key, end] : this->endings) {
         if (end.released) {
@@ -329,7 +336,7 @@
         this->fleet.drained_domain(entry.failure_domain)) {
         return availability::unusable;
     }
-    if (occupied.forming.count(entry.instance) != 0) {
+    if (occupied.reserved.count(entry.instance) != 0) {
         return availability::busy;
     }
     const auto in = this->membership_of(entry);
--- a/src/gateway/group_manager.hpp
+++ b/src/gateway/group_manager.hpp
@@ -44,6 +44,8 @@
 /// A group has lost a link between its members when all of them answer probes but no daemon receives output
 /// from it for this long. Five times the longest usual pass.
 constexpr milliseconds group_stall_limit{1500};
+/// Oldest state that an engine reports: the platform's pages say some hundred milliseconds.
+constexpr milliseconds max_report_age{500};
 /// Engines may execute an unanswered order up to 12 s after its receipt; 3 s are added for the network.
 constexpr milliseconds max_order_delay{15000};
 /// Bits of an epoch for the counter of one manager; a day of repairs needs some thousands of epochs.
@@ -145,7 +147,7 @@
     };
     struct occupied_engines
     {
-        std::unordered_set<instance_id> forming;
+        std::unordered_set<instance_id> reserved; ///< of formations, or on the way out of a group
         std::unordered_multimap<instance_id, const group_key*> ending;
     };
     enum class availability
@@ -182,6 +184,11 @@
     bool opened_after_takeover(const group_key& key, const target_entry& head) const;
     /// Records that the group cannot serve any more, and orders its members to leave.
     void release(const group_key& key, ending& state, release_evidence evidence);
+    /// Orders a member of a group that was released to leave it.
+    void order_to_leave(const group_key& key, const target_entry& member);
+    /// The same for a group that was released without an answer of its head. The member is not used until its
+    /// report is newer than the order.
+    void order_to_leave_first(const group_key& key, const target_entry& member, time_point now);
     /// A member other than the head that still reports the group and is not lost, or null.
     const target_state* find_reachable_member(const group_key& key, const ending& state);
     /// Orders the member to leave, which stalls the group even if its head cannot be reached.
@@ -210,7 +217,8 @@
     /// Whether the engine may be ordered to join a group. A free engine whose membership is unknown to this
     /// manager is asked for it before the order (`confirm_free`).
     availability availability_of(const target_state& engine, const occupied_engines& occupied) const;
-    /// Engines of the formations and of the endings whose group may still serve, by instance.
+    /// Engines of the formations, those that have to leave a group, and engines of the endings whose group
+    /// may still serve, by instance.
     occupied_engines find_occupied() const;
     /// The newest group in which the engine is known to be, by its entry or by the records of this manager.
     std::optional<group_assignments::membership> membership_of(const target_entry& engine) const;
@@ -315,7 +323,8 @@
     std::map<group_id, formation> formations;
     std::map<group_key, ending> endings;
     group_assignments assignments;
-    std::set<group_key> unanswered_groups; ///< groups with an order of unknown outcome
+    std::set<group_key> unanswered_groups;     ///< groups with an order of unknown outcome
+    std::map<instance_id, time_point> leaving; ///< members that have to leave, and when they are asked again
     std::map<instance_id, lost_engine> lost_engines;
     std::map<instance_id, preparation> preparations;
     std::map<fabric_domain_id, reservation> reservations;
--- a/tests/gateway/late_order_test.cpp
+++ b/tests/gateway/late_order_test.cpp
@@ -406,6 +406,47 @@
     CHECK(site.orders_of(e00, "leave") > 0);
 }
 
+TEST_CASE("a member that a late order took back leaves its group before it joins another one",
+          "[gateway][group_manager]")
+{
+    // Guards against a member that left in place of its head and was taken back by a late order to join,
+    // while the head, which nobody can reach, is idle and open (days seen-5124 and seen-7815 of the review).
+    one_group_site site;
+    auto& member = site.engine(e01);
+    std::map<std::string, int> received;
+    member.faults.holds = [&](const std::string& operation, const std::string&) {
+        // The first order to join, and the one to leave when the group is released.
+        const auto number = ++received[operation];
+        return (operation == "join" && number == 1) || (operation == "leave" && number == 2);
+    };
+    site.take_over();
+    REQUIRE(site.run_until([&] { return site.group_count() == 1; }));
+    REQUIRE(site.fleet.groups().front().head == e00);
+    site.engine(e00).faults.unresponsive = true;
+    if (GENERATE(false, true)) {
+        unregister(site, e00); // its entry is removed
+    }
+    site.manager.on_suspect(e00);
+    REQUIRE(site.run_until([&] { return site.orders_of(e01, "leave") == 1; }));
+    SECTION("the entry of the member shows its group")
+    {
+        member.execute_held(0, "expected"); // as an order to an engine that is known to be vacant
+        register_again(site, e02);
+    }
+    SECTION("the entry of the member does not show its group")
+    {
+        member.faults.entry_frozen = true;
+        member.execute_held(0, "expected"); // as an order to an engine that is known to be vacant
+        register_again(site, e02);
+        REQUIRE(site.run_until([&] { return site.orders_of(e01, "join") == 3; }));
+        member.faults.entry_frozen = false;
+        member.update_entry();
+    }
+    CHECK(site.run_until([&] { return site.group_count() == 1 && site.fleet.groups().front().head != e00; }));
+    CHECK(first_join_of_two_groups(site) == "");
+    CHECK(site.orders_of(e01, "leave") > 1);
+}
+
 TEST_CASE("an order to join is not repeated at an engine that late orders have opened since it was asked",
           "[gateway][group_manager]")
 {
