Trailer fields have the limit of heads

Cause: the library's limit on heads does not apply to trailers, and it throws std::length_error for a field of 64 KB and more; nothing on the way catches it.

Change: the trailer part of a chunked body has the limit of heads, whether it arrives in pieces or at once, and a field that the library cannot store exceeds it. Such a request is refused with 431 as one that has not run.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -12,7 +12,9 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <mutex>
+#include <numeric>
 #include <optional>
+#include <stdexcept>
 #include <sys/socket.h>
 #include <unordered_map>
 #include <utility>
@@ -523,24 +525,40 @@
     return fields * client_limits::field_bytes + message.body().text.capacity() + link.buffer.capacity();
 }
 
+/// Parses the received bytes. The library throws for a field that exceeds what it can store, also for a
+/// trailer field, to which its limit on heads does not apply.
+inline boost::system::error_code parse(connection& link, request_parser& parser)
+{
+    boost::system::error_code code;
+    try {
+        link.buffer.consume(parser.put(link.buffer.data(), code));
+    } catch (const std::length_error&) {
+        code = bhttp::error::header_limit;
+    }
+    return code;
+}
+
 /// Reads until `done` returns true for the parser.
 template <class Condition>
-boost::system::error_code read_until(connection& link, request_parser& parser, time_point deadline,
-                                     Condition done, yield_context yield)
+boost::system::error_code read_until(connection& link, request_parser& parser, std::size_t head_bytes,
+                                     time_point deadline, Condition done, yield_context yield)
 {
     bool more = link.buffer.size() == 0;
     while (!done(parser)) {
-        boost::system::error_code code;
         if (more) {
-            code = link.read_some(deadline, yield);
-            if (code) {
+            if (const auto code = link.read_some(deadline, yield)) {
                 return code;
             }
         }
-        link.buffer.consume(parser.put(link.buffer.data(), code));
+        const auto code = parse(link, parser);
         if (code && code != bhttp::error::need_more) {
             return code;
         }
+        // After the head only the line of a chunk or the trailers can be incomplete. They have the limit of
+        // heads.
+        if (code && parser.is_header_done() && link.buffer.size() > head_bytes) {
+            return bhttp::error::header_limit;
+        }
         if (link.share && !link.share->hold(request_bytes(link, parser), steady_clock::now())) {
             return asio::error::operation_aborted;
         }
@@ -549,6 +567,16 @@
     return {};
 }
 
+/// Bytes of the names and values of all fields that were parsed, trailers included.
+inline std::size_t field_bytes(const request_parser& parser)
+{
+    const auto& message = parser.get();
+    return std::accumulate(message.begin(), message.end(), std::size_t{0},
+                           [](std::size_t sum, const auto& field) {
+                               return sum + field.name_string().size() + field.value().size();
+                           });
+}
+
 /// Reads one request, of which the buffer may hold a part. Returns the error code of the read that failed.
 inline boost::system::error_code read_request(connection& link, request_parser& parser,
                                               const server_options& options, yield_context yield)
@@ -556,7 +584,7 @@
     parser.header_limit(static_cast<std::uint32_t>(options.header_bytes));
     parser.body_limit(options.body_bytes);
     if (const auto code = read_until(
-            link, parser, steady_clock::now() + options.head_timeout,
+            link, parser, options.header_bytes, steady_clock::now() + options.head_timeout,
             [](const request_parser& head) { return head.is_header_done(); }, yield)) {
         return code;
     }
@@ -576,9 +604,12 @@
         }
     }
     parser.eager(true);
-    return read_until(
-        link, parser, steady_clock::now() + options.body_timeout,
+    const auto head_field_bytes = field_bytes(parser);
+    const auto code = read_until(
+        link, parser, options.header_bytes, steady_clock::now() + options.body_timeout,
         [](const request_parser& whole) { return whole.is_done(); }, yield);
+    const bool long_trailers = !code && field_bytes(parser) - head_field_bytes > options.header_bytes;
+    return long_trailers ? bhttp::make_error_code(bhttp::error::header_limit) : code;
 }
 
 /// Waits for the first bytes of a request. Returns false when the connection is to be closed.
--- a/tests/http/server_edge_test.cpp
+++ b/tests/http/server_edge_test.cpp
@@ -438,3 +438,29 @@
         socket, boost::asio::buffer(std::string("GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")));
     CHECK(count(read_all(socket), "HTTP/1.1 200") == 1);
 }
+
+TEST_CASE("trailer fields have the limit of heads", "[http][server]")
+{
+    // Guards against a trailer field that ends the process (review/7): the library throws for 64 KB and more.
+    http::server_options options;
+    options.header_bytes = 16384;
+    edge_server server(options);
+    const auto request = [](std::size_t field_bytes) {
+        return "POST /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\nTransfer-Encoding: "
+               "chunked\r\n\r\n3\r\nabc\r\n0\r\nX-Late: " +
+               std::string(field_bytes, 'a') + "\r\n\r\n";
+    };
+    SECTION("a short one is accepted")
+    {
+        CHECK(server.answer_to(request(10)).find(" 200 ") != std::string::npos);
+    }
+    for (const std::size_t field_bytes : {20000, 66000, 100000, 1000000}) {
+        SECTION("one of " + std::to_string(field_bytes) +
+                " bytes is refused, and the server serves the next request")
+        {
+            CHECK(server.answer_to(request(field_bytes)).find(" 431 ") != std::string::npos);
+            CHECK(server.answer_to(request(10)).find(" 200 ") != std::string::npos);
+            CHECK(server.handler.requests == 1);
+        }
+    }
+}
