A TRACE request with a body is refused

Cause: the library accepts such a request when it is read and throws std::invalid_argument when it is written to a target; nothing on the way catches it.

Change: the body is refused with 400 when it is read (RFC 9110 9.3.8: TRACE has none). The request has not run.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -608,8 +608,17 @@
     const auto code = read_until(
         link, parser, options.header_bytes, steady_clock::now() + options.body_timeout,
         [](const request_parser& whole) { return whole.is_done(); }, yield);
-    const bool long_trailers = !code && field_bytes(parser) - head_field_bytes > options.header_bytes;
-    return long_trailers ? bhttp::make_error_code(bhttp::error::header_limit) : code;
+    if (code) {
+        return code;
+    }
+    if (field_bytes(parser) - head_field_bytes > options.header_bytes) {
+        return bhttp::error::header_limit;
+    }
+    if (parser.get().method() == bhttp::verb::trace && !parser.get().body().text.empty()) {
+        // TRACE has no body (RFC 9110, 9.3.8), and the library throws when one is written to a target.
+        return bhttp::error::bad_method;
+    }
+    return {};
 }
 
 /// Waits for the first bytes of a request. Returns false when the connection is to be closed.
--- a/tests/http/server_edge_test.cpp
+++ b/tests/http/server_edge_test.cpp
@@ -464,3 +464,17 @@
         }
     }
 }
+
+TEST_CASE("a TRACE request with a body is refused", "[http][server]")
+{
+    // Guards against a request that ends the process when it is sent to a target (review/8): the library
+    // throws.
+    edge_server server;
+    const std::string head = "TRACE /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n";
+    CHECK(server.answer_to(head + "Content-Length: 3\r\n\r\nabc").find(" 400 ") != std::string::npos);
+    CHECK(server.answer_to(head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n").find(" 400 ") !=
+          std::string::npos);
+    CHECK(server.handler.requests == 0);
+    CHECK(server.answer_to(head + "\r\n").find(" 200 ") != std::string::npos);
+    CHECK(server.answer_to(head + "Content-Length: 0\r\n\r\n").find(" 200 ") != std::string::npos);
+}
