--- a/src/gateway/group_ending.cpp
+++ b/src/gateway/group_ending.cpp
@@ -374,7 +374,7 @@
             continue;
         }
         if (is_without_answer(evidence)) {
-            this->order_to_leave_first(key, target->entry, steady_clock::now());
+            this->hold_until_left(key, target->entry, steady_clock::now());
         } else {
             this->order_to_leave(key, target->entry);
         }
@@ -397,7 +397,7 @@
     });
 }
 
-void group_manager::order_to_leave_first(const group_key& key, const target_entry& member, time_point now)
+void group_manager::hold_until_left(const group_key& key, const target_entry& member, time_point now)
 {
     log(log_level::info, "member has to leave a group whose head does not answer",
         {{"engine", member.instance.str()}, {"group", key.first.str()}});
--- a/src/gateway/group_formation.cpp
+++ b/src/gateway/group_formation.cpp
@@ -227,7 +227,7 @@
     const bool ended = released && !(serves && (given_up || other_life));
     if (ended && given_up && in->rank != 0) {
         this->assignments.forget(engine.instance);
-        this->order_to_leave_first(key, engine, steady_clock::now());
+        this->hold_until_left(key, engine, steady_clock::now());
         return false;
     }
     if (!in || is_fence_group(in->group) || ended) {
--- a/src/gateway/group_manager.hpp
+++ b/src/gateway/group_manager.hpp
@@ -186,9 +186,9 @@
     void release(const group_key& key, ending& state, release_evidence evidence);
     /// Orders a member of a group that was released to leave it.
     void order_to_leave(const group_key& key, const target_entry& member);
-    /// The same for a group that was released without an answer of its head. The member is not used until its
-    /// report is newer than the order.
-    void order_to_leave_first(const group_key& key, const target_entry& member, time_point now);
+    /// Orders a member of a group that was released without an answer of its head to leave it, and holds the
+    /// member back until its report is newer than the order.
+    void hold_until_left(const group_key& key, const target_entry& member, time_point now);
     /// A member other than the head that still reports the group and is not lost, or null.
     const target_state* find_reachable_member(const group_key& key, const ending& state);
     /// Orders the member to leave, which stalls the group even if its head cannot be reached.
