A permit names no number that the manager's own orders have outdated

Cause: reports are some hundred milliseconds old. After the end of a group its members accept the order to leave, or the head its fence, while their reports still show the time before; the order to join named the number of that report, the engines refused it, and formations were given up one after the other.

Change: the permit gets the number only if the engine reports no ended group and has accepted no order of this manager within the age of a report. Other orders, those of earlier managers, are still counted.

Test: "an engine whose report is older than its leave joins its next group at the first order".

--- a/src/decision/group_assignments.hpp
+++ b/src/decision/group_assignments.hpp
@@ -115,7 +115,7 @@
     /// Forgets what is known of the engine, so that it is asked before it joins a group again.
     void forget(const instance_id& engine);
     /// Records that the engine has reported to be in no group that may serve, when it had accepted that many
-    /// orders.
+    /// orders; nothing if it may have accepted another one since.
     void record_free(const engine_life& engine, std::optional<std::uint64_t> accepted_orders);
     /// The permit with the evidence of a later report, for an engine that has refused the order because it
     /// had accepted another one since the first report, and that is still in no group that may serve.
--- a/src/gateway/group_formation.cpp
+++ b/src/gateway/group_formation.cpp
@@ -231,7 +231,10 @@
         return false;
     }
     if (!in || is_fence_group(in->group) || ended) {
-        this->assignments.record_free(life, report.accepted_orders);
+        // The engine would refuse the number of the report if it accepted an order of this manager since,
+        // such as the order to leave the ended group that it reports.
+        const bool counts_all = !ended && this->accepted_at.count(engine.instance) == 0;
+        this->assignments.record_free(life, counts_all ? report.accepted_orders : std::nullopt);
         return true;
     }
     this->assignments.assign(life, {key, in->rank});
--- a/src/gateway/group_manager.cpp
+++ b/src/gateway/group_manager.cpp
@@ -137,6 +137,7 @@
     this->endings.clear();
     this->assignments.clear();
     this->unanswered_groups.clear();
+    this->accepted_at.clear();
     this->leaving.clear();
     this->lost_engines.clear();
     this->preparations.clear();
@@ -182,6 +183,10 @@
     this->assignments.forget_if(
         [&](const instance_id& engine) { return this->fleet.find_entry(engine) == nullptr; });
     this->assignments.forget_released_before(now - detail::max_order_delay);
+    for (auto entry = this->accepted_at.begin(); entry != this->accepted_at.end();) {
+        entry =
+            now >= entry->second + detail::max_report_age ? this->accepted_at.erase(entry) : std::next(entry);
+    }
     for (auto entry = this->leaving.begin(); entry != this->leaving.end();) {
         entry = now >= entry->second ? this->leaving.erase(entry) : std::next(entry);
     }
@@ -520,6 +525,9 @@
     if (failed(answer) && error(answer).kind == failure_kind::outcome_unknown) {
         this->unanswered_groups.emplace(what.group(), what.epoch());
     }
+    if (succeeded(answer) && value(answer) == order_verdict::started) {
+        this->accepted_at[engine.instance] = steady_clock::now();
+    }
     return answer;
 }
 
--- a/src/gateway/group_manager.hpp
+++ b/src/gateway/group_manager.hpp
@@ -323,7 +323,9 @@
     std::map<group_id, formation> formations;
     std::map<group_key, ending> endings;
     group_assignments assignments;
-    std::set<group_key> unanswered_groups;     ///< groups with an order of unknown outcome
+    std::set<group_key> unanswered_groups; ///< groups with an order of unknown outcome
+    /// When engines last accepted an order; forgotten once all their reports are newer.
+    std::map<instance_id, time_point> accepted_at;
     std::map<instance_id, time_point> leaving; ///< members that have to leave, and when they are asked again
     std::map<instance_id, lost_engine> lost_engines;
     std::map<instance_id, preparation> preparations;
--- a/tests/gateway/late_order_test.cpp
+++ b/tests/gateway/late_order_test.cpp
@@ -467,6 +467,25 @@
     CHECK(site.orders_of(e00, "leave") > 0);
 }
 
+TEST_CASE("an engine whose report is older than its leave joins its next group at the first order",
+          "[gateway][group_manager]")
+{
+    // Guards against formations that are given up one after the other: the report still shows the ended
+    // group, and its number of orders does not count the order to leave.
+    one_group_site site;
+    site.site->fleet.timing.report_lag = milliseconds(150);
+    site.take_over();
+    REQUIRE(site.run_until([&] { return site.group_count() == 1; }));
+    const auto first = site.fleet.groups().front();
+    register_again(site, e02);
+    await_engines(site, 3);
+    site.engine(e01).drain();
+    REQUIRE(site.run_until(
+        [&] { return site.group_count() == 1 && site.fleet.groups().front().epoch != first.epoch; }));
+    CHECK(site.fleet.groups().front().epoch == first.epoch + 2); // no formation between
+    CHECK(first_violation(site) == "");
+}
+
 TEST_CASE("an engine that accepted another order since it was asked joins once it has reported again",
           "[gateway][group_manager]")
 {
